--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# Targets for people and for .ci/run. Everything builds into bin/.
+
+PROGRAMS := hvgate hvside hvctl hvfake
+MODULES := . $(addprefix ./cmd/,$(PROGRAMS))
+VERSION ?= $(shell git describe --tags --always --dirty 2>/dev/null || echo dev)
+
+.PHONY: all build test lint fmt demo measure soak budget clean
+
+all: build
+
+build:
+	@mkdir -p bin
+	@for p in $(PROGRAMS); do \
+		go build -ldflags "-X main.version=$(VERSION)" -o bin/$$p ./cmd/$$p || exit 1; \
+	done
+
+# Packages of every module in the workspace.
+PACKAGES := $(addsuffix /...,$(MODULES))
+
+test:
+	go test $(PACKAGES)
+
+lint:
+	@out=$$(go tool gofumpt -l .); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	go vet $(PACKAGES)
+	go tool staticcheck $(PACKAGES)
+
+fmt:
+	go tool gofumpt -w .
+
+demo: build
+	sh scripts/demo.sh
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/hvring/ring.go
@@ -0,0 +1,54 @@
+// Package hvring provides the bounded ring that joins two goroutines.
+package hvring
+
+import "context"
+
+// Ring is a bounded first-in first-out buffer for any number of producers and
+// consumers.
+type Ring[T any] struct {
+	items chan T
+}
+
+// New returns a ring that holds up to size items.
+func New[T any](size int) *Ring[T] { return &Ring[T]{items: make(chan T, size)} }
+
+// Put adds an item and reports false if the ring is full.
+func (r *Ring[T]) Put(item T) bool {
+	select {
+	case r.items <- item:
+		return true
+	default:
+		return false
+	}
+}
+
+// Take waits for an item until ctx ends.
+func (r *Ring[T]) Take(ctx context.Context) (T, error) {
+	select {
+	case item := <-r.items:
+		return item, nil
+	case <-ctx.Done():
+		var zero T
+		return zero, ctx.Err()
+	}
+}
+
+// Drain returns up to limit items without waiting.
+func (r *Ring[T]) Drain(limit int) []T {
+	var items []T
+	for len(items) < limit {
+		select {
+		case item := <-r.items:
+			items = append(items, item)
+		default:
+			return items
+		}
+	}
+	return items
+}
+
+// Items returns the channel for use in a select statement.
+func (r *Ring[T]) Items() <-chan T { return r.items }
+
+// Len returns the number of buffered items.
+func (r *Ring[T]) Len() int { return len(r.items) }
--- /dev/null
+++ b/hvwire/codec.go
@@ -0,0 +1,60 @@
+package hvwire
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// frameCodec writes each message as a length of four bytes and a JSON object.
+// Unlike the codecs of the library it bounds the size of a message.
+type frameCodec struct{}
+
+// WriteObject implements jsonrpc2.ObjectCodec.
+func (frameCodec) WriteObject(w io.Writer, obj any) error {
+	b, err := json.Marshal(obj)
+	if err != nil {
+		return errors.Wrap(err, "encode message")
+	}
+	if len(b) > maxFrameBytes {
+		return errors.Errorf("message of %d bytes is over the limit of %d", len(b), maxFrameBytes)
+	}
+	frame := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(b)), uint32(len(b)))
+	_, err = w.Write(append(frame, b...))
+	return errors.Wrap(err, "write message")
+}
+
+// ReadObject implements jsonrpc2.ObjectCodec.
+func (frameCodec) ReadObject(r *bufio.Reader, v any) error {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > maxFrameBytes {
+		return errors.Errorf("message of %d bytes is over the limit of %d", n, maxFrameBytes)
+	}
+	b := make([]byte, n)
+	if _, err := io.ReadFull(r, b); err != nil {
+		return errors.Wrap(err, "read message")
+	}
+	return errors.Wrap(json.Unmarshal(b, v), "decode message")
+}
+
+// writeTimeout ends a connection whose other end no longer reads. Without it
+// a half-cut connection would block every sender.
+const writeTimeout = 3 * time.Second
+
+type limitedConn struct{ net.Conn }
+
+func (c *limitedConn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
--- /dev/null
+++ b/hvwire/conn.go
@@ -0,0 +1,152 @@
+// Package hvwire holds the messages between gates and sides and carries them
+// by JSON-RPC 2.0 over TCP.
+package hvwire
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// maxFrameBytes bounds one message. It covers the largest answer body (1 MiB)
+// in base64 with its envelope.
+const maxFrameBytes = 4 << 20
+
+// Error is the error type of the package.
+type Error struct {
+	Op   string
+	Kind hv.ErrorKind
+	Err  error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("wire %s: %v", e.Op, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// ErrorKind returns the kind of the error.
+func (e *Error) ErrorKind() hv.ErrorKind { return e.Kind }
+
+// Handler answers one method.
+type Handler func(ctx context.Context, c *Conn, params json.RawMessage) (any, error)
+
+// Mux maps methods to handlers. It must not change after the first use.
+type Mux map[string]Handler
+
+// Handle adds a typed handler to a mux.
+func Handle[Req, Ans any](m Mux, method string, f func(ctx context.Context, c *Conn, req Req) (Ans, error)) {
+	m[method] = func(ctx context.Context, c *Conn, params json.RawMessage) (any, error) {
+		var req Req
+		if err := json.Unmarshal(params, &req); err != nil {
+			return nil, &Error{Op: method, Kind: hv.Invalid, Err: errors.Wrap(err, "decode")}
+		}
+		return f(ctx, c, req)
+	}
+}
+
+// Conn is one connection between two processes of the system. Both ends can
+// call.
+type Conn struct {
+	rpc    *jsonrpc2.Conn
+	remote string
+}
+
+// NewConn starts to serve mux on a network connection.
+func NewConn(nc net.Conn, mux Mux) *Conn {
+	c := &Conn{remote: nc.RemoteAddr().String()}
+	ready := make(chan struct{})
+	handle := func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+		<-ready
+		return c.dispatch(ctx, mux, req)
+	}
+	stream := jsonrpc2.NewBufferedStream(&limitedConn{Conn: nc}, frameCodec{})
+	c.rpc = jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(handle).SuppressErrClosed()))
+	close(ready)
+	return c
+}
+
+func (c *Conn) dispatch(ctx context.Context, mux Mux, req *jsonrpc2.Request) (any, error) {
+	h, ok := mux[req.Method]
+	if !ok {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "method " + req.Method + " does not exist"}
+	}
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	ans, err := h(ctx, c, params)
+	if err != nil {
+		return nil, encodeError(err)
+	}
+	return ans, nil
+}
+
+// Dial connects to addr and serves mux on the connection.
+func Dial(ctx context.Context, addr string, mux Mux) (*Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, &Error{Op: "dial", Kind: hv.Unavailable, Err: err}
+	}
+	return NewConn(nc, mux), nil
+}
+
+const dialTimeout = 2 * time.Second
+
+// Call sends a request and decodes its answer. An error of kind Unavailable
+// means that the request was not sent; Uncertain, that it may have been.
+func Call[Ans any](ctx context.Context, c *Conn, method string, req any) (Ans, error) {
+	var ans Ans
+	err := c.rpc.Call(ctx, method, req, &ans)
+	if err == nil {
+		return ans, nil
+	}
+	return ans, decodeError(method, err)
+}
+
+// Remote returns the address of the other end.
+func (c *Conn) Remote() string { return c.remote }
+
+// Done is closed when the connection has ended.
+func (c *Conn) Done() <-chan struct{} { return c.rpc.DisconnectNotify() }
+
+// Close ends the connection.
+func (c *Conn) Close() error { return c.rpc.Close() }
+
+type errorData struct {
+	Kind hv.ErrorKind `json:"kind"`
+}
+
+const codeApplication = -32000
+
+func encodeError(err error) *jsonrpc2.Error {
+	e := &jsonrpc2.Error{Code: codeApplication, Message: err.Error()}
+	e.SetError(errorData{Kind: hv.KindOf(err)})
+	return e
+}
+
+func decodeError(method string, err error) error {
+	var remote *jsonrpc2.Error
+	switch {
+	case errors.Is(err, jsonrpc2.ErrClosed):
+		// The library also returns ErrClosed when the connection ends while
+		// the answer is outstanding, so the request may have been received.
+		return &Error{Op: method, Kind: hv.Uncertain, Err: err}
+	case errors.As(err, &remote):
+		data := errorData{Kind: hv.Internal}
+		if remote.Data != nil {
+			if json.Unmarshal(*remote.Data, &data) != nil {
+				data.Kind = hv.Internal
+			}
+		}
+		return &Error{Op: method, Kind: data.Kind, Err: errors.New(remote.Message)}
+	}
+	return &Error{Op: method, Kind: hv.Uncertain, Err: err}
+}
--- /dev/null
+++ b/hvwire/messages.go
@@ -0,0 +1,207 @@
+package hvwire
+
+import (
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// Methods of the protocol between gates and sides.
+const (
+	MethodAnnounce = "announce"
+	MethodBeat     = "beat"
+	MethodReport   = "report"
+	MethodLeave    = "leave"
+	MethodRun      = "run"
+	MethodSettle   = "settle"
+	MethodStart    = "start"
+	MethodStop     = "stop"
+	MethodThrottle = "throttle"
+	MethodPeer     = "peer"
+	MethodConfirm  = "confirm"
+	MethodFetch    = "fetch"
+	MethodHandover = "handover"
+)
+
+// Announce tells a gate about a side, its host and its upstream.
+type Announce struct {
+	Host hv.Host `json:"host"`
+	// Incarnation is unique for each start of the side process.
+	Incarnation string `json:"incarnation"`
+	// Service is the name of the upstream's service, or empty on a host that
+	// runs tasks only.
+	Service     string `json:"service,omitempty"`
+	Slots       int    `json:"slots,omitempty"`
+	Connections int    `json:"connections,omitempty"`
+	// Running lists all attempts that the host holds.
+	Running []hv.Running `json:"running,omitempty"`
+	Leaving bool         `json:"leaving,omitempty"`
+}
+
+// AnnounceAck answers Announce.
+type AnnounceAck struct {
+	Gate    string    `json:"gate"`
+	Version hv.Offset `json:"version"`
+}
+
+// Beat is the heartbeat of a side.
+type Beat struct {
+	Incarnation string `json:"incarnation"`
+	Sequence    uint64 `json:"sequence"`
+	// Running and Waiting count the requests at the upstream.
+	Running   int          `json:"running"`
+	Waiting   int          `json:"waiting"`
+	Committed hv.Resources `json:"committed"`
+	// Attempts lists every attempt that the host holds.
+	Attempts []AttemptState `json:"attempts,omitempty"`
+	Usage    []hv.Usage     `json:"usage,omitempty"`
+	// Slowdown is the upstream's tail latency divided by its target.
+	Slowdown float64   `json:"slowdown,omitempty"`
+	Version  hv.Offset `json:"version"`
+	Leaving  bool      `json:"leaving,omitempty"`
+}
+
+// AttemptState is the state of one attempt in a heartbeat.
+type AttemptState struct {
+	Attempt hv.Attempt `json:"attempt"`
+	Shard   int        `json:"shard"`
+	Epoch   int64      `json:"epoch"`
+	State   string     `json:"state"`
+	Share   int        `json:"share,omitempty"`
+}
+
+// BeatAck answers Beat.
+type BeatAck struct {
+	Version hv.Offset `json:"version"`
+	// Renewals lists the shards that the gate owns with a confirmed view.
+	Renewals []Renewal `json:"renewals,omitempty"`
+	// Keys confirms the key slots that the side's incarnation owns.
+	Keys *KeyGrant `json:"keys,omitempty"`
+}
+
+// Renewal extends the leases of all attempts of one shard on the host that
+// sent the heartbeat.
+type Renewal struct {
+	Shard int         `json:"shard"`
+	Epoch int64       `json:"epoch"`
+	Lease hv.Duration `json:"lease"`
+	// Tasks lists attempts that the owner does not know as current on this
+	// host; they are not renewed and the side stops them.
+	Stop []hv.Attempt `json:"stop,omitempty"`
+}
+
+// KeyGrant tells a side which key slots it serves.
+type KeyGrant struct {
+	Slots []SlotGrant `json:"slots"`
+	Lease hv.Duration `json:"lease"`
+	// Offset of the keys stream that the grant reflects.
+	Offset hv.Offset `json:"offset"`
+}
+
+// SlotGrant is one key slot in a grant.
+type SlotGrant struct {
+	Slot int `json:"slot"`
+	// Since is the start of the ownership in Unix milliseconds.
+	Since int64 `json:"since"`
+}
+
+// Events of an attempt in a Report.
+const (
+	EventStarted = "started"
+	EventDone    = "done"
+	EventFailed  = "failed"
+	EventRefused = "refused"
+	EventEvicted = "evicted"
+	EventStopped = "stopped"
+	EventLapsed  = "lapsed"
+)
+
+// Report tells the owner of a shard what became of an attempt. It is repeated
+// until it is acknowledged.
+type Report struct {
+	Host       string     `json:"host"`
+	Attempt    hv.Attempt `json:"attempt"`
+	Shard      int        `json:"shard"`
+	Event      string     `json:"event"`
+	Reason     string     `json:"reason,omitempty"`
+	Checkpoint string     `json:"checkpoint,omitempty"`
+}
+
+// Ack is an answer without content.
+type Ack struct {
+	// OK is false if the receiver is not responsible for the message.
+	OK     bool   `json:"ok"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// Leave tells a gate that a side is draining.
+type Leave struct {
+	Host        string `json:"host"`
+	Incarnation string `json:"incarnation"`
+}
+
+// Settle asks for the outcome of a request and bars it from starting.
+type Settle struct {
+	ID  string `json:"id"`
+	Key string `json:"key,omitempty"`
+}
+
+// Start asks a side to run an attempt.
+type Start struct {
+	Task       hv.Task      `json:"task"`
+	Attempt    hv.Attempt   `json:"attempt"`
+	Shard      int          `json:"shard"`
+	Epoch      int64        `json:"epoch"`
+	Lease      hv.Duration  `json:"lease"`
+	Commit     hv.Resources `json:"commit"`
+	Checkpoint string       `json:"checkpoint,omitempty"`
+}
+
+// Stop asks a side to end an attempt.
+type Stop struct {
+	Attempt hv.Attempt `json:"attempt"`
+	Shard   int        `json:"shard"`
+	Epoch   int64      `json:"epoch"`
+	// Checkpoint asks for a checkpoint first; the attempt is then evicted.
+	Checkpoint bool   `json:"checkpoint,omitempty"`
+	Reason     string `json:"reason,omitempty"`
+}
+
+// StopAck answers Stop when the attempt no longer runs.
+type StopAck struct {
+	Checkpoint string `json:"checkpoint,omitempty"`
+}
+
+// Throttle sets the share of an attempt in thousandths.
+type Throttle struct {
+	Attempt hv.Attempt `json:"attempt"`
+	Share   int        `json:"share"`
+}
+
+// Peer is the heartbeat between gates; the answer is also a Peer.
+type Peer struct {
+	Name        string    `json:"name"`
+	Incarnation string    `json:"incarnation"`
+	Version     hv.Offset `json:"version"`
+	// Reachable reports whether the gate reached the log service lately.
+	Reachable bool `json:"reachable"`
+	// Leaving gates take no further shards.
+	Leaving bool `json:"leaving,omitempty"`
+	// Epochs holds the highest epoch known for each shard, or nothing while
+	// the shard streams are not loaded.
+	Epochs []int64 `json:"epochs,omitempty"`
+	// Keys is the next offset of the keys stream, or -1 while it is not loaded.
+	Keys hv.Offset `json:"keys"`
+}
+
+// Fetch asks a gate for its settings or for the state of a stream.
+type Fetch struct {
+	Stream string `json:"stream"`
+	// After is the version or offset that the asking process already has.
+	After hv.Offset `json:"after"`
+}
+
+// State answers Fetch: the state of a stream after the record before Next.
+type State struct {
+	Next    hv.Offset `json:"next"`
+	Version hv.Offset `json:"version,omitempty"`
+	Body    []byte    `json:"body,omitempty"`
+}
