Serve a request end to end through separate processes

The thin path: a log service and upstreams as stand-ins, side processes that announce themselves, and a gate that routes a caller's request. Measured once by hand: one request answered done with its whole body, and one for a service without upstream answered not-run.

--- /dev/null
+++ b/cmd/hvfake/hvupstream/upstream.go
@@ -0,0 +1,110 @@
+// Package hvupstream is a stand-in for an upstream: an HTTP service that
+// counts how often each request key ran, with faults that can be switched on.
+package hvupstream
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// Headers that the side process adds to a request.
+const (
+	headerKey     = "Idempotency-Key"
+	headerRequest = "Hv-Request"
+)
+
+// Faults are the failures of an upstream.
+type Faults struct {
+	// Took is how long a request runs.
+	Took hv.Duration `json:"took,omitempty"`
+	// Fail answers every request with status 500 at once.
+	Fail bool `json:"fail,omitempty"`
+	// Hang never answers.
+	Hang bool `json:"hang,omitempty"`
+	// Cut ends the connection in the middle of the answer.
+	Cut bool `json:"cut,omitempty"`
+}
+
+// Upstream answers with an echo of the request.
+type Upstream struct {
+	mu     sync.Mutex
+	faults Faults
+	runs   map[string]int
+}
+
+// New returns an upstream with its initial faults.
+func New(f Faults) *Upstream { return &Upstream{faults: f, runs: map[string]int{}} }
+
+// maxBodyBytes bounds the body of a request.
+const maxBodyBytes = 1 << 20
+
+// Handler serves the upstream, PUT /faults, and GET /runs with the number of
+// runs for each key.
+func (u *Upstream) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /faults", u.serveFaults)
+	mux.HandleFunc("GET /runs", u.serveRuns)
+	mux.HandleFunc("/", u.serve)
+	return mux
+}
+
+func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	f := u.count(r)
+	if f.Hang {
+		<-r.Context().Done()
+		return
+	}
+	if f.Fail {
+		http.Error(w, "upstream fault", http.StatusInternalServerError)
+		return
+	}
+	time.Sleep(f.Took.Std())
+	answer := fmt.Sprintf("%s %s %s", r.Method, r.URL.Path, body)
+	if f.Cut {
+		w.Header().Set("Content-Length", fmt.Sprint(len(answer)+1))
+	}
+	_, _ = io.WriteString(w, answer)
+}
+
+func (u *Upstream) count(r *http.Request) Faults {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	key := r.Header.Get(headerKey)
+	if key == "" {
+		key = r.Header.Get(headerRequest)
+	}
+	if key != "" {
+		u.runs[key]++
+	}
+	return u.faults
+}
+
+func (u *Upstream) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&f); err != nil {
+		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	u.mu.Lock()
+	u.faults = f
+	u.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (u *Upstream) serveRuns(w http.ResponseWriter, _ *http.Request) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(u.runs)
+}
--- a/cmd/hvfake/main.go
+++ b/cmd/hvfake/main.go
@@ -1,8 +1,10 @@
-// Command hvfake is described in README.md beside this file.
+// Command hvfake runs the stand-ins for the platform that tests and the demo
+// use.
 package main
 
 import (
 	"fmt"
+	"os"
 
 	"github.com/jessevdk/go-flags"
 )
@@ -10,10 +12,32 @@
 // version is set by the build.
 var version = "dev"
 
-func main() {
-	var opts struct{}
-	if _, err := flags.Parse(&opts); err != nil {
-		fmt.Println(err)
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	parser := flags.NewNamedParser("hvfake", flags.Default)
+	for _, v := range verbs {
+		if _, err := parser.AddCommand(v.name, v.usage, v.usage, v.command); err != nil {
+			fmt.Fprintln(os.Stderr, "hvfake:", err)
+			return exitFailure
+		}
+	}
+	_, err := parser.Parse()
+	switch {
+	case err == nil:
+		return exitOK
+	case flags.WroteHelp(err):
+		return exitOK
+	}
+	if _, ok := err.(*flags.Error); ok {
+		return exitUsage
 	}
-	fmt.Println(version)
+	return exitFailure
 }
--- a/cmd/hvgate/main.go
+++ b/cmd/hvgate/main.go
@@ -1,19 +1,58 @@
-// Command hvgate is described in README.md beside this file.
+// Command hvgate serves callers and operators and routes requests to
+// upstreams.
 package main
 
 import (
+	"context"
 	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
 
+	"github.com/go-kit/log"
 	"github.com/jessevdk/go-flags"
 )
 
 // version is set by the build.
 var version = "dev"
 
-func main() {
-	var opts struct{}
-	if _, err := flags.Parse(&opts); err != nil {
-		fmt.Println(err)
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+func main() { os.Exit(run()) }
+
+type options struct {
+	Config  string `long:"config" description:"Local settings file (JSON)"`
+	Version bool   `long:"version" description:"Print the version"`
+}
+
+func run() int {
+	var opts options
+	if _, err := flags.NewParser(&opts, flags.Default).Parse(); err != nil {
+		if flags.WroteHelp(err) {
+			return exitOK
+		}
+		return exitUsage
+	}
+	if opts.Version {
+		fmt.Println(version)
+		return exitOK
+	}
+	logger := log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "part", "gate")
+	conf, err := readConfig(opts.Config)
+	if err != nil {
+		_ = logger.Log("msg", "settings are invalid", "err", err)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := newGate(conf, logger).run(ctx); err != nil {
+		_ = logger.Log("msg", "gate failed", "err", err)
+		return exitFailure
 	}
-	fmt.Println(version)
+	return exitOK
 }
--- /dev/null
+++ b/hvwire/conn_test.go
@@ -0,0 +1,86 @@
+package hvwire
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+func pair(t *testing.T, mux Mux) (client, server *Conn) {
+	t.Helper()
+	a, b := net.Pipe()
+	server, client = NewConn(a, mux), NewConn(b, Mux{})
+	t.Cleanup(func() { client.Close(); server.Close() })
+	return client, server
+}
+
+// Guards against the loss of the error kind on the wire: the caller decides
+// by the kind whether a request may be repeated.
+func TestCallKeepsErrorKind(t *testing.T) {
+	mux := Mux{}
+	Handle(mux, MethodStart, func(context.Context, *Conn, Start) (Ack, error) {
+		return Ack{}, &Error{Op: "start", Kind: hv.Full, Err: context.DeadlineExceeded}
+	})
+	client, _ := pair(t, mux)
+	_, err := Call[Ack](t.Context(), client, MethodStart, Start{})
+	if kind := hv.KindOf(err); kind != hv.Full {
+		t.Errorf("kind = %s of %v, want %s", kind, err, hv.Full)
+	}
+}
+
+// Guards against a lost connection being reported as certain: the request may
+// have been received.
+func TestCallIsUncertainWhenConnectionEnds(t *testing.T) {
+	mux := Mux{}
+	block := make(chan struct{})
+	defer close(block)
+	started := make(chan struct{})
+	Handle(mux, MethodRun, func(context.Context, *Conn, hv.Request) (hv.Answer, error) {
+		close(started)
+		<-block
+		return hv.Answer{}, nil
+	})
+	client, server := pair(t, mux)
+	go func() {
+		<-started
+		server.Close()
+	}()
+	_, err := Call[hv.Answer](t.Context(), client, MethodRun, hv.Request{Class: hv.Urgent})
+	if kind := hv.KindOf(err); kind != hv.Uncertain {
+		t.Errorf("kind = %s of %v, want %s", kind, err, hv.Uncertain)
+	}
+}
+
+// Guards against a caller that waits for ever on a peer that does not answer.
+func TestCallEndsWithContext(t *testing.T) {
+	mux := Mux{}
+	block := make(chan struct{})
+	defer close(block)
+	Handle(mux, MethodLeave, func(context.Context, *Conn, Leave) (Ack, error) {
+		<-block
+		return Ack{}, nil
+	})
+	client, _ := pair(t, mux)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancel()
+	if _, err := Call[Ack](ctx, client, MethodLeave, Leave{}); hv.KindOf(err) != hv.Uncertain {
+		t.Errorf("error = %v, want kind %s", err, hv.Uncertain)
+	}
+}
+
+// Guards against unbounded memory for a message from a hostile peer.
+func TestReadObjectRefusesLongFrame(t *testing.T) {
+	frame := binary.BigEndian.AppendUint32(nil, maxFrameBytes+1)
+	var v any
+	err := frameCodec{}.ReadObject(bufio.NewReader(bytes.NewReader(frame)), &v)
+	if err == nil || !strings.Contains(err.Error(), "over the limit") {
+		t.Errorf("error = %v, want a refusal by length", err)
+	}
+}
