Use a message that decodes in the error kind test

The test sent a start message without a task kind, which the decoder refuses, so it failed before it reached the handler. The assertion is unchanged.

--- a/hvwire/conn_test.go
+++ b/hvwire/conn_test.go
@@ -25,11 +25,11 @@
 // by the kind whether a request may be repeated.
 func TestCallKeepsErrorKind(t *testing.T) {
 	mux := Mux{}
-	Handle(mux, MethodStart, func(context.Context, *Conn, Start) (Ack, error) {
+	Handle(mux, MethodLeave, func(context.Context, *Conn, Leave) (Ack, error) {
 		return Ack{}, &Error{Op: "start", Kind: hv.Full, Err: context.DeadlineExceeded}
 	})
 	client, _ := pair(t, mux)
-	_, err := Call[Ack](t.Context(), client, MethodStart, Start{})
+	_, err := Call[Ack](t.Context(), client, MethodLeave, Leave{})
 	if kind := hv.KindOf(err); kind != hv.Full {
 		t.Errorf("kind = %s of %v, want %s", kind, err, hv.Full)
 	}
