--- /dev/null
+++ b/hvpeer/ask.go
@@ -0,0 +1,60 @@
+package hvpeer
+
+import (
+	"context"
+	"sync"
+
+	"hibiscusvane.example/hibiscusvane/hvwire"
+)
+
+// Ask sends a request to every connected peer at the same time and returns
+// the answers by the name of the peer. Peers that do not answer within the
+// call timeout are left out.
+func Ask[Ans any](ctx context.Context, p *Peers, method string, req any) map[string]Ans {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var (
+		mu      sync.Mutex
+		wg      sync.WaitGroup
+		answers = map[string]Ans{}
+	)
+	for name, c := range p.conns() {
+		wg.Go(func() {
+			ans, err := hvwire.Call[Ans](ctx, c, method, req)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answers[name] = ans
+		})
+	}
+	wg.Wait()
+	return answers
+}
+
+// AskOne sends a request to one peer.
+func AskOne[Ans any](ctx context.Context, p *Peers, name, method string, req any) (Ans, bool) {
+	c, ok := p.conns()[name]
+	if !ok {
+		var zero Ans
+		return zero, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	ans, err := hvwire.Call[Ans](ctx, c, method, req)
+	return ans, err == nil
+}
+
+func (p *Peers) conns() map[string]*hvwire.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := map[string]*hvwire.Conn{}
+	self := p.deps.Self().Name
+	for _, l := range p.links {
+		if l.conn != nil && l.name != "" && l.name != self {
+			conns[l.name] = l.conn
+		}
+	}
+	return conns
+}
--- /dev/null
+++ b/hvpeer/link.go
@@ -0,0 +1,77 @@
+package hvpeer
+
+import (
+	"context"
+	"time"
+
+	"hibiscusvane.example/hibiscusvane/hvwire"
+)
+
+// link keeps the connection to one peer.
+type link struct {
+	addr   string
+	peers  *Peers
+	cancel context.CancelFunc
+	// name and conn are guarded by Peers.mu.
+	name string
+	conn *hvwire.Conn
+}
+
+func (l *link) stop() {
+	if l.cancel != nil {
+		l.cancel()
+	}
+}
+
+func (l *link) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := l.connect(ctx); err != nil && ctx.Err() == nil {
+			_ = l.peers.deps.Logger.Log("level", "debug", "msg", "connection to peer ended", "address", l.addr, "err", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialInterval):
+		}
+	}
+}
+
+func (l *link) connect(ctx context.Context) error {
+	c, err := hvwire.Dial(ctx, l.addr, l.peers.deps.Mux)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	defer l.setConn(nil, "")
+	tick := time.NewTicker(beatInterval)
+	defer tick.Stop()
+	for {
+		if err := l.beat(ctx, c); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+func (l *link) beat(ctx context.Context, c *hvwire.Conn) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	peer, err := hvwire.Call[hvwire.Peer](ctx, c, hvwire.MethodPeer, l.peers.deps.Self())
+	if err != nil {
+		return err
+	}
+	l.setConn(c, peer.Name)
+	l.peers.Hear(peer)
+	return nil
+}
+
+func (l *link) setConn(c *hvwire.Conn, name string) {
+	l.peers.mu.Lock()
+	defer l.peers.mu.Unlock()
+	l.conn, l.name = c, name
+}
