--- a/hvpeer/ask.go
+++ b/hvpeer/ask.go
@@ -47,10 +47,10 @@
 }
 
 func (p *Peers) conns() map[string]*hvwire.Conn {
+	self := p.deps.Self().Name
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := map[string]*hvwire.Conn{}
-	self := p.deps.Self().Name
 	for _, l := range p.links {
 		if l.conn != nil && l.name != "" && l.name != self {
 			conns[l.name] = l.conn
--- /dev/null
+++ b/hvprocess/process_test.go
@@ -0,0 +1,234 @@
+// Package hvprocess tests the real processes by scripts.
+package hvprocess
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+var programs = []string{"hvgate", "hvside", "hvctl", "hvfake"}
+
+func TestScripts(t *testing.T) {
+	bin := build(t)
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(e *testscript.Env) error {
+			e.Setenv("PATH", bin+string(os.PathListSeparator)+e.Getenv("PATH"))
+			set := &processSet{byName: map[string]*process{}}
+			e.Values[setKey{}] = set
+			e.Defer(set.killAll)
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"ports":  cmdPorts,
+			"expand": cmdExpand,
+			"spawn":  cmdSpawn,
+			"signal": cmdSignal,
+			"exited": cmdExited,
+			"http":   cmdHTTP,
+			"until":  cmdUntil,
+		},
+	})
+}
+
+func build(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	for _, p := range programs {
+		cmd := exec.Command("go", "build", "-o", filepath.Join(dir, p), "../cmd/"+p)
+		if out, err := cmd.CombinedOutput(); err != nil {
+			t.Fatalf("build %s: %v\n%s", p, err, out)
+		}
+	}
+	return dir
+}
+
+type setKey struct{}
+
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+type processSet struct {
+	mu     sync.Mutex
+	byName map[string]*process
+}
+
+func (s *processSet) get(ts *testscript.TestScript, name string) *process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.byName[name]
+	if p == nil {
+		ts.Fatalf("process %s was not started", name)
+	}
+	return p
+}
+
+func (s *processSet) killAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.byName {
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	}
+}
+
+func processes(ts *testscript.TestScript) *processSet { return ts.Value(setKey{}).(*processSet) }
+
+func cmdPorts(ts *testscript.TestScript, _ bool, names []string) {
+	for _, n := range names {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		ts.Check(err)
+		ts.Setenv(n, l.Addr().String())
+		defer l.Close()
+	}
+}
+
+func cmdExpand(ts *testscript.TestScript, _ bool, files []string) {
+	for _, f := range files {
+		path := ts.MkAbs(f)
+		text := os.Expand(ts.ReadFile(path), ts.Getenv)
+		ts.Check(os.WriteFile(path, []byte(text), 0o600))
+	}
+}
+
+func cmdSpawn(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: spawn NAME PROGRAM ARGS...")
+	}
+	path := programPath(ts, args[1])
+	out, err := os.Create(ts.MkAbs(args[0] + ".log"))
+	ts.Check(err)
+	p := &process{cmd: exec.Command(path, args[2:]...), done: make(chan struct{})}
+	p.cmd.Dir = ts.MkAbs(".")
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	ts.Check(p.cmd.Start())
+	go func() {
+		_ = p.cmd.Wait()
+		out.Close()
+		close(p.done)
+	}()
+	set := processes(ts)
+	set.mu.Lock()
+	defer set.mu.Unlock()
+	set.byName[args[0]] = p
+}
+
+func programPath(ts *testscript.TestScript, name string) string {
+	dir, _, _ := strings.Cut(ts.Getenv("PATH"), string(os.PathListSeparator))
+	return filepath.Join(dir, name)
+}
+
+var signals = map[string]syscall.Signal{
+	"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+	"TERM": syscall.SIGTERM, "HUP": syscall.SIGHUP,
+}
+
+func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
+	sig, ok := signals[args[0]]
+	if !ok {
+		ts.Fatalf("signal %s is not known", args[0])
+	}
+	ts.Check(processes(ts).get(ts, args[1]).cmd.Process.Signal(sig))
+}
+
+// exitTimeout is above the time that a daemon takes to drain.
+const exitTimeout = 40 * time.Second
+
+func cmdExited(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	p := processes(ts).get(ts, args[0])
+	select {
+	case <-p.done:
+	case <-time.After(exitTimeout):
+		ts.Fatalf("process %s did not end within %s", args[0], exitTimeout)
+	}
+	if code := p.cmd.ProcessState.ExitCode(); code != want {
+		ts.Fatalf("process %s ended with code %d, want %d", args[0], code, want)
+	}
+}
+
+func cmdHTTP(ts *testscript.TestScript, neg bool, args []string) {
+	out, err := request(args)
+	if neg != (err != nil) {
+		ts.Fatalf("http %v: error = %v", args, err)
+	}
+	_, err = io.WriteString(ts.Stdout(), out)
+	ts.Check(err)
+}
+
+const requestTimeout = 30 * time.Second
+
+func request(args []string) (string, error) {
+	if len(args) < 2 {
+		return "", fmt.Errorf("usage: http METHOD URL [-H HEADER]... [BODY]")
+	}
+	method, url, rest := args[0], args[1], args[2:]
+	header := http.Header{}
+	for len(rest) >= 2 && rest[0] == "-H" {
+		name, value, _ := strings.Cut(rest[1], ":")
+		header.Add(name, strings.TrimSpace(value))
+		rest = rest[2:]
+	}
+	r, err := http.NewRequest(method, url, strings.NewReader(strings.Join(rest, " ")))
+	if err != nil {
+		return "", err
+	}
+	r.Header = header
+	client := http.Client{Timeout: requestTimeout}
+	res, err := client.Do(r)
+	if err != nil {
+		return "", err
+	}
+	defer res.Body.Close()
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d\n", res.StatusCode)
+	_ = res.Header.Write(&b)
+	b.WriteByte('\n')
+	_, err = io.Copy(&b, res.Body)
+	b.WriteByte('\n')
+	return b.String(), err
+}
+
+const pollInterval = 50 * time.Millisecond
+
+func cmdUntil(ts *testscript.TestScript, _ bool, args []string) {
+	limit, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	pattern, err := regexp.Compile("(?m)" + args[1])
+	ts.Check(err)
+	var out string
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(pollInterval) {
+		out, err = output(ts, args[2:])
+		if err == nil && pattern.MatchString(out) {
+			_, err = io.WriteString(ts.Stdout(), out)
+			ts.Check(err)
+			return
+		}
+	}
+	ts.Fatalf("no match for %s within %s; last output (error %v):\n%s", args[1], limit, err, out)
+}
+
+func output(ts *testscript.TestScript, args []string) (string, error) {
+	if args[0] == "http" {
+		return request(args[1:])
+	}
+	b, err := exec.Command(programPath(ts, args[0]), args[1:]...).CombinedOutput()
+	return string(b), err
+}
