--- /dev/null
+++ b/cmd/hvfake/hvload/table.go
@@ -0,0 +1,167 @@
+package hvload
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// Row counts the outcomes of one class.
+type Row struct {
+	Name    string
+	Done    int
+	NotRun  int
+	Unknown int
+	// Doubled counts runs after the first of one key, and overlapping
+	// attempts of one task.
+	Doubled int
+	// Lost counts requests without outcome, done requests that no upstream
+	// ran, and jobs without a final state.
+	Lost int
+	// False counts not-run requests that an upstream ran.
+	False int
+	// Foreign counts answers that belong to another request.
+	Foreign int
+	times   []time.Duration
+}
+
+func (r *Row) count(o hv.Outcome, took time.Duration) {
+	switch o {
+	case hv.Done:
+		r.Done++
+		r.times = append(r.times, took)
+	case hv.NotRun:
+		r.NotRun++
+	case hv.Unknown:
+		r.Unknown++
+	default:
+		r.Lost++
+	}
+}
+
+func (r *Row) quantile(q float64) time.Duration {
+	if len(r.times) == 0 {
+		return 0
+	}
+	slices.Sort(r.times)
+	return r.times[min(len(r.times)-1, int(q*float64(len(r.times))))]
+}
+
+// Table holds the rows in the order of their names.
+type Table struct{ Rows []Row }
+
+// Clean reports whether nothing was doubled, lost, falsely reported or
+// delivered to another request.
+func (t Table) Clean() bool {
+	for _, r := range t.Rows {
+		if r.Doubled+r.Lost+r.False+r.Foreign > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Write prints the table.
+func (t Table) Write(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "class\tdone\tnot-run\tunknown\tp50\tp99\tdoubled\tlost\tfalse\tforeign")
+	for _, r := range t.Rows {
+		fmt.Fprintf(tw, "%s\t%d\t%d\t%d\t%s\t%s\t%d\t%d\t%d\t%d\n", r.Name, r.Done, r.NotRun, r.Unknown,
+			r.quantile(0.5).Round(time.Millisecond), r.quantile(0.99).Round(time.Millisecond),
+			r.Doubled, r.Lost, r.False, r.Foreign)
+	}
+	return tw.Flush()
+}
+
+func (l *Loader) table() Table {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var t Table
+	for _, r := range l.rows {
+		t.Rows = append(t.Rows, *r)
+	}
+	slices.SortFunc(t.Rows, func(a, b Row) int { return strings.Compare(a.Name, b.Name) })
+	return t
+}
+
+// countRuns compares the outcomes with what the upstreams ran.
+func (l *Loader) countRuns(ctx context.Context) error {
+	runs := map[string]int{}
+	for _, u := range l.conf.Upstreams {
+		var counts map[string]int
+		if err := l.get(ctx, u+"/runs", &counts); err != nil {
+			return err
+		}
+		for key, n := range counts {
+			runs[key] += n
+		}
+	}
+	for _, s := range l.sent {
+		n := runs[s.key]
+		l.update(s.row, func(r *Row) {
+			r.Doubled += max(0, n-1)
+			if s.outcome == hv.Done && n == 0 {
+				r.Lost++
+			}
+			if s.outcome == hv.NotRun && n > 0 {
+				r.False++
+			}
+		})
+	}
+	return nil
+}
+
+// interval is one run of an attempt at a stand-in worker.
+type interval struct {
+	Attempt hv.Attempt `json:"attempt"`
+	Start   time.Time  `json:"start"`
+	// End is zero while the attempt runs.
+	End time.Time `json:"end"`
+}
+
+// countOverlaps looks for tasks that ran in two places at the same time.
+func (l *Loader) countOverlaps(ctx context.Context) error {
+	byTask := map[string][]interval{}
+	for _, w := range l.conf.Workers {
+		var all []interval
+		if err := l.get(ctx, w+"/starts", &all); err != nil {
+			return err
+		}
+		for _, i := range all {
+			if i.End.IsZero() {
+				i.End = time.Now()
+			}
+			byTask[i.Attempt.Task] = append(byTask[i.Attempt.Task], i)
+		}
+	}
+	for _, runs := range byTask {
+		slices.SortFunc(runs, func(a, b interval) int { return a.Start.Compare(b.Start) })
+		for i := 1; i < len(runs); i++ {
+			if runs[i].Start.Before(runs[i-1].End) {
+				l.update(jobRow, func(r *Row) { r.Doubled++ })
+			}
+		}
+	}
+	return nil
+}
+
+func (l *Loader) get(ctx context.Context, url string, v any) error {
+	status, body, err := l.do(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return errors.Wrap(err, url)
+	}
+	if status != http.StatusOK {
+		return errors.Errorf("%s: status %d", url, status)
+	}
+	return errors.Wrap(json.Unmarshal(body, v), url)
+}
