--- /dev/null
+++ b/cmd/hvfake/hvload/table_test.go
@@ -0,0 +1,45 @@
+package hvload
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// Guards against a table that cannot show a fault: each fault must appear in
+// its column and make the table unclean.
+func TestTableShowsFaults(t *testing.T) {
+	serve := func(path, body string) string {
+		mux := http.NewServeMux()
+		mux.HandleFunc(path, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) })
+		s := httptest.NewServer(mux)
+		t.Cleanup(s.Close)
+		return s.URL
+	}
+	l := New(Config{
+		Upstreams: []string{serve("/runs", `{"twice":1,"false":1}`), serve("/runs", `{"twice":1}`)},
+		Workers: []string{
+			serve("/starts", `[{"attempt":{"task":"t","number":1},"start":"2026-01-01T00:00:00Z","end":"2026-01-01T00:00:02Z"}]`),
+			serve("/starts", `[{"attempt":{"task":"t","number":2},"start":"2026-01-01T00:00:01Z","end":"2026-01-01T00:00:03Z"}]`),
+		},
+	})
+	l.sent = []sent{{"urgent", "twice", hv.Done}, {"urgent", "lost", hv.Done}, {"urgent", "false", hv.NotRun}}
+	for _, count := range []func() error{
+		func() error { return l.countRuns(t.Context()) },
+		func() error { return l.countOverlaps(t.Context()) },
+	} {
+		if err := count(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	table := l.table()
+	if table.Clean() {
+		t.Error("table is clean, want faults")
+	}
+	job, urgent := table.Rows[0], table.Rows[1]
+	if urgent.Doubled != 1 || urgent.Lost != 1 || urgent.False != 1 || job.Doubled != 1 {
+		t.Errorf("urgent = %+v, job = %+v; want one doubled, lost and false request and one doubled job", urgent, job)
+	}
+}
--- /dev/null
+++ b/hvpeer/peers_test.go
@@ -0,0 +1,88 @@
+package hvpeer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"go.uber.org/goleak"
+
+	"hibiscusvane.example/hibiscusvane/hvwire"
+)
+
+type manualClock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (c *manualClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *manualClock) add(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+func newPeers(name string, clock *manualClock, heard chan string) *Peers {
+	mux := hvwire.Mux{}
+	p := New(Deps{
+		Clock: clock, Logger: log.NewNopLogger(), Mux: mux,
+		Self:  func() hvwire.Peer { return hvwire.Peer{Name: name} },
+		Heard: func(peer hvwire.Peer) { heard <- peer.Name },
+	})
+	hvwire.Handle(mux, hvwire.MethodPeer, func(_ context.Context, _ *hvwire.Conn, peer hvwire.Peer) (hvwire.Peer, error) {
+		p.Hear(peer)
+		return hvwire.Peer{Name: name}, nil
+	})
+	return p
+}
+
+// Guards against a dead gate that stays in the set of live peers, and against
+// goroutines that outlive the set.
+func TestPeersHearEachOtherAndLapse(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock := &manualClock{now: time.Unix(1000, 0)}
+	heardByA, heardByB := make(chan string, 100), make(chan string, 100)
+	a, b := newPeers("a", clock, heardByA), newPeers("b", clock, heardByB)
+	var server *hvwire.Conn
+	accepted := make(chan struct{})
+	go func() {
+		defer close(accepted)
+		if nc, err := l.Accept(); err == nil {
+			server = hvwire.NewConn(nc, a.deps.Mux)
+		}
+	}()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { defer close(ended); b.Run(ctx) }()
+	b.SetAddresses([]string{l.Addr().String()})
+	if name := <-heardByB; name != "a" {
+		t.Errorf("b heard %q, want a", name)
+	}
+	if name := <-heardByA; name != "b" {
+		t.Errorf("a heard %q, want b", name)
+	}
+	if answers := Ask[hvwire.Peer](ctx, b, hvwire.MethodPeer, hvwire.Peer{Name: "b"}); len(answers) != 1 {
+		t.Errorf("answers = %v, want one from a", answers)
+	}
+	cancel()
+	<-ended
+	<-accepted
+	server.Close()
+	l.Close()
+	clock.add(missingAfter + time.Millisecond)
+	if live := b.Live(); len(live) != 0 {
+		t.Errorf("live peers after %s of silence = %v, want none", missingAfter, live)
+	}
+}
