Add membership of sides and routing with ejection

A fast failer among 11 upstreams gets at most 20 of 1,000 requests in its first second and at most 10 of the next 10,000; the round robin baseline sends it about 900 of those, which the test uses to show that it can fail. hvwire.Conn gets a Call method so that tests can stand in for connections.

--- /dev/null
+++ b/hvmember/gates.go
@@ -0,0 +1,52 @@
+package hvmember
+
+import (
+	"sort"
+	"time"
+
+	"hibiscusvane.example/hibiscusvane/hvwire"
+)
+
+// maxGates bounds the gates in the table.
+const maxGates = 64
+
+type gate struct {
+	peer hvwire.Peer
+	seen time.Time
+}
+
+// Peer records the heartbeat of another gate. Those of an incarnation that is
+// older than a live one are ignored.
+func (t *Table) Peer(p hvwire.Peer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	g, ok := t.gates[p.Name]
+	switch {
+	case !ok && len(t.gates) >= maxGates:
+		return
+	case ok && older(p.Incarnation, g.peer.Incarnation) && now.Sub(g.seen) < Silence:
+		return
+	}
+	t.gates[p.Name] = gate{peer: p, seen: now}
+	for name, g := range t.gates {
+		if now.Sub(g.seen) > forget {
+			delete(t.gates, name)
+		}
+	}
+}
+
+// Gates returns the other gates that are alive, sorted by name.
+func (t *Table) Gates() []hvwire.Peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	var list []hvwire.Peer
+	for _, g := range t.gates {
+		if now.Sub(g.seen) < Silence {
+			list = append(list, g.peer)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
--- /dev/null
+++ b/hvmember/table.go
@@ -0,0 +1,153 @@
+// Package hvmember keeps the membership of sides and gates.
+package hvmember
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvwire"
+)
+
+const (
+	// Silence is the time without heartbeats after which a side or gate is
+	// out. It is the design's figure and three times the beat interval.
+	Silence = 3 * time.Second
+	// maxFailed calls in a row take a side out until its next heartbeat.
+	maxFailed = 3
+	// maxSides bounds the table; the design's fleet has 790 workers.
+	maxSides = 4096
+	// maxRetired bounds the replaced incarnations remembered per host.
+	maxRetired = 8
+	// forget is when a side that is out is dropped from the table.
+	forget = 10 * time.Minute
+)
+
+// Error is the error type of the package.
+type Error struct {
+	Op   string
+	Kind hv.ErrorKind
+	Err  error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("member %s: %v", e.Op, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// ErrorKind returns the kind of the error.
+func (e *Error) ErrorKind() hv.ErrorKind { return e.Kind }
+
+func errorf(op string, kind hv.ErrorKind, format string, args ...any) error {
+	return &Error{Op: op, Kind: kind, Err: errors.Errorf(format, args...)}
+}
+
+// Conn is a connection to a side; *hvwire.Conn implements it.
+type Conn interface {
+	Call(ctx context.Context, method string, req, ans any) error
+	Done() <-chan struct{}
+}
+
+var _ Conn = (*hvwire.Conn)(nil)
+
+// Side is a copy of what is known about one side.
+type Side struct {
+	hvwire.Announce
+	// Beat is the last heartbeat, empty before the first.
+	Beat hvwire.Beat
+	Conn Conn
+	// Seen is the time of the last announcement or heartbeat.
+	Seen time.Time
+	// Left is when the side said that it leaves, zero before that.
+	Left time.Time
+}
+
+type entry struct {
+	Side
+	lost    bool
+	failed  int
+	retired []string
+}
+
+// Table holds the members. Its methods may be called from any goroutine.
+type Table struct {
+	clock hv.Clock
+
+	mu      sync.Mutex
+	sides   map[string]*entry
+	hosts   map[string]string
+	gates   map[string]gate
+	changed chan struct{}
+}
+
+// New returns an empty table.
+func New(clock hv.Clock) *Table {
+	return &Table{
+		clock: clock, sides: map[string]*entry{}, hosts: map[string]string{},
+		gates: map[string]gate{}, changed: make(chan struct{}, 1),
+	}
+}
+
+// Changed receives a value after announcements, departures and losses; several
+// changes may share one. Silence is found by asking, not by an event.
+func (t *Table) Changed() <-chan struct{} { return t.changed }
+
+func (t *Table) notify() {
+	select {
+	case t.changed <- struct{}{}:
+	default:
+	}
+}
+
+// alive reports whether the process is there, leaving or not.
+func (e *entry) alive(now time.Time) bool {
+	return !e.lost && now.Sub(e.Seen) < Silence
+}
+
+// usable reports whether the side takes new work.
+func (e *entry) usable(now time.Time) bool {
+	return e.alive(now) && e.Left.IsZero() && e.failed < maxFailed
+}
+
+// Usable returns the sides of a service that take new work, sorted by host.
+func (t *Table) Usable(service string) []Side {
+	return t.filter(func(e *entry, now time.Time) bool { return e.Service == service && e.usable(now) })
+}
+
+// Alive returns all sides that are there, including leaving ones.
+func (t *Table) Alive() []Side { return t.filter((*entry).alive) }
+
+// Get returns the side of a host, whether alive or not.
+func (t *Table) Get(host string) (side Side, alive bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.sides[host]
+	if e == nil {
+		return Side{}, false
+	}
+	return e.Side, e.alive(t.clock.Now())
+}
+
+// Known reports whether any side of a service is in the table, usable or not.
+func (t *Table) Known(service string) bool {
+	return len(t.filter(func(e *entry, _ time.Time) bool { return e.Service == service })) > 0
+}
+
+func (t *Table) filter(keep func(*entry, time.Time) bool) []Side {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	var list []Side
+	for _, e := range t.sides {
+		if keep(e, now) {
+			list = append(list, e.Side)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Host.Name < list[j].Host.Name })
+	return list
+}
--- /dev/null
+++ b/hvmember/table_test.go
@@ -0,0 +1,121 @@
+package hvmember_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvmember"
+	"hibiscusvane.example/hibiscusvane/hvwire"
+)
+
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+// conn is never called; a field keeps the pointers distinct.
+type conn struct{ _ int }
+
+func (*conn) Call(context.Context, string, any, any) error { return nil }
+func (*conn) Done() <-chan struct{}                        { return nil }
+
+func incarnation(t *testing.T) string {
+	u, err := uuid.NewV7()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return u.String()
+}
+
+func announce(inc string) hvwire.Announce {
+	return hvwire.Announce{Host: hv.Host{Name: "h1"}, Incarnation: inc, Service: "labels", Slots: 8}
+}
+
+func usable(m *hvmember.Table) string {
+	list := m.Usable("labels")
+	if len(list) == 0 {
+		return ""
+	}
+	return list[0].Incarnation
+}
+
+// Guards against messages of a replaced process that reach the gate late.
+func TestLateMessagesOfAnOldIncarnation(t *testing.T) {
+	c := &clock{now: time.Unix(1000, 0)}
+	m := hvmember.New(c)
+	first, second := incarnation(t), incarnation(t)
+	c1, c2 := &conn{}, &conn{}
+	for _, step := range []struct {
+		inc  string
+		conn *conn
+	}{{first, c1}, {second, c2}} {
+		if err := m.Announce(announce(step.inc), step.conn); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := m.Announce(announce(first), c1); hv.KindOf(err) != hv.Conflict {
+		t.Errorf("late announcement: %v, want a conflict", err)
+	}
+	if err := m.Beat(hvwire.Beat{Incarnation: first, Sequence: 9}, c1); hv.KindOf(err) != hv.NotFound {
+		t.Errorf("late heartbeat: %v, want not found", err)
+	}
+	m.Leave(hvwire.Leave{Host: "h1", Incarnation: first})
+	m.Lost("h1", c1)
+	for range 5 {
+		m.Failed("h1", first)
+	}
+	if got := usable(m); got != second {
+		t.Errorf("usable incarnation is %q, want %q", got, second)
+	}
+	third := incarnation(t)
+	fresh := hvmember.New(c)
+	if err := fresh.Announce(announce(third), c2); err != nil {
+		t.Fatal(err)
+	}
+	if err := fresh.Announce(announce(second), c1); hv.KindOf(err) != hv.Conflict {
+		t.Errorf("older incarnation that was never seen: %v, want a conflict", err)
+	}
+}
+
+// Guards against work for a side that is silent, gone, failing or leaving.
+func TestSidesThatAreOut(t *testing.T) {
+	inc := incarnation(t)
+	for _, test := range []struct {
+		name  string
+		event func(*clock, *hvmember.Table, *conn)
+		back  bool // the next heartbeat brings the side back
+	}{
+		{"silent", func(c *clock, _ *hvmember.Table, _ *conn) { c.now = c.now.Add(hvmember.Silence) }, true},
+		{"lost", func(_ *clock, m *hvmember.Table, cn *conn) { m.Lost("h1", cn) }, false},
+		{"failed calls", func(_ *clock, m *hvmember.Table, _ *conn) {
+			for range 3 {
+				m.Failed("h1", inc)
+			}
+		}, true},
+		{"leave", func(_ *clock, m *hvmember.Table, _ *conn) { m.Leave(hvwire.Leave{Incarnation: inc}) }, false},
+		{"leaving heartbeat", func(_ *clock, m *hvmember.Table, cn *conn) {
+			_ = m.Beat(hvwire.Beat{Incarnation: inc, Sequence: 2, Leaving: true}, cn)
+		}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c, cn := &clock{now: time.Unix(1000, 0)}, &conn{}
+			m := hvmember.New(c)
+			if err := m.Announce(announce(inc), cn); err != nil || usable(m) != inc {
+				t.Fatalf("announced side is not usable: %v", err)
+			}
+			test.event(c, m, cn)
+			if got := usable(m); got != "" {
+				t.Errorf("side %s is still usable", got)
+			}
+			if err := m.Beat(hvwire.Beat{Incarnation: inc, Sequence: 3}, cn); err != nil {
+				t.Fatal(err)
+			}
+			if back := usable(m) == inc; back != test.back {
+				t.Errorf("usable after the next heartbeat: %v, want %v", back, test.back)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/hvroute/robin.go
@@ -0,0 +1,37 @@
+package hvroute
+
+import (
+	"sync"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// Robin is the baseline: it takes the targets of a service in turn.
+type Robin struct {
+	mu   sync.Mutex
+	next map[string]int
+}
+
+var _ hv.Picker = (*Robin)(nil)
+
+// NewRobin returns a round robin picker.
+func NewRobin() *Robin { return &Robin{next: map[string]int{}} }
+
+// Pick implements hibiscusvane.Picker.
+func (r *Robin) Pick(service string, targets []hv.Target) int {
+	if len(targets) == 0 {
+		return -1
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.next[service]; !ok && len(r.next) >= maxServices {
+		service = ""
+	}
+	n := r.next[service]
+	r.next[service] = n + 1
+	return n % len(targets)
+}
+
+// Observe implements hibiscusvane.Picker. The baseline does not react.
+func (r *Robin) Observe(string, string, time.Duration, hv.Result) {}
--- /dev/null
+++ b/hvroute/router_test.go
@@ -0,0 +1,172 @@
+package hvroute_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvroute"
+)
+
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+const seed = 7
+
+// fleet is a set of upstreams in four zones under a fixed rate of requests.
+type fleet struct {
+	clock   *clock
+	pick    hv.Picker
+	targets []hv.Target
+	took    func(host string) time.Duration
+	result  func(host string) hv.Result
+	counts  map[string]int
+	zones   map[string]int
+}
+
+func newFleet(t *testing.T, hosts int, pick func(*clock) hv.Picker) *fleet {
+	t.Logf("seed %d", seed)
+	c := &clock{now: time.Unix(1_000_000, 0)}
+	f := &fleet{
+		clock: c, pick: pick(c), counts: map[string]int{}, zones: map[string]int{},
+		took:   func(string) time.Duration { return 20 * time.Millisecond },
+		result: func(string) hv.Result { return hv.Succeeded },
+	}
+	for i := range hosts {
+		f.targets = append(f.targets, hv.Target{Host: fmt.Sprint("h", i), Zone: fmt.Sprint("z", i%4), Slots: 8})
+	}
+	return f
+}
+
+func router(c *clock) hv.Picker {
+	return hvroute.New("z0", c, rand.New(rand.NewPCG(seed, seed)))
+}
+
+func robin(*clock) hv.Picker { return hvroute.NewRobin() }
+
+// run sends one request per millisecond; a result arrives after its time.
+func (f *fleet) run(d time.Duration) {
+	type end struct {
+		at    time.Time
+		index int
+	}
+	var running []end
+	clear(f.counts)
+	clear(f.zones)
+	for range d.Milliseconds() {
+		f.clock.now = f.clock.now.Add(time.Millisecond)
+		var left []end
+		for _, e := range running {
+			if e.at.After(f.clock.now) {
+				left = append(left, e)
+				continue
+			}
+			f.targets[e.index].Outstanding--
+			h := f.targets[e.index].Host
+			f.pick.Observe("labels", h, f.took(h), f.result(h))
+		}
+		running = left
+		i := f.pick.Pick("labels", f.targets)
+		if i < 0 {
+			continue
+		}
+		f.targets[i].Outstanding++
+		f.counts[f.targets[i].Host]++
+		f.zones[f.targets[i].Zone]++
+		running = append(running, end{f.clock.now.Add(f.took(f.targets[i].Host)), i})
+	}
+	for _, e := range running {
+		f.targets[e.index].Outstanding--
+	}
+}
+
+// Guards against an upstream that attracts traffic because it fails quickly.
+func TestFastFailerLosesTrafficWithinOneSecond(t *testing.T) {
+	share := func(pick func(*clock) hv.Picker) (first, later int) {
+		f := newFleet(t, 11, pick)
+		f.run(5 * time.Second)
+		f.took = func(h string) time.Duration {
+			if h == "h0" {
+				return 100 * time.Microsecond
+			}
+			return 20 * time.Millisecond
+		}
+		f.result = func(h string) hv.Result {
+			if h == "h0" {
+				return hv.Failed
+			}
+			return hv.Succeeded
+		}
+		f.run(time.Second)
+		first = f.counts["h0"]
+		f.run(10 * time.Second)
+		return first, f.counts["h0"]
+	}
+	first, later := share(router)
+	if first > 20 || later > 10 {
+		t.Errorf("%d requests in the first second and %d in the next ten, want at most 20 and 10", first, later)
+	}
+	if _, base := share(robin); base < 500 {
+		t.Errorf("round robin sent %d requests, want about 900: the comparison is broken", base)
+	}
+}
+
+// Guards against ejecting the fleet when every upstream fails.
+func TestAtMostHalfIsEjected(t *testing.T) {
+	f := newFleet(t, 8, router)
+	f.result = func(string) hv.Result { return hv.Failed }
+	f.run(5 * time.Second)
+	used := 0
+	for _, n := range f.counts {
+		if n > 50 {
+			used++
+		}
+	}
+	if used < 4 {
+		t.Errorf("%d upstreams stay in use, want at least 4: %v", used, f.counts)
+	}
+}
+
+// Guards against an upstream that never comes back after it recovered.
+func TestRecoveredUpstreamReturns(t *testing.T) {
+	f := newFleet(t, 4, router)
+	f.result = func(h string) hv.Result {
+		if h == "h0" {
+			return hv.Failed
+		}
+		return hv.Succeeded
+	}
+	f.run(2 * time.Second)
+	f.result = func(string) hv.Result { return hv.Succeeded }
+	f.run(10 * time.Second)
+	f.run(2 * time.Second)
+	if f.counts["h0"] < 200 {
+		t.Errorf("recovered upstream gets %d of 2000 requests, want at least 200", f.counts["h0"])
+	}
+}
+
+// Guards against needless hops, and against a zone that is kept although it
+// is overloaded.
+func TestOwnZoneFirstUntilItIsBusy(t *testing.T) {
+	f := newFleet(t, 16, router)
+	f.run(5 * time.Second)
+	if f.zones["z0"] < 4500 {
+		t.Errorf("%d of 5000 requests stay in the zone, want at least 4500: %v", f.zones["z0"], f.zones)
+	}
+	// 50 ms per request on 32 slots is 640 requests a second of 1000.
+	f.took = func(string) time.Duration { return 50 * time.Millisecond }
+	f.run(5 * time.Second)
+	if away := 5000 - f.zones["z0"]; away < 1000 {
+		t.Errorf("%d of 5000 requests leave the busy zone, want at least 1000: %v", away, f.zones)
+	}
+}
+
+func ExampleRouter_Pick() {
+	r := hvroute.New("north", &clock{now: time.Unix(0, 0)}, rand.New(rand.NewPCG(1, 1)))
+	targets := []hv.Target{{Host: "a", Zone: "south", Slots: 8}, {Host: "b", Zone: "north", Slots: 8}}
+	fmt.Println(targets[r.Pick("labels", targets)].Host)
+	// Output: b
+}
--- a/hvwire/conn.go
+++ b/hvwire/conn.go
@@ -111,6 +111,15 @@
 	return ans, decodeError(method, err)
 }
 
+// Call sends a request and decodes its answer into ans. Errors are those of
+// the function Call.
+func (c *Conn) Call(ctx context.Context, method string, req, ans any) error {
+	if err := c.rpc.Call(ctx, method, req, ans); err != nil {
+		return decodeError(method, err)
+	}
+	return nil
+}
+
 // Remote returns the address of the other end.
 func (c *Conn) Remote() string { return c.remote }
 
