--- /dev/null
+++ b/hvadmit/settings.go
@@ -0,0 +1,112 @@
+package hvadmit
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// Error is the error type of the package.
+type Error struct {
+	Op   string
+	Kind hv.ErrorKind
+	Err  error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("admit %s: %v", e.Op, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// ErrorKind returns the kind of the error.
+func (e *Error) ErrorKind() hv.ErrorKind { return e.Kind }
+
+func errorf(op string, kind hv.ErrorKind, format string, args ...any) error {
+	return &Error{Op: op, Kind: kind, Err: errors.Errorf(format, args...)}
+}
+
+// Class holds the settings of one request class.
+type Class struct {
+	Weight int `json:"weight"`
+	// Floor is the guaranteed share of a service's slots in thousandths.
+	Floor int `json:"floor"`
+	// Queue bounds the waiting requests of one service.
+	Queue int `json:"queue"`
+	// Deadline holds for requests that name none.
+	Deadline hv.Duration `json:"deadline"`
+}
+
+// Caller holds the settings of one caller within each class.
+type Caller struct {
+	Weight int `json:"weight"`
+	// Floor is the guaranteed share of a service's slots in thousandths.
+	Floor int `json:"floor"`
+}
+
+// Settings of an admitter. They must not change after use.
+type Settings struct {
+	Classes map[hv.Class]Class
+	Callers map[string]Caller
+	// Default holds for callers that are not listed.
+	Default Caller
+	// Keep bounds the callers with state per class and service. Further ones
+	// share one queue.
+	Keep int
+}
+
+// whole is a floor of all slots, in thousandths.
+const whole = 1000
+
+// DefaultSettings serve until the first publication.
+func DefaultSettings() Settings {
+	return Settings{
+		Classes: map[hv.Class]Class{
+			hv.Urgent:   {Weight: 16, Floor: 300, Queue: 1024, Deadline: hv.Duration(2 * time.Second)},
+			hv.Standard: {Weight: 4, Floor: 200, Queue: 1024, Deadline: hv.Duration(5 * time.Second)},
+			hv.Batch:    {Weight: 1, Floor: 100, Queue: 4096, Deadline: hv.Duration(30 * time.Second)},
+		},
+		Default: Caller{Weight: 1},
+		Keep:    1024,
+	}
+}
+
+// Check names the first field that can't be honoured.
+func (s Settings) Check() error {
+	sum := 0
+	for _, name := range hv.Classes {
+		c := s.Classes[name]
+		if c.Weight < 1 || c.Floor < 0 || c.Queue < 1 || c.Deadline <= 0 {
+			return errorf("check", hv.Invalid, "classes.%s: weight, queue and deadline must be positive, floor not negative", name)
+		}
+		sum += c.Floor
+	}
+	if sum > whole {
+		return errorf("check", hv.Invalid, "classes: the floors add up to %d thousandths, want at most %d", sum, whole)
+	}
+	sum = 0
+	for name, c := range s.Callers {
+		if c.Weight < 1 || c.Floor < 0 {
+			return errorf("check", hv.Invalid, "callers.%s: weight must be positive, floor not negative", name)
+		}
+		sum += c.Floor
+	}
+	switch {
+	case sum > whole:
+		return errorf("check", hv.Invalid, "callers: the floors add up to %d thousandths, want at most %d", sum, whole)
+	case s.Default.Weight < 1:
+		return errorf("check", hv.Invalid, "default.weight: must be positive")
+	case s.Keep < 1:
+		return errorf("check", hv.Invalid, "keep: must be positive")
+	}
+	return nil
+}
+
+func (s Settings) caller(name string) Caller {
+	if c, ok := s.Callers[name]; ok {
+		return c
+	}
+	return s.Default
+}
