--- a/hvadmit/admit.go
+++ b/hvadmit/admit.go
@@ -127,7 +127,7 @@
 	}
 	s := a.services[req.Service]
 	if s == nil || s.limit == 0 {
-		return nil, verdict{errorf("enter", hv.Full, "no upstream of service %s is live", req.Service), noUpstream}
+		return nil, verdict{errorf("enter", hv.Unavailable, "no upstream of service %s is live", req.Service), noUpstream}
 	}
 	c := s.class(req.Class)
 	if c == nil {
--- a/hvdispatch/dispatch.go
+++ b/hvdispatch/dispatch.go
@@ -80,7 +80,9 @@
 func (d *Dispatcher) admitted(ctx context.Context, p *pending, start time.Time) hv.Answer {
 	release, retry, err := d.deps.Admit.Admit(ctx, p.req)
 	if err != nil {
-		return notRun(p.req, err.Error(), retry)
+		ans := notRun(p.req, err.Error(), retry)
+		ans.Kind = hv.KindOf(err)
+		return ans
 	}
 	defer release()
 	d.deps.Metric.Observe(metricWaited, p.req.Caller, p.req.Class, d.deps.Clock.Now().Sub(start))
--- /dev/null
+++ b/hvhttp/errors.go
@@ -0,0 +1,35 @@
+package hvhttp
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// Error is the error type of the package.
+type Error struct {
+	Op   string
+	Kind hv.ErrorKind
+	// Field is the header, parameter or member of the body at fault.
+	Field string
+	Err   error
+}
+
+func (e *Error) Error() string {
+	if e.Field != "" {
+		return fmt.Sprintf("%s: %v", e.Field, e.Err)
+	}
+	return e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// ErrorKind returns the kind of the error.
+func (e *Error) ErrorKind() hv.ErrorKind { return e.Kind }
+
+func invalid(field, format string, args ...any) error {
+	return &Error{Op: "check", Kind: hv.Invalid, Field: field, Err: errors.Errorf(format, args...)}
+}
--- /dev/null
+++ b/hvhttp/health.go
@@ -0,0 +1,33 @@
+package hvhttp
+
+import (
+	"io"
+	"net/http"
+)
+
+// Health serves /healthz, /readyz and /metrics without credentials.
+type Health struct {
+	// Ready returns why the process can't serve yet or any more, or nil.
+	Ready func() error
+	// Metrics writes one line per series.
+	Metrics func(w io.Writer) error
+}
+
+// Register adds the paths to a mux.
+func (h Health) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /readyz", h.ready)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		// An error of the write means that the reader has gone.
+		_ = h.Metrics(w)
+	})
+}
+
+func (h Health) ready(w http.ResponseWriter, _ *http.Request) {
+	if err := h.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
--- a/interfaces.go
+++ b/interfaces.go
@@ -109,8 +109,8 @@
 // Admitter decides when a request may be dispatched.
 type Admitter interface {
 	// Admit waits until the request may run and returns the function that
-	// gives its place back. An error of kind Full or Expired refuses it;
-	// retry is then the time after which the caller may try again.
+	// gives its place back. An error of kind Full, Expired or Unavailable (no
+	// upstream is live) refuses it; retry is then the time after which the caller may try again.
 	Admit(ctx context.Context, req Request) (release func(), retry time.Duration, err error)
 }
 
--- a/types.go
+++ b/types.go
@@ -184,6 +184,9 @@
 	Outcome Outcome `json:"outcome"`
 	// Reason says in words why the outcome is not done.
 	Reason string `json:"reason,omitempty"`
+	// Kind tells why a request was not run, where a part knows: full or
+	// expired for too much load, invalid for a fault of the caller.
+	Kind ErrorKind `json:"kind,omitempty"`
 	// Retry is the time after which a request that was not run may be sent again.
 	Retry  Duration `json:"retry,omitempty"`
 	Status int      `json:"status,omitempty"`
