--- a/hvlog/client.go
+++ b/hvlog/client.go
@@ -6,8 +6,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -18,21 +18,6 @@
 	hv "hibiscusvane.example/hibiscusvane"
 )
 
-// Error is the error type of the package.
-type Error struct {
-	Op   string
-	Kind hv.ErrorKind
-	Err  error
-}
-
-func (e *Error) Error() string { return fmt.Sprintf("log %s: %v", e.Op, e.Err) }
-
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error { return e.Err }
-
-// ErrorKind returns the kind of the error.
-func (e *Error) ErrorKind() hv.ErrorKind { return e.Kind }
-
 // Client implements hibiscusvane.Log over HTTP.
 type Client struct {
 	base string
@@ -64,14 +49,33 @@
 		Offset hv.Offset `json:"offset"`
 	}
 	status, err := c.do(req, &ans)
+	if kind := appendKind(status, err); kind != "" {
+		if err == nil {
+			err = errors.Errorf("status %d", status)
+		}
+		return 0, &Error{Op: "append", Kind: kind, Err: errors.Wrap(err, "stream "+stream)}
+	}
+	return ans.Offset, nil
+}
+
+// appendKind tells whether a failed append may have taken effect. Only a
+// connection that was never made and the answers of the log service itself
+// that refuse the record exclude it.
+func appendKind(status int, err error) hv.ErrorKind {
+	var dial *net.OpError
 	switch {
+	case errors.As(err, &dial) && dial.Op == "dial":
+		return hv.Unavailable
 	case err != nil:
-		// The record may have been added before the answer was lost.
-		return 0, &Error{Op: "append", Kind: hv.Uncertain, Err: err}
-	case status != http.StatusOK:
-		return 0, &Error{Op: "append", Kind: hv.Unavailable, Err: errors.Errorf("stream %s: status %d", stream, status)}
+		return hv.Uncertain
+	case status == http.StatusOK:
+		return ""
+	case status == http.StatusServiceUnavailable:
+		return hv.Unavailable
+	case status >= 400 && status < 500:
+		return hv.Invalid
 	}
-	return ans.Offset, nil
+	return hv.Uncertain
 }
 
 // Read implements hibiscusvane.Log.
--- /dev/null
+++ b/hvlog/schedule.go
@@ -0,0 +1,86 @@
+package hvlog
+
+import (
+	"context"
+	"time"
+
+	kitlog "github.com/go-kit/log"
+)
+
+const (
+	// snapshotRecords bounds the records that a new reader applies after a snapshot.
+	snapshotRecords = 2000
+	// snapshotShare of the retention time may pass between two snapshots, so
+	// that three can fail before records expire that no snapshot covers.
+	snapshotShare = 4
+	// snapshotSpread is the part of a threshold that is taken off at random, so
+	// that one of several processes is first and the others see its snapshot.
+	snapshotSpread = 0.25
+	// snapshotChecks is the number of checks in the longest time between snapshots.
+	snapshotChecks = 64
+)
+
+// Schedule tells when the next snapshot of a stream is due.
+type Schedule struct {
+	age     time.Duration
+	records int
+}
+
+// NewSchedule returns a schedule for records that are kept for a retention
+// time. Every process has its own random thresholds.
+func NewSchedule(retention time.Duration, jitter func() float64) Schedule {
+	keep := 1 - snapshotSpread*jitter()
+	return Schedule{
+		age:     time.Duration(float64(retention/snapshotShare) * keep),
+		records: int(snapshotRecords * keep),
+	}
+}
+
+// Due reports whether a snapshot is due. The age counts from the record's time
+// or from when it was read, whichever is earlier, so that a difference between
+// the clocks of the log and of this host does not delay it.
+func (s Schedule) Due(now time.Time, st Status) bool {
+	if !st.Live || st.Next == FirstOffset {
+		return false
+	}
+	return st.Records >= s.records || now.Sub(st.Snapshot) >= s.age || now.Sub(st.Read) >= s.age
+}
+
+// Snapshots writes the snapshots of one stream.
+type Snapshots struct {
+	writer   *Writer
+	schedule Schedule
+	kind     string
+	may      func() bool
+	logger   kitlog.Logger
+}
+
+// NewSnapshots returns a task that writes snapshot records of a kind while may
+// returns true.
+func NewSnapshots(w *Writer, s Schedule, kind string, may func() bool, logger kitlog.Logger) *Snapshots {
+	return &Snapshots{writer: w, schedule: s, kind: kind, may: may, logger: logger}
+}
+
+// Run checks the schedule until ctx ends.
+func (s *Snapshots) Run(ctx context.Context) {
+	every := max(min(s.schedule.age/snapshotChecks, time.Minute), 10*time.Millisecond)
+	for ctx.Err() == nil {
+		pause(ctx, every)
+		f := s.writer.cfg.Follower
+		if !s.may() || !s.schedule.Due(s.writer.cfg.Clock.Now(), f.Status()) {
+			continue
+		}
+		if err := s.write(ctx, f); err != nil && ctx.Err() == nil {
+			_ = s.logger.Log("part", "log", "stream", s.writer.cfg.Stream, "msg", "snapshot not written", "err", err)
+		}
+	}
+}
+
+func (s *Snapshots) write(ctx context.Context, f *Follower) error {
+	_, body, err := f.Image()
+	if err != nil {
+		return err
+	}
+	_, err = s.writer.Append(ctx, Op{Kind: s.kind, Body: body, Alone: true})
+	return err
+}
