--- a/hvlog/follower_test.go
+++ b/hvlog/follower_test.go
@@ -24,7 +24,7 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "7", "rapid.checks": "40"} {
+	for name, value := range map[string]string{"rapid.seed": "7", "rapid.checks": "40", "rapid.nofailfile": "true"} {
 		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
 			_ = flag.Set(name, value)
 		}
--- a/hvlog/schedule.go
+++ b/hvlog/schedule.go
@@ -16,6 +16,9 @@
 	// snapshotSpread is the part of a threshold that is taken off at random, so
 	// that one of several processes is first and the others see its snapshot.
 	snapshotSpread = 0.25
+	// snapshotTimeout ends an append during an outage, so that a fresh snapshot
+	// is taken afterwards. An old one could continue from expired records only.
+	snapshotTimeout = 30 * time.Second
 	// snapshotChecks is the number of checks in the longest time between snapshots.
 	snapshotChecks = 64
 )
@@ -81,6 +84,8 @@
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
 	_, err = s.writer.Append(ctx, Op{Kind: s.kind, Body: body, Alone: true})
 	return err
 }
