Add settings: merge, checks, differences and the publication rule

A publication is valid if it is based on the current version, passes the checks and changes at most one gate. Book is the applier of the config stream, so every reader comes to the same result; a refused publication is told the version that won.

Shown failing without the mechanism: the check of the base and the limit of one gate (TestBook), the rule that a version only moves up (TestVersionNeverReverts), the comparison before a peer's settings are adopted (TestBook).

--- /dev/null
+++ b/hvconf/book_test.go
@@ -0,0 +1,171 @@
+package hvconf_test
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	kitlog "github.com/go-kit/log"
+	"pgregory.net/rapid"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvconf"
+	"hibiscusvane.example/hibiscusvane/hvlog"
+	"hibiscusvane.example/hibiscusvane/hvlog/hvlogtest"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "11", "rapid.checks": "50", "rapid.nofailfile": "true"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func record(offset hv.Offset, p hvconf.Publication) hv.Record {
+	body, _ := json.Marshal(p)
+	return hv.Record{Offset: offset, Kind: hvconf.KindPublish, Body: body}
+}
+
+// Guards against readers that disagree about a publication, a version that goes
+// back, and a stale, faulty or too large change that is accepted.
+func TestBook(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		violations := func(n int, message string) { t.Fatalf("invariant %d: %s", n, message) }
+		books := []*hvconf.Book{hvconf.NewBook(violations)}
+		var current, next hv.Offset = 0, 1
+		gates := 1
+		t.Repeat(map[string]func(*rapid.T){
+			"publish": func(t *rapid.T) {
+				base := current
+				if rapid.Bool().Draw(t, "stale") {
+					base = hv.Offset(rapid.IntRange(0, int(next)).Draw(t, "base"))
+				}
+				want := rapid.IntRange(0, 6).Draw(t, "gates")
+				p := hvconf.Publication{Base: base, Author: "a", Files: hvconf.Files{"a.json": gateFile(want)}}
+				for _, b := range books {
+					b.Apply(record(next, p))
+				}
+				step := want - gates
+				if base == current && want > 0 && (current == 0 || step >= -1 && step <= 1) {
+					current, gates = next, want
+				}
+				next++
+			},
+			"join": func(t *rapid.T) {
+				if len(books) > 4 {
+					return
+				}
+				body, err := books[0].Snapshot()
+				b := hvconf.NewBook(violations)
+				if err != nil || b.Restore(body, next) != nil {
+					t.Fatal("no restore", err)
+				}
+				books = append(books, b)
+			},
+			"adopt": func(t *rapid.T) {
+				body, _ := books[len(books)-1].Snapshot()
+				if err := books[0].Adopt(body); err != nil {
+					t.Fatal(err)
+				}
+			},
+			"": func(t *rapid.T) {
+				for i, b := range books {
+					a, _ := books[0].Snapshot()
+					c, _ := b.Snapshot()
+					v := b.Current()
+					if v.Number != current || current > 0 && len(v.Settings.Gates) != gates || string(a) != string(c) {
+						t.Fatalf("book %d has version %d with %d gates, want %d with %d", i, v.Number, len(v.Settings.Gates), current, gates)
+					}
+				}
+			},
+		})
+	})
+}
+
+// gateFile lists the first n gates.
+func gateFile(n int) json.RawMessage {
+	all := map[string]hvconf.Gate{}
+	for i := range n {
+		all[fmt.Sprintf("g%d", i)] = hvconf.Gate{Zone: "a", Address: fmt.Sprintf("10.0.0.%d:7000", i+1)}
+	}
+	body, _ := json.Marshal(map[string]any{"zones": map[string]any{"a": map[string]string{"region": "r"}}, "gates": all})
+	return body
+}
+
+// Guards against two winners of one race, and against a loser that is not told
+// the winning version, also when append answers are lost.
+func TestRacingOperators(t *testing.T) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			log := hvlogtest.New(hv.SystemClock{}, seed)
+			log.Set(hvlogtest.Faults{Before: 0.2, After: 0.2, Slow: 50 * time.Millisecond})
+			type result struct {
+				version hv.Offset
+				err     error
+			}
+			results := make(chan result, 2)
+			for i := range 2 {
+				book, add := reader(t, log, fmt.Sprintf("gate-%d", i))
+				go func() {
+					v, err := hvconf.Publish(t.Context(), book, add, hvconf.Publication{Author: fmt.Sprint(i), Files: base()})
+					results <- result{v, err}
+				}()
+			}
+			a, b := <-results, <-results
+			if a.err != nil {
+				a, b = b, a
+			}
+			var e *hvconf.Error
+			if a.err != nil || hv.KindOf(b.err) != hv.Conflict {
+				t.Fatalf("seed %d: got %+v and %+v, want one winner and one conflict", seed, a, b)
+			}
+			if e, _ = b.err.(*hvconf.Error); e.Version != a.version {
+				t.Errorf("seed %d: the loser was told version %d, want %d", seed, e.Version, a.version)
+			}
+		})
+	}
+}
+
+// reader starts a process that follows and writes the stream.
+func reader(t *testing.T, log hv.Log, name string) (*hvconf.Book, hvconf.Appender) {
+	book := hvconf.NewBook(func(n int, message string) { t.Errorf("invariant %d: %s", n, message) })
+	half := func() float64 { return 0.5 }
+	f := hvlog.NewFollower(hvlog.FollowerConfig{
+		Stream: hvconf.Stream, Log: log, Clock: hv.SystemClock{}, Applier: book, Jitter: half, Logger: kitlog.NewNopLogger(),
+	})
+	w := hvlog.NewWriter(hvlog.WriterConfig{
+		Name: name, Stream: hvconf.Stream, Log: log, Clock: hv.SystemClock{}, Follower: f, Jitter: half, Logger: kitlog.NewNopLogger(),
+	})
+	go f.Run(t.Context())
+	go w.Run(t.Context())
+	return book, func(ctx context.Context, kind string, body json.RawMessage) (hv.Offset, error) {
+		r, err := w.Append(ctx, hvlog.Op{Kind: kind, Body: body, Alone: true})
+		return r.Offset, err
+	}
+}
+
+// Guards against a version that goes back because a peer is behind.
+func TestVersionNeverReverts(t *testing.T) {
+	var violated []int
+	b := hvconf.NewBook(func(n int, _ string) { violated = append(violated, n) })
+	b.Apply(record(1, hvconf.Publication{Files: base()}))
+	old, err := b.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Apply(record(2, hvconf.Publication{Base: 1, Files: base()}))
+	if err := b.Adopt(old); err != nil || b.Current().Number != 2 || len(violated) > 0 {
+		t.Errorf("version %d, %v, violations %v after an older answer of a peer", b.Current().Number, err, violated)
+	}
+	if err := b.Restore(old, 2); err != nil || b.Current().Number != 2 || len(violated) != 1 || violated[0] != 9 {
+		t.Errorf("version %d, %v, violations %v after an older snapshot", b.Current().Number, err, violated)
+	}
+}
--- /dev/null
+++ b/hvconf/decode.go
@@ -0,0 +1,153 @@
+package hvconf
+
+import (
+	"encoding"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// decoder fills typed settings from a tree and collects all faults.
+type decoder struct {
+	problems Problems
+}
+
+func (d *decoder) fault(n *node, path, format string, args ...any) {
+	d.problems = append(d.problems, Problem{File: n.file, Field: path, Want: fmt.Sprintf(format, args...)})
+}
+
+func (d *decoder) mismatch(n *node, path, want string) {
+	d.fault(n, path, "want %s, got %s", want, n.describe())
+}
+
+// decode sets v, which holds the defaults, from a node.
+func (d *decoder) decode(v reflect.Value, n *node, path string) {
+	if text, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		d.text(v, text, n, path)
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		d.structure(v, n, path)
+	case reflect.Map:
+		d.mapping(v, n, path)
+	case reflect.Slice:
+		d.slice(v, n, path)
+	default:
+		d.scalar(v, n, path)
+	}
+}
+
+// wanted describes the types that are written as strings.
+var wanted = map[reflect.Type]string{
+	reflect.TypeFor[hv.Duration](): `a duration such as "250ms"`,
+	reflect.TypeFor[hv.Size]():     `a size such as "60GB"`,
+	reflect.TypeFor[hv.Class]():    `"urgent", "standard" or "batch"`,
+}
+
+func (d *decoder) text(v reflect.Value, text encoding.TextUnmarshaler, n *node, path string) {
+	s, ok := n.value.(string)
+	if ok && text.UnmarshalText([]byte(s)) == nil {
+		return
+	}
+	want, known := wanted[v.Type()]
+	if !known {
+		want = `a time such as "2027-05-01T06:00:00Z"`
+	}
+	d.mismatch(n, path, want)
+}
+
+func (d *decoder) structure(v reflect.Value, n *node, path string) {
+	if n.object == nil {
+		d.mismatch(n, path, "an object")
+		return
+	}
+	fields := map[string]int{}
+	for i := range v.NumField() {
+		name, _, _ := strings.Cut(v.Type().Field(i).Tag.Get("json"), ",")
+		fields[name] = i
+	}
+	for key, child := range n.object {
+		i, ok := fields[key]
+		if !ok {
+			d.fault(child, join(path, key), "unknown field; want one of %s", strings.Join(slices.Sorted(maps.Keys(fields)), ", "))
+			continue
+		}
+		d.decode(v.Field(i), child, join(path, key))
+	}
+}
+
+func (d *decoder) mapping(v reflect.Value, n *node, path string) {
+	if n.object == nil {
+		d.mismatch(n, path, "an object")
+		return
+	}
+	if v.IsNil() {
+		v.Set(reflect.MakeMap(v.Type()))
+	}
+	for name, child := range n.object {
+		field := join(path, name)
+		key := reflect.New(v.Type().Key()).Elem()
+		if text, ok := key.Addr().Interface().(encoding.TextUnmarshaler); ok && text.UnmarshalText([]byte(name)) != nil {
+			d.fault(child, field, "want %s as name", wanted[key.Type()])
+			continue
+		}
+		key.SetString(name)
+		item := reflect.New(v.Type().Elem()).Elem()
+		if old := v.MapIndex(key); old.IsValid() {
+			item.Set(old)
+		} else if def, ok := defaults[item.Type()]; ok {
+			item.Set(reflect.ValueOf(def))
+		}
+		d.decode(item, child, field)
+		v.SetMapIndex(key, item)
+	}
+}
+
+func (d *decoder) slice(v reflect.Value, n *node, path string) {
+	if n.list == nil {
+		d.mismatch(n, path, "a list")
+		return
+	}
+	v.Set(reflect.MakeSlice(v.Type(), len(n.list), len(n.list)))
+	for i, child := range n.list {
+		d.decode(v.Index(i), child, fmt.Sprintf("%s[%d]", path, i))
+	}
+}
+
+func (d *decoder) scalar(v reflect.Value, n *node, path string) {
+	number, _ := n.value.(json.Number)
+	switch v.Kind() {
+	case reflect.String:
+		s, ok := n.value.(string)
+		if !ok {
+			d.mismatch(n, path, "a string")
+		}
+		v.SetString(s)
+	case reflect.Bool:
+		b, ok := n.value.(bool)
+		if !ok {
+			d.mismatch(n, path, "true or false")
+		}
+		v.SetBool(b)
+	case reflect.Int, reflect.Int64:
+		i, err := number.Int64()
+		if err != nil {
+			d.mismatch(n, path, "a whole number")
+		}
+		v.SetInt(i)
+	case reflect.Float64:
+		f, err := number.Float64()
+		if err != nil {
+			d.mismatch(n, path, "a number")
+		}
+		v.SetFloat(f)
+	default:
+		panic("hvconf: no decoder for " + v.Type().String())
+	}
+}
--- /dev/null
+++ b/hvconf/example_test.go
@@ -0,0 +1,19 @@
+package hvconf_test
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"hibiscusvane.example/hibiscusvane/hvconf"
+)
+
+func ExampleCheck() {
+	_, err := hvconf.Check(hvconf.Files{
+		"10-limits.json": json.RawMessage(`{"limits": {"lease": 10, "beat": "1s"}}`),
+		"20-policy.json": json.RawMessage(`{"policy": {"favour": "latency"}}`),
+	})
+	fmt.Println(err)
+	// Output:
+	// settings check: 10-limits.json: limits.lease: want a duration such as "250ms", got 10
+	// 20-policy.json: policy.favour: unknown field; want one of prefer
+}
--- /dev/null
+++ b/hvconf/settings.go
@@ -0,0 +1,189 @@
+package hvconf
+
+import (
+	"maps"
+	"reflect"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// Settings is one version of the merged settings. It is not changed after its
+// checks.
+type Settings struct {
+	Limits   Limits             `json:"limits"`
+	Zones    map[string]Zone    `json:"zones"`
+	Gates    map[string]Gate    `json:"gates"`
+	Classes  map[hv.Class]Class `json:"classes"`
+	Callers  map[string]Caller  `json:"callers"`
+	Teams    map[string]Team    `json:"teams"`
+	Services map[string]Service `json:"services"`
+	Jobs     map[string]Job     `json:"jobs"`
+	Watchers map[string]Watcher `json:"watchers"`
+	Policy   Policy             `json:"policy"`
+	Admin    Admin              `json:"admin"`
+	Logs     Logs               `json:"logs"`
+}
+
+// Limits are bounds and times that hold for all processes.
+type Limits struct {
+	// Lease is how long an attempt or a key slot lasts without renewal.
+	Lease hv.Duration `json:"lease"`
+	// Beat is the time between two heartbeats.
+	Beat hv.Duration `json:"beat"`
+	// Margin bounds the drift between two clocks within a lease.
+	Margin hv.Duration `json:"margin"`
+	// Absence is the time without heartbeats after which a process is missing.
+	Absence hv.Duration `json:"absence"`
+	// Retention is how long the log service keeps records.
+	Retention hv.Duration `json:"retention"`
+	// Body and Answer bound the bodies of requests and answers.
+	Body   hv.Size `json:"body"`
+	Answer hv.Size `json:"answer"`
+	// Keys and Recall bound the idempotency keys that a side remembers.
+	Keys   int         `json:"keys"`
+	Recall hv.Duration `json:"recall"`
+	// Skew bounds the error of the creation time in a key.
+	Skew hv.Duration `json:"skew"`
+	// Grace is how long a task that fits no host stays queued.
+	Grace hv.Duration `json:"grace"`
+}
+
+// Zone is an availability zone.
+type Zone struct {
+	Region string `json:"region"`
+}
+
+// Gate is a gate process. Majorities count the gates listed here.
+type Gate struct {
+	Zone string `json:"zone"`
+	// Address is where sides and other gates connect.
+	Address string `json:"address"`
+	// HTTP is where callers and operators connect.
+	HTTP string `json:"http,omitempty"`
+}
+
+// Class holds the share and the bounds of a request class.
+type Class struct {
+	Weight float64 `json:"weight"`
+	// Floor is the share of the fleet's slots that a flood of others leaves.
+	Floor float64 `json:"floor"`
+	// Queue bounds the waiting requests of the class at one gate.
+	Queue int `json:"queue"`
+	// Deadline holds for requests that name none.
+	Deadline hv.Duration `json:"deadline"`
+}
+
+// Caller is a client of the callers' API.
+type Caller struct {
+	Token  string  `json:"token"`
+	Weight float64 `json:"weight"`
+	// Floor is the share within a class that a flood of other callers leaves.
+	Floor float64 `json:"floor"`
+}
+
+// Team owns tasks under a quota.
+type Team struct {
+	Quota hv.Resources `json:"quota"`
+}
+
+// Service is a set of upstreams of one kind.
+type Service struct {
+	Slots       int `json:"slots"`
+	Connections int `json:"connections"`
+	// Target is the tail latency that a guard protects.
+	Target hv.Duration `json:"target"`
+	Guard  bool        `json:"guard"`
+	// Zones limits the service to some zones; empty means all.
+	Zones []string `json:"zones,omitempty"`
+}
+
+// Job is a batch task.
+type Job struct {
+	Team     string            `json:"team"`
+	Program  string            `json:"program"`
+	Args     []string          `json:"args,omitempty"`
+	Labels   map[string]string `json:"labels,omitempty"`
+	Need     hv.Resources      `json:"need"`
+	Runtime  hv.Duration       `json:"runtime"`
+	Deadline time.Time         `json:"deadline"`
+	Urgent   bool              `json:"urgent,omitempty"`
+	Once     bool              `json:"once,omitempty"`
+}
+
+// Task returns the task that is submitted for a job.
+func (j Job) Task(name string) hv.Task {
+	return hv.Task{
+		ID: "job-" + name, Kind: hv.Job, Team: j.Team, Program: j.Program, Args: j.Args, Labels: j.Labels,
+		Need: j.Need, Runtime: j.Runtime, Deadline: j.Deadline, Urgent: j.Urgent, Once: j.Once,
+	}
+}
+
+// Watcher is a standing task.
+type Watcher struct {
+	Team    string            `json:"team"`
+	Program string            `json:"program"`
+	Args    []string          `json:"args,omitempty"`
+	Labels  map[string]string `json:"labels,omitempty"`
+	Need    hv.Resources      `json:"need"`
+	Urgent  bool              `json:"urgent,omitempty"`
+}
+
+// Task returns the task that is submitted for a watcher.
+func (w Watcher) Task(name string) hv.Task {
+	return hv.Task{
+		ID: "watcher-" + name, Kind: hv.Watcher, Team: w.Team, Program: w.Program, Args: w.Args, Labels: w.Labels,
+		Need: w.Need, Urgent: w.Urgent,
+	}
+}
+
+// What an operator gives the most weight.
+const (
+	PreferThroughput = "throughput"
+	PreferLatency    = "latency"
+)
+
+// Policy holds the choices between conflicting aims.
+type Policy struct {
+	Prefer string `json:"prefer"`
+}
+
+// Admin holds the token of the admin API; without one every request is refused.
+type Admin struct {
+	Token string `json:"token,omitempty"`
+}
+
+// Logs sets what the daemons log.
+type Logs struct {
+	Level string `json:"level"`
+}
+
+// Default returns the settings of an empty folder.
+func Default() *Settings {
+	return &Settings{
+		Limits: Limits{
+			Lease: duration(10 * time.Second), Beat: duration(time.Second), Margin: duration(500 * time.Millisecond),
+			Absence: duration(3 * time.Second), Retention: duration(24 * time.Hour),
+			Body: hv.MB, Answer: hv.MB,
+			Keys: 65536, Recall: duration(10 * time.Minute), Skew: duration(2 * time.Second),
+			Grace: duration(10 * time.Minute),
+		},
+		Classes: maps.Clone(defaultClasses),
+		Policy:  Policy{Prefer: PreferThroughput},
+		Logs:    Logs{Level: "info"},
+	}
+}
+
+var defaultClasses = map[hv.Class]Class{
+	hv.Urgent:   {Weight: 4, Floor: 0.3, Queue: 1024, Deadline: duration(2 * time.Second)},
+	hv.Standard: {Weight: 2, Floor: 0.2, Queue: 1024, Deadline: duration(10 * time.Second)},
+	hv.Batch:    {Weight: 1, Floor: 0.1, Queue: 4096, Deadline: duration(time.Minute)},
+}
+
+// defaults holds the fields that an entry of a section need not give.
+var defaults = map[reflect.Type]any{
+	reflect.TypeFor[Caller]():  Caller{Weight: 1},
+	reflect.TypeFor[Service](): Service{Slots: 8, Connections: 64, Target: duration(100 * time.Millisecond), Guard: true},
+}
+
+func duration(d time.Duration) hv.Duration { return hv.Duration(d) }
