Start the stand-in's streams at offset 1

A settings version is the offset of its record and 0 stands for none. The client and the stand-in are now tested against one another; with a first offset of 0 the test fails at the empty stream. Records are limited to 4 MiB by the writer, below the 8 MiB of the stand-in.

--- a/cmd/hvfake/hvstream/store.go
+++ b/cmd/hvfake/hvstream/store.go
@@ -106,7 +106,8 @@
 func (s *Store) stream(name string) *stream {
 	st := s.streams[name]
 	if st == nil {
-		st = &stream{grown: make(chan struct{})}
+		// Offset 0 is not used, as a settings version of 0 stands for none.
+		st = &stream{first: 1, grown: make(chan struct{})}
 		s.streams[name] = st
 	}
 	return st
--- a/hvlog/writer.go
+++ b/hvlog/writer.go
@@ -18,7 +18,7 @@
 	maxOps      = 1024
 	maxOpsBytes = 512 << 10
 	// maxRecordBytes bounds a record that holds one operation, such as a snapshot.
-	maxRecordBytes = 16 << 20
+	maxRecordBytes = 4 << 20
 	// appendTimeout ends an append whose answer does not come.
 	appendTimeout = 5 * time.Second
 )
