--- a/interfaces.go
+++ b/interfaces.go
@@ -122,7 +122,9 @@
 	RemoveHost(name string)
 	// Place returns the host for a task and counts the task there, or an
 	// error of kind Full (no host has room now) or NotFound (none ever fits).
-	Place(t Task) (host string, err error)
+	// The hosts to avoid, on which the task failed before, are used only if no
+	// other host has room.
+	Place(t Task, avoid ...string) (host string, err error)
 	// Release takes a task off a host.
 	Release(t Task, host string)
 	// Observe records how a host's service latency responded to its tasks.
@@ -136,15 +138,30 @@
 	Committed Resources
 	// Programs counts the running tasks by program.
 	Programs map[string]int
+	// Groups counts the running tasks by the value of their label "group".
+	Groups map[string]int
+	// Services names the latency-critical programs of the host, upstreams
+	// included.
+	Services []string
+	// Share is the share that the host's guard leaves to batch work, in
+	// thousandths; 0 and 1000 mean that it is not throttled.
+	Share int
+	// Suspect hosts are used only when no other host has room.
+	Suspect bool
 	// Usable is false for a host that is draining or quarantined.
 	Usable bool
 }
 
 // Sample is a lagging observation of interference on one host.
 type Sample struct {
-	Host     string         `json:"host"`
-	Service  string         `json:"service"`
-	Programs map[string]int `json:"programs"`
+	Host    string `json:"host"`
+	Service string `json:"service"`
+	// Programs counts the batch tasks that ran at Time. When it is nil the
+	// placer uses what it remembers of the host.
+	Programs map[string]int `json:"programs,omitempty"`
+	// Share is the share that the guard left to batch work at Time, in
+	// thousandths; 0 means 1000.
+	Share int `json:"share,omitempty"`
 	// Slowdown is the service's tail latency divided by its target.
 	Slowdown float64   `json:"slowdown"`
 	Time     time.Time `json:"time"`
