--- /dev/null
+++ b/hvplace/estimate.go
@@ -0,0 +1,132 @@
+package hvplace
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// Declared sizes and run times are off by factors of 0.25 to 4, so a
+// correction outside this range would follow a fault, not a pattern.
+const (
+	minFactor = 0.25
+	maxFactor = 4.0
+
+	factorsKept  = 32
+	programsKept = 1024
+)
+
+// priorFactors stand for a program of which little is known: its declaration
+// is right on average. They count less with each observation.
+var priorFactors = []float64{0.5, 1, 1, 2}
+
+// Estimator corrects what callers declare by what earlier tasks of the same
+// program turned out to be.
+type Estimator struct {
+	mu       sync.Mutex
+	programs *lru.Cache[string, *factors]
+}
+
+type factors struct {
+	recent []float64
+	next   int
+	// sorted is recent with the prior in ascending order, or nil.
+	sorted []float64
+}
+
+// NewEstimator returns an estimator without observations.
+func NewEstimator() *Estimator {
+	c, err := lru.New[string, *factors](programsKept)
+	if err != nil {
+		panic(err) // only for a size below 1
+	}
+	return &Estimator{programs: c}
+}
+
+// Observe records the actual value of a task beside its declared value.
+func (e *Estimator) Observe(program string, declared, actual float64) {
+	if !(declared > 0) || !(actual > 0) || math.IsInf(actual, 0) {
+		return
+	}
+	factor := min(max(actual/declared, minFactor), maxFactor)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f, ok := e.programs.Get(program)
+	if !ok {
+		f = &factors{}
+		e.programs.Add(program, f)
+	}
+	f.sorted = nil
+	if len(f.recent) < factorsKept {
+		f.recent = append(f.recent, factor)
+		return
+	}
+	f.recent[f.next] = factor
+	f.next = (f.next + 1) % factorsKept
+}
+
+// Factor returns the quantile of the program's factors between actual and
+// declared values. It is 1 for a program without observations.
+func (e *Estimator) Factor(program string, quantile float64) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f, ok := e.programs.Get(program)
+	if !ok {
+		return 1
+	}
+	if f.sorted == nil {
+		f.sorted = append(slices.Clone(f.recent), priorFactors...)
+		slices.Sort(f.sorted)
+	}
+	i := int(quantile * float64(len(f.sorted)))
+	return f.sorted[min(max(i, 0), len(f.sorted)-1)]
+}
+
+// The quantiles weigh the two ways of being wrong. Too little memory ends a
+// task, too few processors slow it down, too short a run time starts it late.
+const (
+	runtimeQuantile   = 0.75
+	processorQuantile = 0.7
+	memoryQuantile    = 0.95
+)
+
+// History holds the corrections of run times and sizes.
+type History struct {
+	runtime, processors, memory *Estimator
+}
+
+// NewHistory returns a history without observations.
+func NewHistory() *History {
+	return &History{NewEstimator(), NewEstimator(), NewEstimator()}
+}
+
+// ObserveRuntime records the run time of a finished task at full share.
+func (h *History) ObserveRuntime(t hv.Task, actual time.Duration) {
+	h.runtime.Observe(t.Program, t.Runtime.Std().Seconds(), actual.Seconds())
+}
+
+// ObserveUse records the peak use of a task.
+func (h *History) ObserveUse(t hv.Task, peak hv.Resources) {
+	h.processors.Observe(t.Program, float64(t.Need.Processors), float64(peak.Processors))
+	h.memory.Observe(t.Program, float64(t.Need.Memory), float64(peak.Memory))
+}
+
+// Runtime returns the corrected run time of a task.
+func (h *History) Runtime(t hv.Task) time.Duration {
+	return time.Duration(float64(t.Runtime) * h.runtime.Factor(t.Program, runtimeQuantile))
+}
+
+// Commit returns the corrected size of a task: what a host should set aside
+// for it. A host cannot set aside more accelerators than were asked for.
+func (h *History) Commit(t hv.Task) hv.Resources {
+	return hv.Resources{
+		Processors:   int64(float64(t.Need.Processors) * h.processors.Factor(t.Program, processorQuantile)),
+		Memory:       hv.Size(float64(t.Need.Memory) * h.memory.Factor(t.Program, memoryQuantile)),
+		Accelerators: t.Need.Accelerators,
+	}
+}
--- /dev/null
+++ b/hvplace/placer.go
@@ -0,0 +1,282 @@
+// Package hvplace chooses hosts for tasks and the order in which tasks are
+// placed.
+package hvplace
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"sync"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// candidatesPerZone bounds the hosts that a decision rates. A few random
+// choices get most of the benefit of rating all hosts.
+const candidatesPerZone = 4
+
+// Options are the dependencies of a Placer.
+type Options struct {
+	Clock      hv.Clock
+	Prefer     hv.Prefer
+	Seed       uint64
+	Violations hv.Violations
+}
+
+// Placer implements hibiscusvane.Placer with an index of the hosts, so that a
+// decision looks at a bounded number of them.
+type Placer struct {
+	options Options
+	weights weights
+
+	mu           sync.Mutex
+	hosts        map[string]*entry
+	zones        []*zone
+	capacities   *capacities
+	spread       spread
+	interference interference
+	random       *rand.Rand
+	search       search
+	found        []*entry
+}
+
+var _ hv.Placer = (*Placer)(nil)
+
+// New returns a placer without hosts.
+func New(o Options) *Placer {
+	p := &Placer{
+		options: o, weights: weightsOf(o.Prefer), hosts: map[string]*entry{}, capacities: newCapacities(),
+		spread: spread{}, interference: interference{}, random: rand.New(rand.NewPCG(o.Seed, 0)),
+	}
+	p.search = search{limit: candidatesPerZone, random: p.random.IntN}
+	return p
+}
+
+// SetHost implements hibiscusvane.Placer. Committed and Programs of the view
+// replace what the placer counted, so they must include tasks that were placed
+// but are not yet in the host's heartbeat.
+func (p *Placer) SetHost(v hv.HostView) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v.Programs, v.Groups = clone(v.Programs), clone(v.Groups)
+	e := p.hosts[v.Host.Name]
+	if e != nil && e.view.Host != v.Host {
+		p.forget(e)
+		e = nil
+	}
+	if e == nil {
+		e = p.enter(v.Host)
+	}
+	p.spread.addView(e.view, -1)
+	e.view = v
+	e.batch = count(v.Programs)
+	p.spread.addView(v, 1)
+	e.snapshots.note(p.options.Clock.Now(), v.Programs)
+	if !v.Usable {
+		e.zone.remove(e)
+		return
+	}
+	e.zone.move(e)
+}
+
+func clone(m map[string]int) map[string]int {
+	if m == nil {
+		return map[string]int{}
+	}
+	return maps.Clone(m)
+}
+
+func count(m map[string]int) int {
+	sum := 0
+	for _, n := range m {
+		sum += n
+	}
+	return sum
+}
+
+func (p *Placer) enter(h hv.Host) *entry {
+	e := &entry{view: hv.HostView{Host: h}, zone: p.zone(h.Zone), offsets: map[string]*belief{}}
+	e.zone.hosts++
+	p.hosts[h.Name] = e
+	p.capacities.add(h.Capacity)
+	return e
+}
+
+func (p *Placer) zone(name string) *zone {
+	for _, z := range p.zones {
+		if z.name == name {
+			return z
+		}
+	}
+	z := &zone{name: name}
+	p.zones = append(p.zones, z)
+	return z
+}
+
+// RemoveHost implements hibiscusvane.Placer.
+func (p *Placer) RemoveHost(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.hosts[name]; e != nil {
+		p.forget(e)
+	}
+}
+
+func (p *Placer) forget(e *entry) {
+	e.zone.remove(e)
+	p.spread.addView(e.view, -1)
+	p.capacities.remove(e.view.Host.Capacity)
+	delete(p.hosts, e.view.Host.Name)
+	e.zone.hosts--
+	if e.zone.hosts > 0 {
+		return
+	}
+	for i, z := range p.zones {
+		if z == e.zone {
+			p.zones = append(p.zones[:i], p.zones[i+1:]...)
+			return
+		}
+	}
+}
+
+// Place implements hibiscusvane.Placer.
+func (p *Placer) Place(t hv.Task, avoid ...string) (string, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.capacities.holds(t.Need) {
+		return "", errImpossible
+	}
+	p.look(p.withReserve(t))
+	if len(p.found) == 0 {
+		return "", errFull
+	}
+	best := p.best(t, avoid)
+	if best == nil {
+		return "", errSlow
+	}
+	p.commit(best, t, 1)
+	return best.view.Host.Name, nil
+}
+
+// look collects the candidates of all zones.
+func (p *Placer) look(need hv.Resources) {
+	p.search.need = need
+	p.found = p.found[:0]
+	for _, z := range p.zones {
+		p.found = p.search.sample(z, p.found)
+	}
+}
+
+// reservePart is the part of the largest host that jobs leave free on each
+// host, so that urgent tasks start within 5 s on a full fleet.
+const reservePart = 16
+
+// withReserve is what a host must have free for a task. A job that would fit
+// no host with the reserve goes without it.
+func (p *Placer) withReserve(t hv.Task) hv.Resources {
+	if t.Kind != hv.Job || t.Urgent {
+		return t.Need
+	}
+	largest := p.capacities.maximal[0]
+	need := t.Need
+	need.Processors += largest.Processors / reservePart
+	need.Memory += largest.Memory / reservePart
+	if !p.capacities.holds(need) {
+		return t.Need
+	}
+	return need
+}
+
+func (p *Placer) best(t hv.Task, avoid []string) *entry {
+	var best *entry
+	var lowest float64
+	for _, e := range p.found {
+		if score, ok := p.score(t, e, avoid); ok && (best == nil || score < lowest) {
+			best, lowest = e, score
+		}
+	}
+	return best
+}
+
+// commit changes what is committed on a host, and nothing else does.
+func (p *Placer) commit(e *entry, t hv.Task, sign int) {
+	v := &e.view
+	if sign > 0 {
+		v.Committed = v.Committed.Add(t.Need)
+		if !v.Committed.Fits(v.Host.Capacity) {
+			p.options.Violations(1, fmt.Sprintf("host %s is committed to %+v of %+v", v.Host.Name, v.Committed, v.Host.Capacity))
+		}
+	} else {
+		v.Committed = atLeastZero(v.Committed.Sub(t.Need))
+	}
+	if sign < 0 && v.Programs[t.Program] == 0 {
+		sign = 0
+	}
+	e.batch += sign
+	change(v.Programs, t.Program, sign)
+	p.spread.add(t.Program, v.Host, sign)
+	if g := t.Labels[hv.GroupLabel]; g != "" && (sign > 0 || v.Groups[g] > 0) {
+		change(v.Groups, g, sign)
+		p.spread.add(groupKey(g), v.Host, sign)
+	}
+	e.snapshots.note(p.options.Clock.Now(), v.Programs)
+	if v.Usable {
+		e.zone.move(e)
+	}
+}
+
+// atLeastZero keeps a release that a heartbeat has already counted from
+// making a host look larger than it is.
+func atLeastZero(r hv.Resources) hv.Resources {
+	return hv.Resources{
+		Processors:   max(r.Processors, 0),
+		Memory:       max(r.Memory, 0),
+		Accelerators: max(r.Accelerators, 0),
+	}
+}
+
+// Release implements hibiscusvane.Placer.
+func (p *Placer) Release(t hv.Task, host string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.hosts[host]; e != nil {
+		p.commit(e, t, -1)
+	}
+}
+
+// Observe implements hibiscusvane.Placer.
+func (p *Placer) Observe(s hv.Sample) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.hosts[s.Host]
+	if e == nil || !(s.Slowdown > 0) {
+		return
+	}
+	programs := s.Programs
+	if programs == nil {
+		programs = e.snapshots.at(s.Time)
+	}
+	if programs == nil {
+		return
+	}
+	offset := e.offsets[s.Service]
+	if offset == nil {
+		offset = &belief{0, hostVariance}
+		if len(e.offsets) < maxNames {
+			e.offsets[s.Service] = offset
+		}
+	}
+	share := 1.0
+	if s.Share > 0 {
+		share = float64(s.Share) / fullShare
+	}
+	p.interference.service(s.Service).observe(offset, programs, share, s.Slowdown)
+}
+
+// Looked returns the number of hosts that all decisions so far compared with
+// a task.
+func (p *Placer) Looked() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.search.looked
+}
