--- a/Makefile
+++ b/Makefile
@@ -31,5 +31,9 @@
 demo: build
 	sh scripts/demo.sh
 
+# Compares the policies with their baselines; see docs/decisions.md.
+measure:
+	go run ./hvmeasure/hvmeasurecmd
+
 clean:
 	rm -rf bin
--- /dev/null
+++ b/hvmeasure/arm.go
@@ -0,0 +1,63 @@
+package hvmeasure
+
+import (
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvguard"
+	"hibiscusvane.example/hibiscusvane/hvhealth"
+	"hibiscusvane.example/hibiscusvane/hvplace"
+)
+
+type taskQueue interface {
+	Push(hv.Task) error
+	Pop(time.Time) (hv.Task, bool)
+	Return([]hv.Task)
+	Remove(func(hv.Task) bool) int
+	Len() int
+}
+
+// arm is one set of decision code.
+type arm struct {
+	placer  hv.Placer
+	queue   taskQueue
+	health  hv.Health
+	suspect func(host string) bool
+	history *hvplace.History
+	guards  []hv.Guard
+	commit  func(hv.Task) hv.Resources
+}
+
+const queueLimit = 20000
+
+func baseline(Deployment, hv.Clock, uint64, hv.Violations) *arm {
+	a := &arm{
+		placer: hvplace.NewFirstFit(), queue: hvplace.NewFIFO(queueLimit), health: hvhealth.NewNone(),
+		suspect: func(string) bool { return false }, history: hvplace.NewHistory(),
+		commit: func(t hv.Task) hv.Resources { return t.Need },
+	}
+	for range hostCount {
+		a.guards = append(a.guards, hvguard.None{})
+	}
+	return a
+}
+
+func policy(d Deployment, clock hv.Clock, seed uint64, violations hv.Violations) *arm {
+	health := hvhealth.New(hvhealth.Options{Fleet: func() int { return hostCount }})
+	history := hvplace.NewHistory()
+	a := &arm{
+		placer: hvplace.New(hvplace.Options{Clock: clock, Prefer: d.Prefer, Seed: seed, Violations: violations}),
+		queue:  hvplace.NewQueue(history, queueLimit),
+		health: health, suspect: health.Suspect, history: history,
+	}
+	a.commit = func(t hv.Task) hv.Resources {
+		if c := history.Commit(t); c.Fits(d.Size) {
+			return c
+		}
+		return t.Need
+	}
+	for range hostCount {
+		a.guards = append(a.guards, hvguard.New(hvguard.Options{Prefer: d.Prefer, Settle: reportLag + reportEvery}))
+	}
+	return a
+}
--- /dev/null
+++ b/hvmeasure/cases.go
@@ -0,0 +1,171 @@
+package hvmeasure
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// Case is one situation with its targets.
+type Case struct {
+	Name   string
+	Length time.Duration
+	// Batch is the offered batch work as a share of the free processors.
+	Batch float64
+	// Bad and TooLarge are shares of the jobs.
+	Bad, TooLarge float64
+	// Broke and Returned are when workers broke and when capacity returned.
+	Broke, Returned time.Duration
+	Setup           func(*run)
+	Event           func(*run, time.Duration)
+	Targets         func(Deployment) []Target
+}
+
+// Target is a bound that is stated before the run.
+type Target struct {
+	Metric string
+	Text   string
+	Met    func(baseline, policy float64) bool
+}
+
+func atMost(metric string, v float64) Target {
+	return Target{metric, fmt.Sprintf("at most %.4g", v), func(_, p float64) bool { return p <= v }}
+}
+
+func atLeast(metric string, v float64) Target {
+	return Target{metric, fmt.Sprintf("at least %.4g", v), func(_, p float64) bool { return p >= v }}
+}
+
+func keep(metric string, share float64) Target {
+	return Target{metric, fmt.Sprintf("at least %.0f%% of the baseline", 100*share), func(b, p float64) bool { return p >= share*b }}
+}
+
+func under(metric string, share float64) Target {
+	return Target{metric, fmt.Sprintf("at most %.0f%% of the baseline", 100*share), func(b, p float64) bool { return p <= share*b }}
+}
+
+func shape(t time.Duration) float64 {
+	return 0.5 + 0.4*math.Sin(2*math.Pi*t.Seconds()/600)
+}
+
+// latencyTargets follow policy.prefer: the operator that prefers latency gives
+// up more batch work for it.
+func latencyTargets(d Deployment) []Target {
+	if d.Prefer == hv.Latency {
+		return []Target{atMost("p99 ms", 2*unloadedP99), atMost("p99.9 ms", 4*unloadedP99), keep("batch core-h", 0.7)}
+	}
+	return []Target{atMost("p99 ms", 3*unloadedP99), atMost("p99.9 ms", 8*unloadedP99), keep("batch core-h", 0.95)}
+}
+
+const half = 30 * time.Minute
+
+// Cases lists all situations.
+var Cases = []Case{
+	{
+		Name: "interference", Length: half, Batch: 0.75,
+		Targets: func(d Deployment) []Target {
+			return append(latencyTargets(d), atMost("evictions", 30), atMost("urgent start s", 5), atMost("violations", 0))
+		},
+	},
+	{
+		Name: "wrong sizes and run times", Length: half, Batch: 0.6,
+		Setup: func(r *run) {
+			for i, f := range [][2]float64{{0.25, 4}, {4, 0.25}, {2, 0.5}, {0.5, 2}} {
+				r.programs[i].runtime, r.programs[i].size = f[0], f[1]
+			}
+		},
+		Targets: func(Deployment) []Target {
+			return []Target{
+				under("out of memory", 0.2), under("missed %", 0.8), under("lost core-h", 0.5),
+				atMost("good jobs blamed", 0), atMost("violations", 0),
+			}
+		},
+	},
+	{
+		Name: "jobs that fit no host", Length: half / 2, Batch: 0.6, TooLarge: 0.2,
+		Targets: func(Deployment) []Target {
+			return []Target{atMost("impossible starts", 0), atMost("urgent start s", 5), atMost("violations", 0)}
+		},
+	},
+	{
+		Name: "jobs that always fail", Length: half, Batch: 0.6, Bad: 0.2,
+		Targets: func(Deployment) []Target {
+			return []Target{
+				keep("bad jobs found", 0.95), atMost("attempts per bad job", 5), atMost("good jobs blamed", 0),
+				atMost("good workers quarantined", 0),
+			}
+		},
+	},
+	{
+		Name: "three bad workers of a rack", Length: half, Batch: 0.6, Bad: 0.02, Broke: 5 * time.Minute,
+		Event: func(r *run, t time.Duration) {
+			if t == 5*time.Minute {
+				for _, h := range r.fleet[3:6] {
+					h.broken = true
+				}
+			}
+		},
+		Targets: func(Deployment) []Target {
+			return []Target{
+				atLeast("bad workers found", 3), atMost("found after s", 120), atMost("in quarantine", hostCount/4),
+				atMost("good jobs blamed", 0), atMost("good workers quarantined", 0), under("failed attempts", 0.1),
+			}
+		},
+	},
+	{
+		Name: "half the queue canceled", Length: half / 2, Batch: 1.5,
+		Event: func(r *run, t time.Duration) {
+			if t == 5*time.Minute {
+				r.cancelHalf()
+			}
+		},
+		Targets: func(Deployment) []Target {
+			return []Target{atMost("canceled starts", 0), atMost("urgent start s", 5), under("missed %", 1)}
+		},
+	},
+	{
+		Name: "rack, then zone gone and back", Length: half, Batch: 0.7, Returned: 15 * time.Minute,
+		Event: outage,
+		Targets: func(d Deployment) []Target {
+			return append(latencyTargets(d), atMost("urgent start s", 5), atMost("evictions after return", 5), atMost("starts in 1 s", 83))
+		},
+	},
+}
+
+// outage takes rack 1 away at 5 minutes, zone 2 at 8 minutes, and gives both
+// back at 15 minutes.
+func outage(r *run, t time.Duration) {
+	for i, h := range r.fleet {
+		gone := 5 * time.Minute
+		switch i / hostsPerRack {
+		case 1:
+		case 2:
+			gone = 8 * time.Minute
+		default:
+			continue
+		}
+		switch t {
+		case gone:
+			h.up = false
+			r.a.placer.RemoveHost(h.Name)
+		case gone + lapse.Truncate(time.Second) + time.Second:
+			r.lose(h)
+		case 15 * time.Minute:
+			h.up, h.reports = true, nil
+		}
+	}
+}
+
+// cancelHalf cancels every second waiting job with one removal.
+func (r *run) cancelHalf() {
+	removed := r.a.queue.Remove(func(t hv.Task) bool {
+		j := r.jobs[t.ID]
+		n := t.ID[len(t.ID)-1] - '0'
+		j.canceled = t.Kind == hv.Job && n%2 == 0
+		j.ended = j.ended || j.canceled
+		return j.canceled
+	})
+	r.m["canceled"] = float64(removed)
+}
--- /dev/null
+++ b/hvmeasure/deployment.go
@@ -0,0 +1,49 @@
+// Package hvmeasure compares the policies with their baselines on small
+// fakes under an injected clock.
+package hvmeasure
+
+import (
+	"fmt"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// Deployment is the size of one operator's fleet.
+type Deployment struct {
+	Name   string
+	Prefer hv.Prefer
+	Size   hv.Resources
+}
+
+const (
+	hostCount    = 11
+	hostsPerRack = 3
+	zoneCount    = 4
+)
+
+// Deployments are the two operators of docs/design.md.
+var Deployments = []Deployment{
+	{"Foundation", hv.Throughput, hv.Resources{Processors: 16000, Memory: 60 * hv.GB}},
+	{"Commission", hv.Latency, hv.Resources{Processors: 32000, Memory: 125 * hv.GB}},
+}
+
+// hosts lists the hosts. A rack lies within one zone.
+func (d Deployment) hosts() []hv.Host {
+	hosts := make([]hv.Host, hostCount)
+	for i := range hosts {
+		rack := i / hostsPerRack
+		hosts[i] = hv.Host{
+			Name:     fmt.Sprintf("host-%02d", i),
+			Rack:     fmt.Sprintf("rack-%d", rack),
+			Zone:     fmt.Sprintf("zone-%d", rack%zoneCount),
+			Capacity: d.Size,
+		}
+	}
+	return hosts
+}
+
+// manualClock is the injected clock.
+type manualClock struct{ now time.Time }
+
+func (c *manualClock) Now() time.Time { return c.now }
--- /dev/null
+++ b/hvmeasure/table.go
@@ -0,0 +1,88 @@
+package hvmeasure
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+)
+
+// Spread is the median of several runs with the lowest and highest.
+type Spread struct{ Low, Median, High float64 }
+
+func (s Spread) String() string {
+	if s.Low == s.High {
+		return fmt.Sprintf("%.4g", s.Median)
+	}
+	return fmt.Sprintf("%.4g (%.4g to %.4g)", s.Median, s.Low, s.High)
+}
+
+func spreadOf(runs []metrics, name string) Spread {
+	var v []float64
+	for _, m := range runs {
+		v = append(v, m[name])
+	}
+	slices.Sort(v)
+	return Spread{v[0], v[len(v)/2], v[len(v)-1]}
+}
+
+// parallelRuns bounds the use of a shared machine.
+const parallelRuns = 4
+
+func repeat(c Case, d Deployment, build builder, seeds int) []metrics {
+	runs := make([]metrics, seeds)
+	slots := make(chan struct{}, parallelRuns)
+	var wg sync.WaitGroup
+	for i := range runs {
+		wg.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			runs[i] = Run(c, d, build, uint64(i+1))
+		})
+	}
+	wg.Wait()
+	return runs
+}
+
+// info lists metrics that are shown for every case, without a target.
+var info = []string{"p50 ms", "p99 ms", "p99.9 ms", "batch core-h", "missed %", "throttles", "evictions", "lost core-h", "failed attempts", "out of memory"}
+
+// Print runs the cases whose name contains match on both deployments and
+// writes the table. It returns the number of missed targets.
+func Print(w io.Writer, match func(string) bool, seeds int) int {
+	missed := 0
+	fmt.Fprintln(w, "| case | deployment | metric | target | baseline | policy | result |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|")
+	for _, c := range Cases {
+		if !match(c.Name) {
+			continue
+		}
+		for _, d := range Deployments {
+			missed += printCase(w, c, d, seeds)
+		}
+	}
+	return missed
+}
+
+func printCase(w io.Writer, c Case, d Deployment, seeds int) int {
+	b, p := repeat(c, d, baseline, seeds), repeat(c, d, policy, seeds)
+	missed := 0
+	shown := map[string]bool{}
+	for _, t := range c.Targets(d) {
+		shown[t.Metric] = true
+		bs, ps := spreadOf(b, t.Metric), spreadOf(p, t.Metric)
+		result := "met"
+		if !t.Met(bs.Median, ps.Median) {
+			result = "**missed**"
+			missed++
+		}
+		fmt.Fprintf(w, "| %s | %s | %s | %s | %v | %v | %s |\n", c.Name, d.Name, t.Metric, t.Text, bs, ps, result)
+	}
+	for _, name := range info {
+		if shown[name] {
+			continue
+		}
+		fmt.Fprintf(w, "| %s | %s | %s | - | %v | %v | - |\n", c.Name, d.Name, name, spreadOf(b, name), spreadOf(p, name))
+	}
+	return missed
+}
