--- a/hvhttp/admin.go
+++ b/hvhttp/admin.go
@@ -8,17 +8,20 @@
 	hv "hibiscusvane.example/hibiscusvane"
 )
 
-// Settings is a version of the settings.
+// Settings is a version of the settings with the files it was made of.
 type Settings struct {
-	Version  hv.Offset       `json:"version"`
-	Settings json.RawMessage `json:"settings"`
+	Version hv.Offset                  `json:"version"`
+	Author  string                     `json:"author,omitempty"`
+	Files   map[string]json.RawMessage `json:"files"`
 }
 
 // Publication is the body of POST /admin/publish.
 type Publication struct {
 	// Base is the version that the publication was made from.
-	Base     hv.Offset       `json:"base"`
-	Settings json.RawMessage `json:"settings"`
+	Base   hv.Offset `json:"base"`
+	Author string    `json:"author,omitempty"`
+	// Files holds the settings folder by file name.
+	Files map[string]json.RawMessage `json:"files"`
 }
 
 // Admin is what operators can ask of a gate.
@@ -83,8 +86,8 @@
 	}
 	defer free()
 	p, err := decode[Publication](body)
-	if err == nil && len(p.Settings) == 0 {
-		err = invalid("settings", "is missing")
+	if err == nil && len(p.Files) == 0 {
+		err = invalid("files", "want at least one settings file")
 	}
 	if err != nil {
 		writeError(w, err, "")
--- a/hvhttp/answer.go
+++ b/hvhttp/answer.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvconf"
 )
 
 // Headers of answers.
@@ -27,7 +28,9 @@
 	Field string       `json:"field,omitempty"`
 	Kind  hv.ErrorKind `json:"kind,omitempty"`
 	// ID names the task or request that the failure is about.
-	ID      string      `json:"id,omitempty"`
+	ID string `json:"id,omitempty"`
+	// Version is the settings version that won against a publication.
+	Version hv.Offset   `json:"version,omitempty"`
 	Outcome hv.Outcome  `json:"outcome,omitempty"`
 	Retry   hv.Duration `json:"retry,omitempty"`
 }
@@ -63,6 +66,10 @@
 	if errors.As(err, &own) {
 		f.Field = own.Field
 	}
+	var conf *hvconf.Error
+	if errors.As(err, &conf) {
+		f.Version = conf.Version
+	}
 	var tooLarge *http.MaxBytesError
 	status := statuses[f.Kind]
 	switch {
--- a/hvhttp/http_test.go
+++ b/hvhttp/http_test.go
@@ -70,7 +70,7 @@
 }
 
 func (f *fake) Settings(context.Context) (hvhttp.Settings, error) {
-	return hvhttp.Settings{Version: 7, Settings: json.RawMessage(`{}`)}, f.err
+	return hvhttp.Settings{Version: 7, Files: map[string]json.RawMessage{}}, f.err
 }
 
 func (f *fake) Publish(_ context.Context, p hvhttp.Publication) (hv.Offset, error) {
@@ -174,7 +174,7 @@
 		{"POST", "/v1/cancel", `{"label":"day"}`, "", "", 400, "label"},
 		{"GET", "/v1/jobs/a?wait=1h", "", "", "", 400, "wait"},
 		{"GET", "/v1/jobs?max=0", "", "", "", 400, "max"},
-		{"POST", "/admin/publish", `{"base":1}`, "", "", 400, "settings"},
+		{"POST", "/admin/publish", `{"base":1}`, "", "", 400, "files"},
 	} {
 		var headers []string
 		if test.header != "" {
@@ -207,8 +207,8 @@
 		{"GET", "/v1/jobs?label=day=friday", "", 200, `{"jobs":[]}`},
 		{"DELETE", "/v1/jobs/a", "", 202, `{"canceled":1}`},
 		{"POST", "/v1/cancel", `{"label":"day=friday"}`, 202, `{"canceled":1}`},
-		{"GET", "/admin/settings", "", 200, `{"version":7,"settings":{}}`},
-		{"POST", "/admin/publish", `{"base":7,"settings":{"teams":{}}}`, 200, `{"version":8}`},
+		{"GET", "/admin/settings", "", 200, `{"version":7,"files":{}}`},
+		{"POST", "/admin/publish", `{"base":7,"files":{"a.json":{"teams":{}}}}`, 200, `{"version":8}`},
 		{"GET", "/admin/explain/w/1", "", 200, `{"task":"w/1"}`},
 		{"POST", "/admin/drain/h1", "", 202, `{"host":"h1"}`},
 		{"GET", "/healthz", "", 200, "ok"},
