--- a/hvconf/book.go
+++ b/hvconf/book.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"sync"
 
 	hv "hibiscusvane.example/hibiscusvane"
@@ -70,6 +71,13 @@
 	return b.current
 }
 
+// Files returns the files of the version in force.
+func (b *Book) Files() Files {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.files)
+}
+
 // Changed returns a channel that is closed when the next version is in force.
 func (b *Book) Changed() <-chan struct{} {
 	b.mu.Lock()
--- /dev/null
+++ b/hvcontrol/admin.go
@@ -0,0 +1,125 @@
+package hvcontrol
+
+import (
+	"context"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvconf"
+	"hibiscusvane.example/hibiscusvane/hvhttp"
+	"hibiscusvane.example/hibiscusvane/hvtask"
+	"hibiscusvane.example/hibiscusvane/hvwire"
+)
+
+var _ hvhttp.Admin = (*Admin)(nil)
+
+// Admin answers the admin API.
+type Admin struct{ control *Control }
+
+// Admin returns the part of the control plane that operators use.
+func (c *Control) Admin() *Admin { return &Admin{control: c} }
+
+// Settings implements hvhttp.Admin.
+func (a *Admin) Settings(context.Context) (hvhttp.Settings, error) {
+	v := a.control.book.Current()
+	return hvhttp.Settings{Version: v.Number, Author: v.Author, Files: a.control.book.Files()}, nil
+}
+
+// Publish implements hvhttp.Admin.
+func (a *Admin) Publish(ctx context.Context, p hvhttp.Publication) (hv.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	return a.control.publish(ctx, hvconf.Publication{Base: p.Base, Author: p.Author, Files: p.Files})
+}
+
+// Status is the document of /admin/status.
+type Status struct {
+	Gate    string      `json:"gate"`
+	Version hv.Offset   `json:"version"`
+	Log     bool        `json:"log"`
+	Gates   []string    `json:"gates"`
+	Shards  []ShardLine `json:"shards"`
+	Hosts   []HostLine  `json:"hosts"`
+}
+
+// ShardLine is the state of one shard.
+type ShardLine struct {
+	Shard  int    `json:"shard"`
+	Owner  string `json:"owner,omitempty"`
+	Epoch  int64  `json:"epoch"`
+	Queued int    `json:"queued"`
+	// Confirmed is true if this gate owns the shard and may renew its leases.
+	Confirmed bool `json:"confirmed,omitempty"`
+}
+
+// HostLine is the state of one host.
+type HostLine struct {
+	Host      string       `json:"host"`
+	Zone      string       `json:"zone"`
+	Rack      string       `json:"rack,omitempty"`
+	Service   string       `json:"service,omitempty"`
+	Running   int          `json:"running"`
+	Waiting   int          `json:"waiting"`
+	Tasks     int          `json:"tasks"`
+	Committed hv.Resources `json:"committed"`
+	Capacity  hv.Resources `json:"capacity"`
+	Version   hv.Offset    `json:"version"`
+	Leaving   bool         `json:"leaving,omitempty"`
+	// Healthy is false for a host in quarantine.
+	Healthy bool `json:"healthy"`
+}
+
+// Status implements hvhttp.Admin.
+func (a *Admin) Status(context.Context) (any, error) {
+	c := a.control
+	s := Status{Gate: c.conf.Name, Version: c.book.Current().Number, Log: c.view.Reachable()}
+	for _, p := range c.view.Live(missingAfter) {
+		s.Gates = append(s.Gates, p.Name)
+	}
+	for i := range hvtask.Shards {
+		s.Shards = append(s.Shards, c.shardLine(i))
+	}
+	now := c.Clock.Now()
+	for _, m := range c.Members.Alive() {
+		s.Hosts = append(s.Hosts, HostLine{
+			Host: m.Host.Name, Zone: m.Host.Zone, Rack: m.Host.Rack, Service: m.Service,
+			Running: m.Beat.Running, Waiting: m.Beat.Waiting, Tasks: len(m.Beat.Attempts),
+			Committed: m.Beat.Committed, Capacity: m.Host.Capacity, Version: m.Beat.Version,
+			Leaving: !m.Left.IsZero(), Healthy: c.Health.Usable(now, m.Host.Name),
+		})
+	}
+	return s, nil
+}
+
+func (c *Control) shardLine(i int) ShardLine {
+	owner := c.states[i].Owner()
+	line := ShardLine{Shard: i, Epoch: owner.Epoch, Queued: c.states[i].Waiting()}
+	if !owner.Released {
+		line.Owner = owner.Gate
+	}
+	if epoch, ok := c.owners[i].Owns(); ok {
+		_, line.Confirmed = c.view.RenewUntil(c.tasks[i].name, epoch)
+	}
+	return line
+}
+
+// Explain implements hvhttp.Admin.
+func (a *Admin) Explain(_ context.Context, task string) (any, error) {
+	text, err := a.control.explain(task)
+	if err != nil {
+		return nil, err
+	}
+	e, _ := a.control.states[hvtask.ShardOf(task)].Lookup(task)
+	owner := a.control.states[hvtask.ShardOf(task)].Owner()
+	return map[string]any{"task": task, "state": e.State, "shard": hvtask.ShardOf(task), "owner": owner.Gate, "explain": text}, nil
+}
+
+// Drain implements hvhttp.Admin: the side of the host takes no new work and
+// tells every gate.
+func (a *Admin) Drain(ctx context.Context, host string) error {
+	side, alive := a.control.Members.Get(host)
+	if !alive {
+		return errorf("drain", hv.NotFound, "host %q is not alive", host)
+	}
+	var ack hvwire.Ack
+	return side.Conn.Call(ctx, hvwire.MethodDrain, hvwire.Drain{Host: host}, &ack)
+}
--- /dev/null
+++ b/hvcontrol/control.go
@@ -0,0 +1,197 @@
+// Package hvcontrol is the control plane of a gate: streams, shards, key
+// slots, settings and peers.
+package hvcontrol
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvconf"
+	"hibiscusvane.example/hibiscusvane/hvhealth"
+	"hibiscusvane.example/hibiscusvane/hvkey"
+	"hibiscusvane.example/hibiscusvane/hvlog"
+	"hibiscusvane.example/hibiscusvane/hvmember"
+	"hibiscusvane.example/hibiscusvane/hvpeer"
+	"hibiscusvane.example/hibiscusvane/hvquorum"
+	"hibiscusvane.example/hibiscusvane/hvshard"
+	"hibiscusvane.example/hibiscusvane/hvtask"
+	"hibiscusvane.example/hibiscusvane/hvwire"
+)
+
+// Config names the gate.
+type Config struct {
+	Name        string
+	Incarnation string
+	Region      string
+	// Address is the internal address of this gate.
+	Address string
+	// Gates are the internal addresses of the other gates to contact before
+	// the first publication.
+	Gates []string
+}
+
+// Deps are the parts that the control plane uses.
+type Deps struct {
+	Log     hv.Log
+	Clock   hv.Clock
+	Members *hvmember.Table
+	Placer  hv.Placer
+	Health  *hvhealth.Health
+	Logger  log.Logger
+	// Mux serves the connections of sides and gates.
+	Mux        hvwire.Mux
+	Violations func(invariant int, message string)
+	// Applied is called with every version of the settings that comes into
+	// force, or is nil.
+	Applied func(hvconf.Version)
+}
+
+// Control is the control plane of one gate.
+type Control struct {
+	conf Config
+	Deps
+
+	view   *hvquorum.Tracker
+	peers  *hvpeer.Peers
+	book   *hvconf.Book
+	table  *hvkey.Table
+	states []*hvtask.Shard
+	owners []*hvshard.Owner
+	hosts  *hosts
+
+	config *stream
+	keys   *stream
+	tasks  []*stream
+
+	mu       sync.Mutex
+	leaving  bool
+	draining map[string]bool
+	// changed is when the set of sides of a service last changed.
+	changed map[string]sideSet
+}
+
+// New returns the control plane and adds its methods to the mux.
+func New(conf Config, deps Deps) *Control {
+	c := &Control{conf: conf, Deps: deps, draining: map[string]bool{}, changed: map[string]sideSet{}}
+	limits := hvconf.Default().Limits
+	c.view = hvquorum.New(hvquorum.Config{
+		Gate: conf.Name, Incarnation: conf.Incarnation, Lease: limits.Lease.Std(), Margin: limits.Margin.Std(),
+	}, deps.Clock, []string{conf.Name})
+	c.book = hvconf.NewBook(deps.Violations)
+	c.table = hvkey.NewTable(deps.Violations)
+	c.hosts = newHosts(c)
+	c.newStreams()
+	c.newOwners(limits)
+	c.peers = hvpeer.New(hvpeer.Deps{
+		Clock: deps.Clock, Logger: log.With(deps.Logger, "part", "peer"), Mux: deps.Mux, Self: c.self, Heard: c.heard,
+	})
+	c.peers.SetAddresses(conf.Gates)
+	c.register()
+	return c
+}
+
+func (c *Control) newOwners(limits hvconf.Limits) {
+	for i := range hvtask.Shards {
+		c.owners = append(c.owners, hvshard.New(
+			hvshard.Config{
+				Gate: c.conf.Name, Incarnation: c.conf.Incarnation, Shard: i,
+				Lease: limits.Lease.Std(), Margin: limits.Margin.Std(),
+			},
+			hvshard.Deps{
+				Clock: c.Clock, States: c.states, View: c.view, Log: c.tasks[i], Placer: c.Placer, Health: c.Health,
+				Hosts: c.hosts, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			}))
+	}
+}
+
+// releaseTimeout bounds how long a graceful stop waits for the release of the
+// shards. Without a release the next owner waits for the missing heartbeats.
+const releaseTimeout = 3 * time.Second
+
+// Run works until ctx ends, then releases the shards.
+func (c *Control) Run(ctx context.Context) {
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	start := func(f func(context.Context)) { wg.Go(func() { f(serving) }) }
+	for _, s := range c.streams() {
+		start(s.run)
+	}
+	for _, o := range c.owners {
+		start(o.Run)
+	}
+	start(c.peers.Run)
+	start(c.followSettings)
+	start(c.runRounds)
+	start(c.assignSlots)
+	start(c.refreshHosts)
+	start(c.hosts.run)
+	<-ctx.Done()
+	c.leave()
+	stop()
+	wg.Wait()
+}
+
+func (c *Control) streams() []*stream {
+	return append([]*stream{c.config, c.keys}, c.tasks...)
+}
+
+// leave releases all shards and waits until the log shows it.
+func (c *Control) leave() {
+	c.mu.Lock()
+	c.leaving = true
+	c.mu.Unlock()
+	for _, o := range c.owners {
+		o.Leave()
+	}
+	end := time.Now().Add(releaseTimeout)
+	for time.Now().Before(end) && c.owned() > 0 {
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (c *Control) owned() int {
+	n := 0
+	for _, o := range c.owners {
+		if _, ok := o.Owns(); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// Ready returns why the gate cannot serve yet, or nil.
+func (c *Control) Ready() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaving {
+		return errorf("ready", hv.Unavailable, "the gate is draining")
+	}
+	if !c.config.follower.Status().Live {
+		return errorf("ready", hv.Unavailable, "the settings are not loaded")
+	}
+	return nil
+}
+
+// Settings returns the version in force.
+func (c *Control) Current() hvconf.Version { return c.book.Current() }
+
+// every calls f at an interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			f()
+		}
+	}
+}
+
+var _ hvlog.Applier = (*hvkey.Table)(nil)
--- /dev/null
+++ b/hvcontrol/jobs.go
@@ -0,0 +1,196 @@
+package hvcontrol
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvhttp"
+	"hibiscusvane.example/hibiscusvane/hvshard"
+	"hibiscusvane.example/hibiscusvane/hvtask"
+)
+
+// submitTimeout bounds how long a caller waits for the log.
+const submitTimeout = 5 * time.Second
+
+// CallerLabel is the label that names the caller of a submitted task. Only
+// that caller may cancel the task.
+const CallerLabel = "caller"
+
+var _ hvhttp.Jobs = (*Control)(nil)
+
+// Submit implements hvhttp.Jobs.
+func (c *Control) Submit(ctx context.Context, caller string, t hv.Task) (hvhttp.Job, error) {
+	if t.Team != "" {
+		if _, ok := c.book.Current().Settings.Teams[t.Team]; !ok {
+			return hvhttp.Job{}, errorf("submit", hv.Invalid, "team: %q does not exist", t.Team)
+		}
+	}
+	t.Labels = maps.Clone(t.Labels)
+	if t.Labels == nil {
+		t.Labels = map[string]string{}
+	}
+	t.Labels[CallerLabel] = caller
+	shard := hvtask.ShardOf(t.ID)
+	if job, known, err := c.known(shard, t); known {
+		return job, err
+	}
+	if err := c.add(ctx, shard, hvtask.Submit(t)); err != nil {
+		return hvhttp.Job{}, err
+	}
+	job, known, err := c.known(shard, t)
+	if !known {
+		return hvhttp.Job{}, errorf("submit", hv.Full, "shard %d holds no more tasks", shard)
+	}
+	return job, err
+}
+
+// known returns a task that was submitted before. One with another body is a
+// conflict.
+func (c *Control) known(shard int, t hv.Task) (hvhttp.Job, bool, error) {
+	e, ok := c.states[shard].Lookup(t.ID)
+	if !ok {
+		return hvhttp.Job{}, false, nil
+	}
+	if e.Sum != hvtask.Sum(t) {
+		return hvhttp.Job{}, true, errorf("submit", hv.Conflict, "id: task %q exists with another body", t.ID)
+	}
+	return c.job(e), true, nil
+}
+
+// add appends an operation to the stream of a shard.
+func (c *Control) add(ctx context.Context, shard int, op hvtask.Op) error {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	if !c.tasks[shard].follower.Status().Live {
+		return errorf("add", hv.Unavailable, "shard %d is not loaded", shard)
+	}
+	ticket, err := c.owners[shard].Add(op)
+	if err != nil {
+		return err
+	}
+	select {
+	case err := <-ticket.Done():
+		return err
+	case <-ctx.Done():
+	}
+	if ticket.Withdraw() {
+		return errorf("add", hv.Unavailable, "the log did not take the record in time")
+	}
+	return errorf("add", hv.Uncertain, "the record was sent but not read back in time")
+}
+
+// Get implements hvhttp.Jobs.
+func (c *Control) Get(_ context.Context, _ string, kind hv.Kind, id string) (hvhttp.Job, error) {
+	e, err := c.lookup(kind, id)
+	if err != nil {
+		return hvhttp.Job{}, err
+	}
+	return c.job(e), nil
+}
+
+func (c *Control) lookup(kind hv.Kind, id string) (hvtask.Entry, error) {
+	shard := hvtask.ShardOf(id)
+	e, ok := c.states[shard].Lookup(id)
+	switch {
+	case ok && e.Task.Kind == kind:
+		return e, nil
+	case !c.tasks[shard].follower.Status().Live:
+		return e, errorf("get", hv.Unavailable, "shard %d is not loaded", shard)
+	}
+	return e, errorf("get", hv.NotFound, "%s %q does not exist or ended long ago", kind, id)
+}
+
+// Wait implements hvhttp.Jobs.
+func (c *Control) Wait(ctx context.Context, _ string, kind hv.Kind, id string) (hvhttp.Job, error) {
+	state := c.states[hvtask.ShardOf(id)]
+	for {
+		changed := state.Changed()
+		e, err := c.lookup(kind, id)
+		if err != nil {
+			return hvhttp.Job{}, err
+		}
+		if e.State.Terminal() {
+			return c.job(e), nil
+		}
+		select {
+		case <-ctx.Done():
+			return c.job(e), nil
+		case <-changed:
+		}
+	}
+}
+
+// List implements hvhttp.Jobs.
+func (c *Control) List(_ context.Context, _ string, q hvhttp.Query) ([]hvhttp.Job, error) {
+	var jobs []hvhttp.Job
+	for _, e := range c.entries(q.Label, q.Value) {
+		if e.Task.Kind == q.Kind && len(jobs) < q.Max {
+			jobs = append(jobs, c.job(e))
+		}
+	}
+	return jobs, nil
+}
+
+// maxListed bounds the tasks of one shard that a list looks at.
+const maxListed = 4096
+
+func (c *Control) entries(label, value string) []hvtask.Entry {
+	if label != "" {
+		label += "=" + value
+	}
+	var list []hvtask.Entry
+	for _, s := range c.states {
+		list = append(list, s.List(label, maxListed)...)
+	}
+	return list
+}
+
+// Cancel implements hvhttp.Jobs. It needs one record for each shard that
+// holds selected tasks.
+func (c *Control) Cancel(ctx context.Context, caller string, s hvhttp.Selection) (int, error) {
+	byShard := map[int][]string{}
+	selected := c.entries(s.Label, s.Value)
+	if s.Label == "" {
+		selected = nil
+		for _, id := range s.IDs {
+			if e, ok := c.states[hvtask.ShardOf(id)].Lookup(id); ok {
+				selected = append(selected, e)
+			}
+		}
+	}
+	count := 0
+	for _, e := range selected {
+		if e.Task.Labels[CallerLabel] == caller && !e.State.Terminal() {
+			shard := hvtask.ShardOf(e.Task.ID)
+			byShard[shard] = append(byShard[shard], e.Task.ID)
+			count++
+		}
+	}
+	for shard, ids := range byShard {
+		if err := c.add(ctx, shard, hvtask.Cancel(ids...)); err != nil {
+			return 0, err
+		}
+	}
+	return count, nil
+}
+
+func (c *Control) job(e hvtask.Entry) hvhttp.Job {
+	job := hvhttp.Job{
+		Task: e.Task, State: string(e.State), Reason: e.Reason, Attempt: e.Number, Final: e.State.Terminal(),
+	}
+	if e.Hold != nil {
+		job.Host = e.Hold.Host
+	}
+	if text, err := c.explain(e.Task.ID); err == nil && e.State == hvtask.Queued {
+		job.Reason = text
+	}
+	return job
+}
+
+func (c *Control) explain(id string) (string, error) {
+	return c.owners[hvtask.ShardOf(id)].Explain(id)
+}
+
+var _ hvshard.Appender = (*stream)(nil)
--- /dev/null
+++ b/hvcontrol/peers.go
@@ -0,0 +1,153 @@
+package hvcontrol
+
+import (
+	"context"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvconf"
+	"hibiscusvane.example/hibiscusvane/hvpeer"
+	"hibiscusvane.example/hibiscusvane/hvquorum"
+	"hibiscusvane.example/hibiscusvane/hvshard"
+	"hibiscusvane.example/hibiscusvane/hvtask"
+	"hibiscusvane.example/hibiscusvane/hvwire"
+)
+
+const (
+	// missingAfter is the silence after which a gate counts as missing.
+	missingAfter = 3 * time.Second
+	// roundInterval is how often a gate that cannot reach the log confirms
+	// its views with the others. Two rounds fit into a lease even if one in
+	// two is lost.
+	roundInterval = 2 * time.Second
+)
+
+// askAll asks all peers; there are none before New has returned.
+func askAll[Ans any](ctx context.Context, c *Control, method string, req any) map[string]Ans {
+	if c.peers == nil {
+		return nil
+	}
+	return hvpeer.Ask[Ans](ctx, c.peers, method, req)
+}
+
+// self returns the heartbeat of this gate.
+func (c *Control) self() hvwire.Peer {
+	p := hvwire.Peer{
+		Name: c.conf.Name, Incarnation: c.conf.Incarnation, Version: c.book.Current().Number,
+		Reachable: c.view.Reachable(), Keys: -1,
+	}
+	c.mu.Lock()
+	p.Leaving = c.leaving
+	c.mu.Unlock()
+	if next, ok := c.view.Epoch(hvquorum.KeysStream); ok {
+		p.Keys = hv.Offset(next)
+	}
+	for i := range hvtask.Shards {
+		epoch, ok := c.view.Epoch(hvshard.StreamName(i))
+		if !ok {
+			// The position in the list is the number of the shard, so the
+			// list cannot leave one out.
+			p.Epochs = nil
+			break
+		}
+		p.Epochs = append(p.Epochs, epoch)
+	}
+	return p
+}
+
+// heard takes the heartbeat of another gate.
+func (c *Control) heard(p hvwire.Peer) {
+	c.Members.Peer(p)
+	c.view.Hear(p, hvshard.StreamName)
+	if p.Version > c.book.Current().Number && !c.config.follower.Status().Reachable {
+		go c.config.follower.Sync(context.Background())
+	}
+}
+
+func (c *Control) servePeer(_ context.Context, _ *hvwire.Conn, p hvwire.Peer) (hvwire.Peer, error) {
+	c.peers.Hear(p)
+	return c.self(), nil
+}
+
+func (c *Control) serveConfirm(_ context.Context, _ *hvwire.Conn, q hvwire.Confirm) (hvwire.ConfirmAck, error) {
+	return c.view.Confirm(q), nil
+}
+
+// serveFetch returns the settings or the state of a stream.
+func (c *Control) serveFetch(_ context.Context, _ *hvwire.Conn, f hvwire.Fetch) (hvwire.State, error) {
+	if f.Stream == settingsDocument {
+		return c.settingsState(f.After)
+	}
+	for _, s := range c.streams() {
+		if s.name != f.Stream {
+			continue
+		}
+		if next := s.follower.Status().Next; next <= f.After {
+			return hvwire.State{Next: next}, nil
+		}
+		next, body, err := s.follower.Image()
+		return hvwire.State{Next: next, Body: body}, err
+	}
+	return hvwire.State{}, errorf("fetch", hv.NotFound, "stream %q does not exist", f.Stream)
+}
+
+// settingsDocument is the stream name under which sides ask for settings. A
+// side gets the current version only, and not the state of the stream.
+const settingsDocument = "settings"
+
+func (c *Control) settingsState(after hv.Offset) (hvwire.State, error) {
+	current := c.book.Current()
+	if current.Number <= after {
+		return hvwire.State{Version: current.Number}, nil
+	}
+	body, err := c.book.Snapshot()
+	return hvwire.State{Version: current.Number, Body: body}, err
+}
+
+// runRounds confirms views by majority rounds while the log is not reached.
+func (c *Control) runRounds(ctx context.Context) {
+	every(ctx, roundInterval, func() {
+		if c.view.Reachable() {
+			return
+		}
+		for i, o := range c.owners {
+			if _, ok := o.Owns(); ok {
+				c.round(ctx, c.tasks[i])
+			}
+		}
+		c.round(ctx, c.keys)
+	})
+}
+
+// round asks all peers whether the view of a stream still holds.
+func (c *Control) round(ctx context.Context, s *stream) {
+	question := c.view.Begin(s.name)
+	ahead := false
+	for name, ack := range askAll[hvwire.ConfirmAck](ctx, c, hvwire.MethodConfirm, question) {
+		if c.view.Answer(s.name, name, ack) {
+			ahead = true
+		}
+	}
+	if ahead {
+		s.follower.Sync(ctx)
+	}
+}
+
+// setGates follows the list of gates in the settings.
+func (c *Control) setGates(s *hvconf.Settings) {
+	names, addrs := []string{}, []string{}
+	for name, g := range s.Gates {
+		if s.Zones[g.Zone].Region != c.conf.Region {
+			continue
+		}
+		names = append(names, name)
+		if name != c.conf.Name {
+			addrs = append(addrs, g.Address)
+		}
+	}
+	if len(names) == 0 {
+		return
+	}
+	c.view.SetGates(names)
+	c.peers.SetAddresses(addrs)
+}
--- /dev/null
+++ b/hvcontrol/settings.go
@@ -0,0 +1,72 @@
+package hvcontrol
+
+import (
+	"context"
+	"encoding/json"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvconf"
+	"hibiscusvane.example/hibiscusvane/hvshard"
+)
+
+// followSettings puts every version into force in the parts of the gate.
+func (c *Control) followSettings(ctx context.Context) {
+	applied := hv.Offset(0)
+	for {
+		changed := c.book.Changed()
+		if v := c.book.Current(); v.Number > applied {
+			applied = v.Number
+			c.apply(v)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (c *Control) apply(v hvconf.Version) {
+	c.setGates(v.Settings)
+	settings := shardSettings(v.Settings)
+	for _, o := range c.owners {
+		o.SetSettings(settings)
+	}
+	if c.Applied != nil {
+		c.Applied(v)
+	}
+	_ = c.Logger.Log("msg", "settings are in force", "version", v.Number, "author", v.Author)
+}
+
+func shardSettings(s *hvconf.Settings) hvshard.Settings {
+	settings := hvshard.Settings{Teams: map[string]hv.Resources{}}
+	for name, t := range s.Teams {
+		settings.Teams[name] = t.Quota
+	}
+	add := func(name string, t hv.Task) {
+		settings.Tasks = append(settings.Tasks, t.WithID(hvshard.SettingsID(name, t)))
+	}
+	for name, j := range s.Jobs {
+		add(name, j.Task(name))
+	}
+	for name, w := range s.Watchers {
+		add(name, w.Task(name))
+	}
+	return settings
+}
+
+// member reports whether the settings in force name this gate. Before the
+// first publication the gates do not know of each other for certain, so none
+// of them owns anything.
+func (c *Control) member() bool {
+	v := c.book.Current()
+	_, ok := v.Settings.Gates[c.conf.Name]
+	return v.Number > 0 && ok
+}
+
+// publish appends a publication to the stream of the settings.
+func (c *Control) publish(ctx context.Context, p hvconf.Publication) (hv.Offset, error) {
+	return hvconf.Publish(ctx, c.book, func(ctx context.Context, kind string, body json.RawMessage) (hv.Offset, error) {
+		return c.config.append(ctx, kind, body, true)
+	}, p)
+}
--- /dev/null
+++ b/hvcontrol/sides.go
@@ -0,0 +1,132 @@
+package hvcontrol
+
+import (
+	"context"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvmember"
+	"hibiscusvane.example/hibiscusvane/hvtask"
+	"hibiscusvane.example/hibiscusvane/hvwire"
+)
+
+func (c *Control) register() {
+	hvwire.Handle(c.Mux, hvwire.MethodAnnounce, c.serveAnnounce)
+	hvwire.Handle(c.Mux, hvwire.MethodBeat, c.serveBeat)
+	hvwire.Handle(c.Mux, hvwire.MethodLeave, c.serveLeave)
+	hvwire.Handle(c.Mux, hvwire.MethodReport, c.serveReport)
+	hvwire.Handle(c.Mux, hvwire.MethodPeer, c.servePeer)
+	hvwire.Handle(c.Mux, hvwire.MethodConfirm, c.serveConfirm)
+	hvwire.Handle(c.Mux, hvwire.MethodFetch, c.serveFetch)
+	hvwire.Handle(c.Mux, hvwire.MethodRelease, c.serveRelease)
+}
+
+func (c *Control) serveAnnounce(_ context.Context, conn *hvwire.Conn, a hvwire.Announce) (hvwire.AnnounceAck, error) {
+	if err := c.Members.Announce(a, conn); err != nil {
+		return hvwire.AnnounceAck{}, err
+	}
+	go func() {
+		<-conn.Done()
+		c.Members.Lost(a.Host.Name, conn)
+	}()
+	_ = c.Logger.Log("msg", "side announced itself", "host", a.Host.Name, "service", a.Service, "zone", a.Host.Zone)
+	return hvwire.AnnounceAck{Gate: c.conf.Name, Version: c.book.Current().Number}, nil
+}
+
+func (c *Control) serveBeat(_ context.Context, conn *hvwire.Conn, b hvwire.Beat) (hvwire.BeatAck, error) {
+	if err := c.Members.Beat(b, conn); err != nil {
+		return hvwire.BeatAck{}, err
+	}
+	ack := hvwire.BeatAck{Version: c.book.Current().Number}
+	side, ok := c.Members.Find(b.Incarnation)
+	if !ok {
+		return ack, nil
+	}
+	for _, o := range c.owners {
+		if r := o.Beat(side.Host, b); r != nil {
+			ack.Renewals = append(ack.Renewals, *r)
+		}
+	}
+	ack.Keys = c.grant(side)
+	c.setHost(side)
+	return ack, nil
+}
+
+func (c *Control) serveLeave(_ context.Context, _ *hvwire.Conn, l hvwire.Leave) (hvwire.Ack, error) {
+	c.Members.Leave(l)
+	if side, ok := c.Members.Find(l.Incarnation); ok {
+		c.setHost(side)
+	}
+	return hvwire.Ack{OK: true}, nil
+}
+
+func (c *Control) serveReport(_ context.Context, _ *hvwire.Conn, r hvwire.Report) (hvwire.Ack, error) {
+	if r.Shard < 0 || r.Shard >= hvtask.Shards {
+		return hvwire.Ack{}, errorf("report", hv.Invalid, "shard: %d is not between 0 and %d", r.Shard, hvtask.Shards-1)
+	}
+	return c.owners[r.Shard].Report(r), nil
+}
+
+// setHost tells the placer what is free on a host.
+func (c *Control) setHost(side hvmember.Side) {
+	now := c.Clock.Now()
+	view := hv.HostView{
+		Host: side.Host, Committed: side.Beat.Committed, Programs: map[string]int{}, Groups: map[string]int{},
+		Usable:  side.Left.IsZero() && !side.Beat.Leaving && !c.drains(side.Host.Name) && c.Health.Usable(now, side.Host.Name),
+		Suspect: c.Health.Suspect(side.Host.Name),
+	}
+	if side.Service != "" {
+		view.Services = append(view.Services, side.Service)
+	}
+	listed := map[string]bool{}
+	for _, a := range side.Beat.Attempts {
+		listed[a.Attempt.Task] = true
+	}
+	for _, s := range c.states {
+		for _, e := range s.OnHost(side.Host.Name) {
+			countTask(&view, e.Task)
+			// The side commits for an attempt only when it has started it.
+			if !listed[e.Task.ID] {
+				view.Committed = view.Committed.Add(e.Task.Need)
+			}
+		}
+	}
+	c.Placer.SetHost(view)
+	if side.Service != "" && side.Beat.Slowdown > 0 {
+		c.Placer.Observe(hv.Sample{Host: side.Host.Name, Service: side.Service, Slowdown: side.Beat.Slowdown, Time: now})
+	}
+}
+
+func countTask(v *hv.HostView, t hv.Task) {
+	if t.Kind == hv.Service {
+		v.Services = append(v.Services, t.Program)
+		return
+	}
+	v.Programs[t.Program]++
+	if group := t.Labels[hv.GroupLabel]; group != "" {
+		v.Groups[group]++
+	}
+}
+
+func (c *Control) drains(host string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.draining[host]
+}
+
+// refreshHosts takes hosts out of the placer that are no longer alive.
+func (c *Control) refreshHosts(ctx context.Context) {
+	known := map[string]bool{}
+	every(ctx, refreshInterval, func() {
+		alive := map[string]bool{}
+		for _, s := range c.Members.Alive() {
+			alive[s.Host.Name] = true
+			known[s.Host.Name] = true
+		}
+		for name := range known {
+			if !alive[name] {
+				c.Placer.RemoveHost(name)
+				delete(known, name)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/hvcontrol/streams.go
@@ -0,0 +1,128 @@
+package hvcontrol
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvconf"
+	"hibiscusvane.example/hibiscusvane/hvlog"
+	"hibiscusvane.example/hibiscusvane/hvquorum"
+	"hibiscusvane.example/hibiscusvane/hvshard"
+	"hibiscusvane.example/hibiscusvane/hvtask"
+	"hibiscusvane.example/hibiscusvane/hvwire"
+)
+
+// appendGap is the least time between two appends to one stream. With 18
+// streams it keeps a region below 180 appends a second.
+const appendGap = 100 * time.Millisecond
+
+// stream is one stream of the log with its reader and writer.
+type stream struct {
+	// name is the name without the region.
+	name     string
+	full     string
+	follower *hvlog.Follower
+	writer   *hvlog.Writer
+	snaps    *hvlog.Snapshots
+	view     *hvquorum.Tracker
+}
+
+func (c *Control) newStreams() {
+	c.config = c.newStream(hvconf.Stream, hvconf.Stream, hvlog.KindKeep, c.book, c.first)
+	c.keys = c.newStream(hvquorum.KeysStream, c.conf.Region+"."+hvquorum.KeysStream, hvlog.KindKeep, c.table, c.first)
+	for i := range hvtask.Shards {
+		state := hvtask.New(hvtask.DefaultLimits, c.Violations)
+		c.states = append(c.states, state)
+		name := hvshard.StreamName(i)
+		owns := func() bool { _, ok := c.owners[i].Owns(); return ok }
+		c.tasks = append(c.tasks, c.newStream(name, c.conf.Region+"."+name, hvlog.KindSnap, hvshard.NewApplier(state, c.view, i), owns))
+	}
+}
+
+// first reports whether this gate is the first by name of the live ones, which
+// writes the snapshots of streams without an owner.
+func (c *Control) first() bool {
+	live := c.view.Live(missingAfter)
+	return len(live) > 0 && live[0].Name == c.conf.Name
+}
+
+func (c *Control) newStream(name, full, snapshot string, applier hvlog.Applier, may func() bool) *stream {
+	logger := log.With(c.Logger, "part", "log")
+	f := hvlog.NewFollower(hvlog.FollowerConfig{
+		Stream: full, Log: c.Log, Clock: c.Clock, Applier: applier, Jitter: rand.Float64, Logger: logger,
+		Fetch: func(ctx context.Context, after hv.Offset) ([]byte, error) { return c.fetch(ctx, name, after) },
+	})
+	w := hvlog.NewWriter(hvlog.WriterConfig{
+		Name: c.conf.Incarnation, Stream: full, Log: c.Log, Clock: c.Clock, Follower: f, Gap: appendGap,
+		Jitter: rand.Float64, Logger: logger,
+	})
+	retention := hvconf.Default().Limits.Retention.Std()
+	return &stream{
+		name: name, full: full, follower: f, writer: w, view: c.view,
+		snaps: hvlog.NewSnapshots(w, hvlog.NewSchedule(retention, rand.Float64), snapshot, may, logger),
+	}
+}
+
+func (s *stream) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, f := range []func(context.Context){s.follower.Run, s.writer.Run, s.snaps.Run, s.track} {
+		wg.Go(func() { f(ctx) })
+	}
+	wg.Wait()
+}
+
+// track tells the tracker how recent the state of the stream is.
+func (s *stream) track(ctx context.Context) {
+	var head time.Time
+	for {
+		changed := s.follower.Changed()
+		st := s.follower.Status()
+		if s.name == hvquorum.KeysStream && st.Live {
+			s.view.Learn(s.name, int64(st.Next))
+		}
+		switch {
+		case st.Live && st.Head.After(head):
+			head = st.Head
+			s.view.Read(s.name, head)
+		case st.Live && head.IsZero():
+			s.view.LoadedFromPeer(s.name)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// Append implements hvshard.Appender.
+func (s *stream) Append(ctx context.Context, kind string, body any) error {
+	_, err := s.append(ctx, kind, body, false)
+	return err
+}
+
+func (s *stream) append(ctx context.Context, kind string, body any, prompt bool) (hv.Offset, error) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return 0, &Error{Op: "append", Kind: hv.Invalid, Err: err}
+	}
+	r, err := s.writer.Append(ctx, hvlog.Op{Kind: kind, Body: b, Prompt: prompt})
+	return r.Offset, err
+}
+
+// fetch asks the peers for an image of a stream that is newer than after.
+func (c *Control) fetch(ctx context.Context, name string, after hv.Offset) ([]byte, error) {
+	var best hvwire.State
+	for _, s := range askAll[hvwire.State](ctx, c, hvwire.MethodFetch, hvwire.Fetch{Stream: name, After: after}) {
+		if s.Next > best.Next && len(s.Body) > 0 {
+			best = s
+		}
+	}
+	return best.Body, nil
+}
--- a/hvmember/table.go
+++ b/hvmember/table.go
@@ -133,6 +133,17 @@
 	return e.Side, e.alive(t.clock.Now())
 }
 
+// Find returns the live side of an incarnation.
+func (t *Table) Find(incarnation string) (Side, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.sides[t.hosts[incarnation]]
+	if e == nil || !e.alive(t.clock.Now()) {
+		return Side{}, false
+	}
+	return e.Side, true
+}
+
 // Known reports whether any side of a service is in the table, usable or not.
 func (t *Table) Known(service string) bool {
 	return len(t.filter(func(e *entry, _ time.Time) bool { return e.Service == service })) > 0
