Add task state machine, view confirmation and shard ownership

The state of a shard is a pure function of its records. Operations of an owner name its incarnation besides the epoch, because a record that carries the losing claim of a race has the same epoch as the winner's.

--- /dev/null
+++ b/hvshard/beat.go
@@ -0,0 +1,65 @@
+package hvshard
+
+import (
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvtask"
+	"hibiscusvane.example/hibiscusvane/hvwire"
+)
+
+// Beat takes a heartbeat of a host and returns the renewal for the answer, or
+// nil if this gate may not renew the leases of the shard.
+func (o *Owner) Beat(h hv.Host, b hvwire.Beat) *hvwire.Renewal {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	// The clock is read here and not by the caller, so that a process that was
+	// paused on the way does not renew by an old time.
+	now := o.Clock.Now()
+	o.sync(now)
+	o.hosts[h.Name] = &host{side: b.Incarnation, rack: h.Rack, sequence: b.Sequence, received: now, leaving: b.Leaving}
+	if o.epoch == 0 {
+		return nil
+	}
+	stops, ok := o.compare(h.Name, b.Attempts, now)
+	until, confirmed := o.View.RenewUntil(o.stream, o.epoch)
+	if !ok || !confirmed {
+		return nil
+	}
+	for _, e := range o.state.OnHost(h.Name) {
+		a := o.attemptOf(e, now)
+		a.until = latest(a.until, until)
+	}
+	return &hvwire.Renewal{Shard: o.config.Shard, Epoch: o.epoch, Lease: hv.Duration(until.Sub(now)), Stop: stops}
+}
+
+// compare notes which attempts the host lists and returns those that it must
+// stop. It reports false if the host knows a higher epoch.
+func (o *Owner) compare(host string, listed []hvwire.AttemptState, now time.Time) ([]hv.Attempt, bool) {
+	var stops []hv.Attempt
+	for _, s := range listed {
+		if s.Shard != o.config.Shard {
+			continue
+		}
+		if s.Epoch > o.epoch {
+			return nil, false
+		}
+		e, ok := o.current(s.Attempt, host)
+		if !ok || e.State.Terminal() {
+			stops = append(stops, s.Attempt)
+		}
+		if ok {
+			o.attemptOf(e, now).listed = now
+		}
+		if ok && e.Hold.Ran.IsZero() && s.State == hv.StateRunning {
+			o.emit(hvtask.Op{Op: hvtask.OpRun, Task: s.Attempt.Task, Number: s.Attempt.Number})
+		}
+	}
+	return stops, true
+}
+
+// current returns the task of an attempt if that attempt holds the host.
+func (o *Owner) current(a hv.Attempt, host string) (hvtask.Entry, bool) {
+	e, ok := o.state.Lookup(a.Task)
+	return e, ok && e.Hold != nil && e.Hold.Number == a.Number && e.Hold.Host == host
+}
--- /dev/null
+++ b/hvshard/faults_test.go
@@ -0,0 +1,203 @@
+package hvshard
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvtask"
+)
+
+// TestMain bounds the random tests and fixes their seed, so that each run has
+// the same verdict. Flags on the command line take precedence.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.checks": "30", "rapid.seed": "1", "rapid.steps": "60", "rapid.nofailfile": "true"} {
+		if given[name] {
+			continue
+		}
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func (s *sim) submit(t hv.Task) string {
+	s.nextID++
+	t.ID, t.Program = fmt.Sprintf("task%d", s.nextID), "program"
+	if t.Kind == "" {
+		t.Kind = hv.Job
+	}
+	if t.Kind == hv.Job {
+		t.Deadline = s.now.Add(time.Hour)
+	}
+	s.tasks[t.ID] = &history{task: t, running: map[hv.Attempt]string{}}
+	s.add(shardOf(t.ID), hvtask.Submit(t), func() { s.tasks[t.ID].accepted = true })
+	return t.ID
+}
+
+func (s *sim) cancel(id string) { s.add(shardOf(id), hvtask.Cancel(id), func() {}) }
+
+// add gives an operation to the first gate that takes it.
+func (s *sim) add(shard int, op hvtask.Op, done func()) {
+	for _, g := range s.gates {
+		if g.dead || g.paused.After(s.now) {
+			continue
+		}
+		if ticket, err := g.owners[shard].Add(op); err == nil {
+			s.await(ticket, done)
+			return
+		}
+	}
+}
+
+func (s *sim) await(t *Ticket, done func()) {
+	select {
+	case err := <-t.Done():
+		if err == nil {
+			done()
+		}
+	default:
+		s.after(200*time.Millisecond, func() { s.await(t, done) })
+	}
+}
+
+// owner returns the gate that believes to own a shard, the newest if several.
+func (s *sim) owner(shard int) *simGate {
+	var owner *simGate
+	best := int64(0)
+	for _, g := range s.gates {
+		if epoch, ok := g.owners[shard].Owns(); ok && epoch > best && !g.dead {
+			owner, best = g, epoch
+		}
+	}
+	return owner
+}
+
+// heal ends all faults and lets everything come to its end.
+func (s *sim) heal() {
+	s.faults = false
+	clear(s.cut)
+	clear(s.logCut)
+	for _, g := range s.gates {
+		g.paused = time.Time{}
+	}
+	for _, h := range s.hosts {
+		h.paused, h.off = time.Time{}, time.Time{}
+	}
+	s.advance(20 * time.Second)
+	for i := 1; i <= s.nextID; i++ {
+		if id := fmt.Sprintf("task%d", i); s.tasks[id].task.Kind == hv.Watcher {
+			s.cancel(id)
+		}
+	}
+	s.advance(180 * time.Second)
+}
+
+// check verifies the end: every accepted task is terminal in every gate, no
+// task runs any more, and each recorded eviction was resumed once.
+func (s *sim) check() {
+	for i := 1; i <= s.nextID; i++ {
+		id := fmt.Sprintf("task%d", i)
+		h := s.tasks[id]
+		for _, g := range s.gates {
+			e, ok := g.states[shardOf(id)].Lookup(id)
+			switch {
+			case !ok && h.accepted:
+				s.t.Fatalf("invariant 10: %s was accepted but %s does not know it", id, g.name)
+			case !ok:
+			case !e.State.Terminal() || e.Hold != nil:
+				s.t.Fatalf("invariant 10: %s has not ended at %s: %s", id, g.name, e.Explain())
+			case e.State == hvtask.Done && (e.Evictions != e.Resumes || e.Evictions > h.evictions || e.Evictions < h.recorded):
+				s.t.Fatalf("invariant 3: %s had %d evictions, %d acknowledged, %d in the log, %d resumed", id, h.evictions, h.recorded, e.Evictions, e.Resumes)
+			}
+		}
+		if len(h.running) > 0 {
+			s.t.Fatalf("%s still runs: %v", id, h.running)
+		}
+	}
+}
+
+// TestFaults guards against a second run of a task, a lost or repeated resume
+// and a task that never ends, under random faults of gates, hosts, links and
+// the log.
+func TestFaults(t *testing.T) {
+	tt := t
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t, rapid.Uint64().Draw(t, "seed"), 3, 4)
+		s.advance(5 * time.Second)
+		s.faults = true
+		period := func(t *rapid.T) time.Duration {
+			return time.Duration(rapid.IntRange(500, 25000).Draw(t, "ms")) * time.Millisecond
+		}
+		gate := func(t *rapid.T) *simGate { return s.gates[rapid.IntRange(0, 2).Draw(t, "gate")] }
+		host := func(t *rapid.T) *simHost { return s.hosts[rapid.IntRange(0, 3).Draw(t, "host")] }
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) { s.t = t },
+			"submit": func(t *rapid.T) {
+				for range rapid.IntRange(1, 4).Draw(t, "count") {
+					s.submit(hv.Task{Once: s.rng.IntN(3) == 0, Urgent: s.rng.IntN(3) == 0})
+				}
+			},
+			"submitMore": func(t *rapid.T) {
+				for range rapid.IntRange(1, 8).Draw(t, "count") {
+					s.submit(hv.Task{Once: s.rng.IntN(3) == 0})
+				}
+			},
+			"watch":  func(*rapid.T) { s.submit(hv.Task{Kind: hv.Watcher}) },
+			"cancel": func(*rapid.T) { s.cancel(fmt.Sprintf("task%d", 1+s.rng.IntN(s.nextID+8))) },
+			"evict": func(t *rapid.T) {
+				for _, a := range host(t).attempts() {
+					for _, g := range s.gates {
+						// Gates that do not own the shard refuse.
+						_ = g.owners[shardOf(a.Task)].Evict(a.Task, "injected")
+					}
+				}
+			},
+			"wait":     func(t *rapid.T) { s.advance(period(t)) },
+			"waitLong": func(t *rapid.T) { s.advance(period(t)) },
+			"cutLog":   func(t *rapid.T) { s.logCut[gate(t).name] = s.now.Add(period(t)) },
+			"logDown": func(t *rapid.T) {
+				d := period(t)
+				for _, g := range s.gates {
+					s.logCut[g.name] = s.now.Add(d)
+				}
+			},
+			"cutGates":  func(t *rapid.T) { s.cutBoth(gate(t).name, gate(t).name, period(t)) },
+			"cutHost":   func(t *rapid.T) { s.cutBoth(gate(t).name, host(t).name, period(t)) },
+			"cutOneWay": func(t *rapid.T) { s.cut[gate(t).name+">"+host(t).name] = s.now.Add(period(t)) },
+			"pauseGate": func(t *rapid.T) { g := gate(t); g.paused = s.now.Add(period(t)) },
+			"pauseSide": func(t *rapid.T) { h := host(t); h.paused = s.now.Add(period(t)) },
+			"restartSide": func(t *rapid.T) {
+				host(t).restart()
+			},
+			"killHost": func(t *rapid.T) { host(t).die(period(t)) },
+			"restartGate": func(t *rapid.T) {
+				i := rapid.IntRange(0, 2).Draw(t, "gate")
+				s.gates[i].dead = true
+				s.gates[i] = newSimGate(s, s.gates[i].name)
+			},
+			"leaveGate": func(t *rapid.T) {
+				i := rapid.IntRange(0, 2).Draw(t, "gate")
+				old := s.gates[i]
+				for _, o := range old.owners {
+					o.Leave()
+				}
+				s.advance(time.Second)
+				old.dead = true
+				s.gates[i] = newSimGate(s, old.name)
+			},
+		})
+		s.heal()
+		s.check()
+		s.summary(tt)
+	})
+}
--- /dev/null
+++ b/hvshard/settings.go
@@ -0,0 +1,44 @@
+package hvshard
+
+import (
+	"fmt"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvtask"
+)
+
+// SettingsID returns the identifier of a task from the settings. A changed
+// watcher gets another identifier and replaces the old one. A job keeps its
+// identifier, as a changed description must not run it twice.
+func SettingsID(name string, t hv.Task) string {
+	if t.Kind == hv.Job {
+		return "settings.job." + name
+	}
+	return fmt.Sprintf("settings.%s.%s.%08x", t.Kind, name, uint32(hvtask.Sum(t.WithID(""))))
+}
+
+// compareSettings submits the tasks of the settings that the shard lacks, and
+// cancels those that the settings no longer have.
+func (o *Owner) compareSettings(now time.Time) {
+	if o.settings == nil || now.Sub(o.compared) < settingsEvery {
+		return
+	}
+	o.compared = now
+	wanted := make(map[string]bool)
+	for _, t := range o.settings.Tasks {
+		if hvtask.ShardOf(t.ID) != o.config.Shard {
+			continue
+		}
+		wanted[t.ID] = true
+		over := t.Kind == hv.Job && !t.Deadline.After(now)
+		if _, ok := o.state.Lookup(t.ID); !ok && !over {
+			o.emit(hvtask.Op{Op: hvtask.OpSubmit, Task: t.ID, Body: &t, Settings: true})
+		}
+	}
+	for _, id := range o.state.FromSettings() {
+		if !wanted[id] {
+			o.emit(hvtask.Op{Op: hvtask.OpCancel, Task: id, Tasks: []string{id}, Reason: "the settings no longer have the task"})
+		}
+	}
+}
--- /dev/null
+++ b/hvtask/op.go
@@ -0,0 +1,100 @@
+// Package hvtask is the state machine of one shard of tasks. Its state is a
+// pure function of the records of the shard's stream: it reads no clock and
+// does no I/O.
+package hvtask
+
+import (
+	"encoding/json"
+
+	"github.com/cespare/xxhash/v2"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// Shards is the number of shards of a region.
+const Shards = 16
+
+// ShardOf returns the shard that a task belongs to.
+func ShardOf(id string) int { return int(xxhash.Sum64String(id) % Shards) }
+
+// KindOps is the kind of the records that this package applies.
+const KindOps = "ops"
+
+// The operations.
+const (
+	OpClaim   = "claim"
+	OpRelease = "release"
+	OpSubmit  = "submit"
+	OpCancel  = "cancel"
+	OpPlace   = "place"
+	OpRefuse  = "refuse"
+	OpRun     = "run"
+	OpEnd     = "end"
+	OpEvict   = "evict"
+	OpLose    = "lose"
+	OpDrop    = "drop"
+	// OpAsk, OpGive and OpTake move a team's quota between shards.
+	OpAsk  = "ask"
+	OpGive = "give"
+	OpTake = "take"
+)
+
+// Op is one operation. Which fields it uses depends on its name.
+type Op struct {
+	Op     string `json:"op"`
+	Task   string `json:"task,omitempty"`
+	Number int    `json:"number,omitempty"`
+	// Host and Side say where place puts an attempt; Side is the incarnation
+	// of the side process at the time of the decision.
+	Host string `json:"host,omitempty"`
+	Side string `json:"side,omitempty"`
+	// Body is the submitted task.
+	Body *hv.Task `json:"body,omitempty"`
+	// Settings marks a submitted task that comes from the settings.
+	Settings bool `json:"settings,omitempty"`
+	// State is done or failed for end, failed or impossible for drop.
+	State State `json:"state,omitempty"`
+	// Never marks a lost attempt that certainly did not start.
+	Never      bool   `json:"never,omitempty"`
+	Reason     string `json:"reason,omitempty"`
+	Checkpoint string `json:"checkpoint,omitempty"`
+	// Tasks and Label ("key=value") select what cancel ends.
+	Tasks []string `json:"tasks,omitempty"`
+	Label string   `json:"label,omitempty"`
+	// Gate is the name of the claiming gate.
+	Gate string `json:"gate,omitempty"`
+	// Team, Shard and Amount belong to ask, give and take. The amounts of
+	// give and take are totals since the beginning of the stream, so that a
+	// repeated operation changes nothing.
+	Team   string        `json:"team,omitempty"`
+	Shard  int           `json:"shard,omitempty"`
+	Amount *hv.Resources `json:"amount,omitempty"`
+}
+
+// Ops is the body of a record of kind ops.
+type Ops struct {
+	// Epoch and Owner (an incarnation) name the ownership under which the
+	// operations are valid. Submit and cancel are valid under any.
+	Epoch int64  `json:"epoch,omitempty"`
+	Owner string `json:"owner,omitempty"`
+	Ops   []Op   `json:"ops"`
+}
+
+// Submit returns the operation that submits a task.
+func Submit(t hv.Task) Op { return Op{Op: OpSubmit, Body: &t} }
+
+// Cancel returns the operation that cancels tasks by identifier.
+func Cancel(ids ...string) Op { return Op{Op: OpCancel, Tasks: ids} }
+
+// CancelLabel returns the operation that cancels all tasks with a label.
+func CancelLabel(label string) Op { return Op{Op: OpCancel, Label: label} }
+
+// Sum identifies the body of a task, to tell a repeated submission from a
+// conflicting one.
+func Sum(t hv.Task) uint64 {
+	b, err := json.Marshal(t)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(b)
+}
--- /dev/null
+++ b/hvtask/query.go
@@ -0,0 +1,140 @@
+package hvtask
+
+import (
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// Owner describes who owns the shard.
+type Owner struct {
+	Epoch       int64
+	Incarnation string
+	Gate        string
+	// Released is set when the owner has given the shard up.
+	Released bool
+}
+
+// Owner returns the current owner; its epoch is 0 before the first claim.
+func (s *Shard) Owner() Owner {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return Owner{s.epoch, s.owner, s.gate, s.released}
+}
+
+// Next returns the offset after the last applied record.
+func (s *Shard) Next() hv.Offset {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.next
+}
+
+// Changed is closed at the next application of operations.
+func (s *Shard) Changed() <-chan struct{} {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.changed
+}
+
+// Lookup returns a task by its identifier.
+func (s *Shard) Lookup(id string) (Entry, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	e := s.tasks[id]
+	if e == nil {
+		return Entry{}, false
+	}
+	return *e, true
+}
+
+// Queued calls f for the queued tasks, the most pressing first, until f
+// returns false. f must not call methods of the shard.
+func (s *Shard) Queued(f func(e *Entry) bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, e := range s.queue {
+		if !f(e) {
+			return
+		}
+	}
+}
+
+// Waiting returns the number of queued tasks.
+func (s *Shard) Waiting() int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return len(s.queue)
+}
+
+// Placed returns the tasks whose start is not recorded yet, by identifier.
+func (s *Shard) Placed() []Entry {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return entries(s.placed)
+}
+
+// OnHost returns the tasks that hold a host, by identifier.
+func (s *Shard) OnHost(host string) []Entry {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return entries(s.hosts[host])
+}
+
+// Hosts returns the names of the hosts that are held, sorted.
+func (s *Shard) Hosts() []string {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return sortedKeys(s.hosts)
+}
+
+// Used returns the sum of the needs of a team's tasks that hold a host.
+func (s *Shard) Used(team string) hv.Resources {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.teams[team]
+}
+
+// List returns up to limit tasks by identifier; label filters if not empty.
+func (s *Shard) List(label string, limit int) []Entry {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var list []Entry
+	for _, id := range sortedKeys(s.tasks) {
+		if len(list) == limit {
+			break
+		}
+		if e := s.tasks[id]; label == "" || e.has(label) {
+			list = append(list, *e)
+		}
+	}
+	return list
+}
+
+// FromSettings returns the identifiers of the tasks from the settings that are
+// not terminal.
+func (s *Shard) FromSettings() []string {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var ids []string
+	for id, e := range s.tasks {
+		if e.Settings && !e.State.Terminal() {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Time returns the highest record time seen.
+func (s *Shard) Time() time.Time {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.now
+}
+
+func entries(m map[string]*Entry) []Entry {
+	list := make([]Entry, 0, len(m))
+	for _, id := range sortedKeys(m) {
+		list = append(list, *m[id])
+	}
+	return list
+}
--- /dev/null
+++ b/hvtask/quota.go
@@ -0,0 +1,125 @@
+package hvtask
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// quota holds what a shard has given to and taken from others of each team's
+// quota, as totals. A shard can take only what another has given before in its
+// own stream, so the shares of all shards never add up to more than the quota.
+type quota struct {
+	Given map[string]map[int]hv.Resources `json:"given,omitempty"`
+	Taken map[string]map[int]hv.Resources `json:"taken,omitempty"`
+	Asked map[string]Ask                  `json:"asked,omitempty"`
+}
+
+// Ask is a shard's request for more of a team's quota.
+type Ask struct {
+	Amount hv.Resources `json:"amount"`
+	// Time is the record time of the request; older requests come first.
+	Time time.Time `json:"time,omitzero"`
+}
+
+func newQuota() quota {
+	return quota{
+		Given: make(map[string]map[int]hv.Resources),
+		Taken: make(map[string]map[int]hv.Resources),
+		Asked: make(map[string]Ask),
+	}
+}
+
+func (q quota) apply(op Op, now time.Time) {
+	if op.Amount == nil || op.Amount.Check() != nil || op.Shard < 0 || op.Shard >= Shards {
+		return
+	}
+	switch op.Op {
+	case OpGive:
+		raise(q.Given, op)
+	case OpTake:
+		raise(q.Taken, op)
+	case OpAsk:
+		if *op.Amount == (hv.Resources{}) {
+			delete(q.Asked, op.Team)
+			return
+		}
+		since := now
+		if old, ok := q.Asked[op.Team]; ok {
+			since = old.Time
+		}
+		q.Asked[op.Team] = Ask{Amount: *op.Amount, Time: since}
+	}
+}
+
+// raise sets a total, which never falls.
+func raise(totals map[string]map[int]hv.Resources, op Op) {
+	team := totals[op.Team]
+	if !team[op.Shard].Fits(*op.Amount) {
+		return
+	}
+	if team == nil {
+		team = make(map[int]hv.Resources)
+		totals[op.Team] = team
+	}
+	team[op.Shard] = *op.Amount
+}
+
+// Share returns the part of a team's quota that shard number may use.
+func (s *Shard) Share(number int, team string, total hv.Resources) hv.Resources {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	share := basicShare(number, team, total)
+	for _, amount := range s.quota.Taken[team] {
+		share = share.Add(amount)
+	}
+	for _, amount := range s.quota.Given[team] {
+		share = share.Sub(amount)
+	}
+	return share
+}
+
+// Given returns the total of a team's quota given to another shard.
+func (s *Shard) Given(team string, to int) hv.Resources {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.quota.Given[team][to]
+}
+
+// Taken returns the total of a team's quota taken from another shard.
+func (s *Shard) Taken(team string, from int) hv.Resources {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.quota.Taken[team][from]
+}
+
+// Asked returns the open request for more of a team's quota.
+func (s *Shard) Asked(team string) (Ask, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	a, ok := s.quota.Asked[team]
+	return a, ok
+}
+
+// basicShare divides a quota over the shards without a remainder. The
+// remainder goes to the shards that follow a hash of the team, so that small
+// quotas of several teams do not meet in the same shard.
+func basicShare(number int, team string, total hv.Resources) hv.Resources {
+	first := int64(xxhash.Sum64String(team) % Shards)
+	turn := (int64(number) - first + Shards) % Shards
+	return hv.Resources{
+		Processors:   part(total.Processors, turn),
+		Memory:       hv.Size(part(int64(total.Memory), turn)),
+		Accelerators: part(total.Accelerators, turn),
+	}
+}
+
+func part(total, turn int64) int64 {
+	n := total / Shards
+	if turn < total%Shards {
+		n++
+	}
+	return n
+}
--- a/hvwire/messages.go
+++ b/hvwire/messages.go
@@ -83,7 +83,7 @@
 	Shard int         `json:"shard"`
 	Epoch int64       `json:"epoch"`
 	Lease hv.Duration `json:"lease"`
-	// Tasks lists attempts that the owner does not know as current on this
+	// Stop lists attempts that the owner does not know as current on this
 	// host; they are not renewed and the side stops them.
 	Stop []hv.Attempt `json:"stop,omitempty"`
 }
@@ -146,11 +146,15 @@
 
 // Start asks a side to run an attempt.
 type Start struct {
-	Task       hv.Task      `json:"task"`
-	Attempt    hv.Attempt   `json:"attempt"`
-	Shard      int          `json:"shard"`
-	Epoch      int64        `json:"epoch"`
+	Task    hv.Task    `json:"task"`
+	Attempt hv.Attempt `json:"attempt"`
+	Shard   int        `json:"shard"`
+	Epoch   int64      `json:"epoch"`
+	// Lease counts from the send time of the heartbeat Beat that the side sent
+	// to the same gate. Counted from the receipt of this message, a delayed
+	// start would run longer than its owner knows.
 	Lease      hv.Duration  `json:"lease"`
+	Beat       uint64       `json:"beat"`
 	Commit     hv.Resources `json:"commit"`
 	Checkpoint string       `json:"checkpoint,omitempty"`
 }
@@ -205,3 +209,26 @@
 	Version hv.Offset `json:"version,omitempty"`
 	Body    []byte    `json:"body,omitempty"`
 }
+
+// Confirm asks a gate whether it can reach the log and which epoch of a stream
+// it knows. It is one question of a majority round.
+type Confirm struct {
+	Gate string `json:"gate"`
+	// Stream is the name of the stream without the region.
+	Stream string `json:"stream"`
+	// Epoch is the highest that the asking gate knows: the epoch of a task
+	// stream, the next offset of the keys stream.
+	Epoch int64 `json:"epoch"`
+	// Round tells the answers of different rounds apart.
+	Round uint64 `json:"round"`
+}
+
+// ConfirmAck answers Confirm.
+type ConfirmAck struct {
+	Round uint64 `json:"round"`
+	// Loaded is false while the gate does not vouch for its knowledge of the
+	// stream; such an answer does not count.
+	Loaded    bool  `json:"loaded"`
+	Reachable bool  `json:"reachable"`
+	Epoch     int64 `json:"epoch"`
+}
