--- a/hvcontrol/control.go
+++ b/hvcontrol/control.go
@@ -121,9 +121,7 @@
 	for _, s := range c.streams() {
 		start(s.run)
 	}
-	for _, o := range c.owners {
-		start(o.Run)
-	}
+	start(c.runOwners)
 	start(c.peers.Run)
 	start(c.followSettings)
 	start(c.runRounds)
@@ -136,6 +134,33 @@
 	wg.Wait()
 }
 
+// runOwners starts the owners when the settings name this gate and the other
+// gates have had the time to make themselves heard. Before that each gate
+// would claim the shards of the others.
+func (c *Control) runOwners(ctx context.Context) {
+	for !c.member() {
+		changed := c.book.Changed()
+		if c.member() {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(missingAfter):
+	}
+	var wg sync.WaitGroup
+	for _, o := range c.owners {
+		wg.Go(func() { o.Run(ctx) })
+	}
+	wg.Wait()
+}
+
 func (c *Control) streams() []*stream {
 	return append([]*stream{c.config, c.keys}, c.tasks...)
 }
--- a/hvcontrol/settings.go
+++ b/hvcontrol/settings.go
@@ -31,6 +31,11 @@
 	settings := shardSettings(v.Settings)
 	for _, o := range c.owners {
 		o.SetSettings(settings)
+		if !c.member() {
+			// A gate that the settings do not name does not count in
+			// majorities, so it must not own anything until it is restarted.
+			o.Leave()
+		}
 	}
 	if c.Applied != nil {
 		c.Applied(v)
--- a/hvwire/messages.go
+++ b/hvwire/messages.go
@@ -19,6 +19,8 @@
 	MethodConfirm  = "confirm"
 	MethodFetch    = "fetch"
 	MethodHandover = "handover"
+	MethodRelease  = "release"
+	MethodDrain    = "drain"
 )
 
 // Announce tells a gate about a side, its host and its upstream.
@@ -101,6 +103,9 @@
 	Slot int `json:"slot"`
 	// Since is the start of the ownership in Unix milliseconds.
 	Since int64 `json:"since"`
+	// Wait is set while the gate cannot exclude that an earlier owner still
+	// serves the slot. The side then neither begins to serve it nor renews it.
+	Wait bool `json:"wait,omitempty"`
 }
 
 // Events of an attempt in a Report.
@@ -232,3 +237,18 @@
 	Reachable bool  `json:"reachable"`
 	Epoch     int64 `json:"epoch"`
 }
+
+// Release tells a gate that a side serves key slots no more. The gate answers
+// when the log shows it.
+type Release struct {
+	Service string `json:"service"`
+	From    string `json:"from"`
+	Slots   []int  `json:"slots"`
+	// Heir is the incarnation that has all of the memory, or empty.
+	Heir string `json:"heir,omitempty"`
+}
+
+// Drain asks a side to take no new work.
+type Drain struct {
+	Host string `json:"host"`
+}
