Smooth the slot time for early refusals over a hundred requests

Ruled out: counting the age of running requests, which refused requests that had time while one slot was held long.

--- a/hvadmit/class.go
+++ b/hvadmit/class.go
@@ -16,7 +16,8 @@
 	tag, virtual    float64
 	running, queued int
 	// took is the smoothed slot time of one request in seconds.
-	took float64
+	took    float64
+	samples int
 	// weights adds up the weights of flows that wait.
 	weights int
 
@@ -31,8 +32,9 @@
 const (
 	// firstTook stands for the slot time before the first sample, in seconds.
 	firstTook = 0.010
-	// tookWeight smooths the slot time over some tens of requests.
-	tookWeight = 0.05
+	// tookWeight smooths the slot time over a hundred requests. A queue fills
+	// whenever the estimate dips, so noise in it costs requests that expire.
+	tookWeight = 0.01
 	// overflow names the flow that callers beyond the bound share. It can't be
 	// the name of a caller, which is not empty.
 	overflow = ""
@@ -64,6 +66,12 @@
 	return f
 }
 
+// learn adds a sample of slot time.
+func (c *class) learn(seconds float64) {
+	c.samples++
+	c.took += (seconds - c.took) * max(tookWeight, 1/float64(c.samples))
+}
+
 // forget drops the flow that has been idle for longest.
 func (c *class) forget() bool {
 	front := c.idle.Front()
--- a/hvadmit/service.go
+++ b/hvadmit/service.go
@@ -116,7 +116,7 @@
 	t.state = ended
 	c, f := t.flow.class, t.flow
 	took := now.Sub(t.started).Seconds()
-	c.took += (took - c.took) * tookWeight
+	c.learn(took)
 	c.charge(f, took-t.charged)
 	f.running--
 	c.running--
