--- a/cmd/hvgate/gate.go
+++ b/cmd/hvgate/gate.go
@@ -2,163 +2,156 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 
 	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvadmit"
+	"hibiscusvane.example/hibiscusvane/hvconf"
+	"hibiscusvane.example/hibiscusvane/hvcontrol"
+	"hibiscusvane.example/hibiscusvane/hvdispatch"
+	"hibiscusvane.example/hibiscusvane/hvhealth"
+	"hibiscusvane.example/hibiscusvane/hvhttp"
+	"hibiscusvane.example/hibiscusvane/hvlog"
+	"hibiscusvane.example/hibiscusvane/hvmember"
+	"hibiscusvane.example/hibiscusvane/hvmetric"
+	"hibiscusvane.example/hibiscusvane/hvplace"
+	"hibiscusvane.example/hibiscusvane/hvretry"
+	"hibiscusvane.example/hibiscusvane/hvroute"
 	"hibiscusvane.example/hibiscusvane/hvwire"
 )
 
 const (
-	defaultDeadline = 5 * time.Second
-	drainTimeout    = 30 * time.Second
-	maxBodyBytes    = 1 << 20
+	// maxCallers bounds the callers that metrics keep apart.
+	maxCallers = 256
+	// logTimeout is above the longest wait of a read at the head of a stream.
+	logTimeout = 15 * time.Second
+	// logConnections bounds the connections to the log service: one for the
+	// reader and one for the writer of each stream.
+	logConnections = 64
 )
 
-type upstream struct {
-	announce hvwire.Announce
-	conn     *hvwire.Conn
+// gate connects the parts of the process.
+type gate struct {
+	conf    config
+	clock   hv.Clock
+	logger  log.Logger
+	metric  *hvmetric.Registry
+	members *hvmember.Table
+	admit   *hvadmit.Admitter
+	placer  *hvplace.Placer
+	control *hvcontrol.Control
+	run     *hvdispatch.Dispatcher
+	auth    *auth
+	mux     hvwire.Mux
 }
 
-type gate struct {
-	conf   config
-	logger log.Logger
+func newGate(conf config, logger log.Logger) *gate {
+	g := &gate{conf: conf, clock: hv.SystemClock{}, logger: logger, metric: hvmetric.New(maxCallers), mux: hvwire.Mux{}}
+	g.members = hvmember.New(g.clock)
+	g.admit = hvadmit.New(g.clock, hvadmit.DefaultSettings(), g.violation)
+	g.placer = hvplace.New(hvplace.Options{
+		Clock: g.clock, Prefer: hv.Throughput, Seed: rand.Uint64(), Violations: g.violation,
+	})
+	g.auth = newAuth(conf.Token)
+	g.control = hvcontrol.New(
+		hvcontrol.Config{
+			Name: conf.Name, Incarnation: uuid.Must(uuid.NewV7()).String(), Region: conf.Region,
+			Address: conf.Internal, Gates: conf.Gates,
+		},
+		hvcontrol.Deps{
+			Log: hvlog.NewClient(conf.Log, logClient()), Clock: g.clock, Members: g.members, Placer: g.placer,
+			Health: hvhealth.New(hvhealth.Options{Fleet: func() int { return len(g.members.Alive()) }}),
+			Logger: logger, Mux: g.mux, Violations: g.violation, Applied: g.apply,
+		})
+	g.run = hvdispatch.New(hvdispatch.Deps{
+		Members: g.members, Admit: g.admit,
+		Pick:   hvroute.New(conf.Zone, g.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		Budget: hvretry.New(), Keys: g.control, Clock: g.clock, Metric: g.metric,
+		Logger: log.With(logger, "part", "run"), Violations: g.violation,
+	})
+	return g
+}
 
-	mu    sync.Mutex
-	sides map[string]upstream
+func logClient() *http.Client {
+	return &http.Client{
+		Timeout:   logTimeout,
+		Transport: &http.Transport{MaxIdleConnsPerHost: logConnections, MaxConnsPerHost: logConnections},
+	}
 }
 
-func newGate(conf config, logger log.Logger) *gate {
-	return &gate{conf: conf, logger: logger, sides: map[string]upstream{}}
+// violation counts and logs the violation of an invariant.
+func (g *gate) violation(invariant int, message string) {
+	g.metric.Violation(invariant, message)
+	_ = g.logger.Log("level", "error", "msg", "invariant violated", "invariant", invariant, "detail", message)
+}
+
+// apply puts a version of the settings into force.
+func (g *gate) apply(v hvconf.Version) {
+	g.metric.Set("hv_settings_version", int64(v.Number))
+	g.auth.set(v.Settings)
+	g.admit.Set(admitSettings(v.Settings))
+	g.placer.SetPrefer(hv.Prefer(v.Settings.Policy.Prefer))
 }
 
-func (g *gate) run(ctx context.Context) error {
+// serve works until ctx ends, then drains.
+func (g *gate) serve(ctx context.Context) error {
 	internal, err := net.Listen("tcp", g.conf.Internal)
 	if err != nil {
-		return err
+		return errors.Wrap(err, "internal")
 	}
 	defer internal.Close()
-	go g.accept(internal)
-
-	mux := http.NewServeMux()
-	mux.HandleFunc("/v1/run/{service}/{path...}", g.serveRun)
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
-	server := &http.Server{Addr: g.conf.Listen, Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-	failed := make(chan error, 1)
-	go func() { failed <- server.ListenAndServe() }()
-	select {
-	case err := <-failed:
-		return err
-	case <-ctx.Done():
+	public, err := net.Listen("tcp", g.conf.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen")
 	}
-	drain, cancel := context.WithTimeout(context.Background(), drainTimeout)
-	defer cancel()
-	return server.Shutdown(drain)
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	wg.Go(func() { g.accept(background, internal) })
+	limits := g.run.NewLimits(g.members, func() int { return 1 + len(g.members.Gates()) }, g.admit)
+	wg.Go(func() { limits.Run(background) })
+	wg.Go(func() { g.control.Run(ctx) })
+	err = hvhttp.Serve(ctx, public, g.handler())
+	stop()
+	internal.Close()
+	wg.Wait()
+	return err
 }
 
-func (g *gate) accept(l net.Listener) {
-	mux := hvwire.Mux{}
-	hvwire.Handle(mux, hvwire.MethodAnnounce, g.serveAnnounce)
-	hvwire.Handle(mux, hvwire.MethodBeat, g.serveBeat)
+func (g *gate) accept(ctx context.Context, l net.Listener) {
 	for {
 		nc, err := l.Accept()
 		if err != nil {
 			return
 		}
-		hvwire.NewConn(nc, mux)
-	}
-}
-
-func (g *gate) serveAnnounce(_ context.Context, c *hvwire.Conn, a hvwire.Announce) (hvwire.AnnounceAck, error) {
-	g.mu.Lock()
-	g.sides[a.Host.Name] = upstream{announce: a, conn: c}
-	g.mu.Unlock()
-	go func() {
-		<-c.Done()
-		g.forget(a.Host.Name, c)
-	}()
-	_ = g.logger.Log("msg", "side announced", "host", a.Host.Name, "service", a.Service)
-	return hvwire.AnnounceAck{Gate: g.conf.Name}, nil
-}
-
-func (g *gate) forget(host string, c *hvwire.Conn) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.sides[host].conn == c {
-		delete(g.sides, host)
-	}
-}
-
-func (g *gate) serveBeat(context.Context, *hvwire.Conn, hvwire.Beat) (hvwire.BeatAck, error) {
-	return hvwire.BeatAck{}, nil
-}
-
-func (g *gate) pick(service string) (*hvwire.Conn, bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var conns []*hvwire.Conn
-	for _, u := range g.sides {
-		if u.announce.Service == service {
-			conns = append(conns, u.conn)
-		}
+		conn := hvwire.NewConn(nc, g.mux)
+		go func() {
+			select {
+			case <-ctx.Done():
+				conn.Close()
+			case <-conn.Done():
+			}
+		}()
 	}
-	if len(conns) == 0 {
-		return nil, false
-	}
-	return conns[rand.IntN(len(conns))], true
 }
 
-func (g *gate) serveRun(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	if err != nil {
-		http.Error(w, "body: "+err.Error(), http.StatusRequestEntityTooLarge)
-		return
-	}
-	req := hv.Request{
-		ID: uuid.NewString(), Class: hv.Urgent, Service: r.PathValue("service"), Method: r.Method,
-		Path: "/" + r.PathValue("path"), Type: r.Header.Get("Content-Type"), Body: body,
-		Key: r.Header.Get("Idempotency-Key"), Left: hv.Duration(defaultDeadline), Attempt: 1,
-	}
-	conn, ok := g.pick(req.Service)
-	if !ok {
-		writeAnswer(w, hv.Answer{ID: req.ID, Outcome: hv.NotRun, Reason: "no upstream of service " + req.Service})
-		return
-	}
-	ctx, cancel := context.WithTimeout(r.Context(), defaultDeadline)
-	defer cancel()
-	ans, err := hvwire.Call[hv.Answer](ctx, conn, hvwire.MethodRun, req)
-	if err != nil {
-		ans = hv.Answer{ID: req.ID, Outcome: hv.Unknown, Reason: err.Error()}
-	}
-	writeAnswer(w, ans)
+func (g *gate) handler() http.Handler {
+	mux := http.NewServeMux()
+	newID := func() string { return uuid.Must(uuid.NewV7()).String() }
+	hvhttp.Run{Auth: g.auth.caller, Runner: g.run, NewID: newID, Deadline: g.deadline}.Register(mux)
+	hvhttp.Tasks{Auth: g.auth.caller, Jobs: g.control, NewID: newID}.Register(mux)
+	hvhttp.Operators{Auth: g.auth.operator, Admin: g.control.Admin()}.Register(mux)
+	hvhttp.Health{Ready: g.control.Ready, Metrics: g.metric.Write}.Register(mux)
+	return mux
 }
 
-func writeAnswer(w http.ResponseWriter, ans hv.Answer) {
-	whole := len(ans.Body) == ans.Length && (ans.Length == 0 || xxhash.Sum64(ans.Body) == ans.Sum)
-	if ans.Outcome == hv.Done && !whole {
-		ans = hv.Answer{ID: ans.ID, Outcome: hv.Unknown, Reason: "answer is not whole"}
-	}
-	w.Header().Set("Hv-Request", ans.ID)
-	w.Header().Set("Hv-Outcome", string(ans.Outcome))
-	switch ans.Outcome {
-	case hv.Done:
-		w.Header().Set("Content-Type", ans.Type)
-		w.Header().Set("Content-Length", strconv.Itoa(ans.Length))
-		w.WriteHeader(ans.Status)
-		_, _ = w.Write(ans.Body)
-	case hv.NotRun:
-		w.Header().Set("Retry-After", "1")
-		http.Error(w, ans.Reason, http.StatusServiceUnavailable)
-	case hv.Unknown:
-		http.Error(w, ans.Reason, http.StatusGatewayTimeout)
-	}
+func (g *gate) deadline(c hv.Class) time.Duration {
+	return g.control.Current().Settings.Classes[c].Deadline.Std()
 }
--- a/cmd/hvgate/main.go
+++ b/cmd/hvgate/main.go
@@ -50,7 +50,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := newGate(conf, logger).run(ctx); err != nil {
+	if err := newGate(conf, logger).serve(ctx); err != nil {
 		_ = logger.Log("msg", "gate failed", "err", err)
 		return exitFailure
 	}
--- /dev/null
+++ b/cmd/hvgate/settings.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"math"
+	"sync"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvadmit"
+	"hibiscusvane.example/hibiscusvane/hvconf"
+	"hibiscusvane.example/hibiscusvane/hvhttp"
+)
+
+// operatorName is the name under which operators appear in metrics.
+const operatorName = "operator"
+
+// auth maps tokens to callers and operators by the settings in force.
+type auth struct {
+	// local admits operators before the first publication.
+	local string
+
+	mu      sync.RWMutex
+	callers *hvhttp.Tokens
+	admin   *hvhttp.Tokens
+}
+
+func newAuth(local string) *auth {
+	return &auth{local: local, callers: hvhttp.NewTokens(nil), admin: operators(local)}
+}
+
+func operators(token string) *hvhttp.Tokens {
+	return hvhttp.NewTokens(map[string]string{token: operatorName})
+}
+
+func (a *auth) set(s *hvconf.Settings) {
+	tokens := map[string]string{}
+	for name, c := range s.Callers {
+		tokens[c.Token] = name
+	}
+	admin := s.Admin.Token
+	if admin == "" {
+		admin = a.local
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.callers, a.admin = hvhttp.NewTokens(tokens), operators(admin)
+}
+
+func (a *auth) caller(token string) (string, bool) {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.callers.Lookup(token)
+}
+
+func (a *auth) operator(token string) (string, bool) {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.admin.Lookup(token)
+}
+
+const (
+	// weightUnit turns weights of the settings, which may be fractions, into
+	// whole numbers.
+	weightUnit = 100
+	thousand   = 1000
+)
+
+// admitSettings translates the sections classes and callers.
+func admitSettings(s *hvconf.Settings) hvadmit.Settings {
+	set := hvadmit.DefaultSettings()
+	set.Callers = map[string]hvadmit.Caller{}
+	set.Default.Weight = weightUnit
+	for _, name := range hv.Classes {
+		if c, ok := s.Classes[name]; ok {
+			set.Classes[name] = hvadmit.Class{
+				Weight: weight(c.Weight), Floor: thousandths(c.Floor), Queue: c.Queue, Deadline: c.Deadline,
+			}
+		}
+	}
+	for name, c := range s.Callers {
+		set.Callers[name] = hvadmit.Caller{Weight: weight(c.Weight), Floor: thousandths(c.Floor)}
+	}
+	return set
+}
+
+func weight(w float64) int { return max(1, int(math.Round(w*weightUnit))) }
+
+func thousandths(f float64) int { return int(f * thousand) }
--- a/hvplace/placer.go
+++ b/hvplace/placer.go
@@ -281,3 +281,10 @@
 	defer p.mu.Unlock()
 	return p.search.looked
 }
+
+// SetPrefer changes what placement gives the most weight.
+func (p *Placer) SetPrefer(prefer hv.Prefer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.weights = weightsOf(prefer)
+}
--- a/hvprocess/process_test.go
+++ b/hvprocess/process_test.go
@@ -165,7 +165,7 @@
 }
 
 func cmdHTTP(ts *testscript.TestScript, neg bool, args []string) {
-	out, err := request(args)
+	out, err := request(ts, args)
 	if neg != (err != nil) {
 		ts.Fatalf("http %v: error = %v", args, err)
 	}
@@ -175,7 +175,7 @@
 
 const requestTimeout = 30 * time.Second
 
-func request(args []string) (string, error) {
+func request(ts *testscript.TestScript, args []string) (string, error) {
 	if len(args) < 2 {
 		return "", fmt.Errorf("usage: http METHOD URL [-H HEADER]... [BODY]")
 	}
@@ -186,7 +186,11 @@
 		header.Add(name, strings.TrimSpace(value))
 		rest = rest[2:]
 	}
-	r, err := http.NewRequest(method, url, strings.NewReader(strings.Join(rest, " ")))
+	body := strings.Join(rest, " ")
+	if file, ok := strings.CutPrefix(body, "@"); ok {
+		body = ts.ReadFile(file)
+	}
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
 		return "", err
 	}
@@ -227,7 +231,7 @@
 
 func output(ts *testscript.TestScript, args []string) (string, error) {
 	if args[0] == "http" {
-		return request(args[1:])
+		return request(ts, args[1:])
 	}
 	b, err := exec.Command(programPath(ts, args[0]), args[1:]...).CombinedOutput()
 	return string(b), err
