Add the ledger of a host

Admission, commitments and leases of one host in one place, where invariants 1 and 2 are asserted. Leases count from the time at which the side sent a heartbeat. Ends wait in an outbox whose places are reserved at admission.

--- /dev/null
+++ b/hvhost/lease.go
@@ -0,0 +1,88 @@
+package hvhost
+
+import (
+	"slices"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// Renewal extends the leases of one shard. The lease counts from the time at
+// which the side sent the heartbeat, so that it never outlasts what the owner
+// of the shard assumes.
+type Renewal struct {
+	Shard int
+	Epoch int64
+	Sent  time.Time
+	Lease time.Duration
+	// Except lists attempts that the owner does not renew.
+	Except []hv.Attempt
+}
+
+// Renew applies a renewal and reports whether its epoch is current. An attempt
+// whose lease has lapsed is not renewed.
+func (l *Ledger) Renew(r Renewal) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.Epoch < l.epochs[r.Shard] {
+		return false
+	}
+	l.epochs[r.Shard] = r.Epoch
+	now := l.clock.Now()
+	for _, e := range l.sorted() {
+		if e.run.Shard != r.Shard || e.phase == stopping || !now.Before(e.end) || slices.Contains(r.Except, e.run.Attempt) {
+			continue
+		}
+		e.run.Epoch = r.Epoch
+		if end := r.Sent.Add(r.Lease); end.After(e.end) {
+			e.end = end
+		}
+	}
+	return true
+}
+
+// Lease returns the time that remains of an attempt's lease. It reads the
+// clock again, so that a process that was paused notices a lapse before it
+// starts or renews the attempt at the worker.
+func (l *Ledger) Lease(a hv.Attempt) (time.Duration, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.find(a)
+	switch {
+	case e == nil || e.phase == stopping:
+		return 0, errorf("lease", hv.NotFound, "attempt %s has no lease", a)
+	case !l.clock.Now().Before(e.end):
+		return 0, errorf("lease", hv.Expired, "the lease of %s has lapsed", a)
+	}
+	return e.end.Sub(l.clock.Now()), nil
+}
+
+// Lapsed marks the attempts whose leases have ended as stopping and returns
+// them.
+func (l *Ledger) Lapsed() []hv.Running {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	var lapsed []hv.Running
+	for _, e := range l.sorted() {
+		if e.phase != stopping && !now.Before(e.end) {
+			e.phase = stopping
+			lapsed = append(lapsed, e.run)
+		}
+	}
+	return lapsed
+}
+
+// Live returns the running attempts whose leases have not ended.
+func (l *Ledger) Live() []hv.Running {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	var live []hv.Running
+	for _, e := range l.sorted() {
+		if e.phase == running && now.Before(e.end) {
+			live = append(live, e.run)
+		}
+	}
+	return live
+}
--- /dev/null
+++ b/hvhost/ledger.go
@@ -0,0 +1,151 @@
+// Package hvhost keeps the ledger of one host: commitments, admission of task
+// attempts and their leases.
+package hvhost
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// Violations is told about each violated invariant.
+type Violations func(invariant int, message string)
+
+const (
+	// defaultAttempts bounds the attempts and unacknowledged ends of a host.
+	// A host of 32 cores holds some tens of attempts; the rest is room for
+	// ends that wait for an owner during a long outage.
+	defaultAttempts = 4096
+	// defaultMemory is how long the number of an ended attempt is remembered.
+	// It only has to outlast a start message in flight, whose lease is 10 s.
+	defaultMemory = 10 * time.Minute
+)
+
+// Config holds the limits of a ledger.
+type Config struct {
+	Capacity hv.Resources
+	// Attempts bounds held attempts and unacknowledged ends together.
+	Attempts int
+}
+
+// Ledger is the record of what one host has committed. It is safe for
+// concurrent use.
+type Ledger struct {
+	clock      hv.Clock
+	violations Violations
+	config     Config
+
+	mu        sync.Mutex
+	ready     bool
+	closed    bool
+	entries   map[string]*entry
+	committed hv.Resources
+	epochs    map[int]int64
+	seen      map[string]number
+	order     []string
+	outbox    []End
+}
+
+type phase int
+
+const (
+	starting phase = iota
+	running
+	stopping
+)
+
+// entry is the one attempt of a task that the host holds.
+type entry struct {
+	run     hv.Running
+	phase   phase
+	end     time.Time
+	started time.Time
+	// floor is the least that measured use can shrink the commitment to.
+	floor   hv.Resources
+	sampled time.Time
+	over    hv.Resources
+}
+
+// number is the highest attempt of a task that was admitted here.
+type number struct {
+	attempt int
+	at      time.Time
+}
+
+// New returns a ledger that admits nothing before Recover.
+func New(config Config, clock hv.Clock, violations Violations) *Ledger {
+	if config.Attempts <= 0 {
+		config.Attempts = defaultAttempts
+	}
+	return &Ledger{
+		clock:      clock,
+		violations: violations,
+		config:     config,
+		entries:    make(map[string]*entry),
+		epochs:     make(map[int]int64),
+		seen:       make(map[string]number),
+	}
+}
+
+// Capacity returns what the host can commit.
+func (l *Ledger) Capacity() hv.Resources { return l.config.Capacity }
+
+// Committed returns the sum of the commitments.
+func (l *Ledger) Committed() hv.Resources {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.committed
+}
+
+// Held returns all attempts that the host holds, ordered by task, with the
+// time that remains of their leases.
+func (l *Ledger) Held() []hv.Running {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	held := make([]hv.Running, 0, len(l.entries))
+	for _, e := range l.sorted() {
+		r := e.run
+		r.Lease = hv.Duration(max(0, e.end.Sub(now)))
+		held = append(held, r)
+	}
+	return held
+}
+
+func (l *Ledger) sorted() []*entry {
+	all := slices.Collect(maps.Values(l.entries))
+	slices.SortFunc(all, func(a, b *entry) int { return cmp.Compare(a.run.Task.ID, b.run.Task.ID) })
+	return all
+}
+
+// Find returns a held attempt.
+func (l *Ledger) Find(a hv.Attempt) (hv.Running, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.find(a)
+	if e == nil {
+		return hv.Running{}, false
+	}
+	return e.run, true
+}
+
+// SetShare records that an attempt was throttled to a share in thousandths.
+func (l *Ledger) SetShare(a hv.Attempt, share int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.find(a); e != nil {
+		e.run.Share = share
+	}
+}
+
+func (l *Ledger) find(a hv.Attempt) *entry {
+	e := l.entries[a.Task]
+	if e == nil || e.run.Attempt != a {
+		return nil
+	}
+	return e
+}
--- /dev/null
+++ b/hvhost/outbox.go
@@ -0,0 +1,59 @@
+package hvhost
+
+import (
+	"slices"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// End reports what became of an attempt to the owner of its shard.
+type End struct {
+	Attempt    hv.Attempt
+	Shard      int
+	Event      string
+	Reason     string
+	Checkpoint string
+}
+
+// End takes an attempt off the ledger, because it no longer runs on the host,
+// and keeps the report until Acknowledge. The place in the outbox was reserved
+// by Admit. It reports false for an attempt that is not held.
+func (l *Ledger) End(end End) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.find(end.Attempt)
+	if e == nil {
+		return false
+	}
+	l.commit(e, hv.Resources{})
+	delete(l.entries, end.Attempt.Task)
+	l.remember(end.Attempt, l.clock.Now())
+	end.Shard = e.run.Shard
+	l.outbox = append(l.outbox, end)
+	return true
+}
+
+// Withdraw takes an attempt off the ledger that never started. Its refusal is
+// the answer to the start message, so no report is kept.
+func (l *Ledger) Withdraw(a hv.Attempt) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.find(a); e != nil {
+		l.commit(e, hv.Resources{})
+		delete(l.entries, a.Task)
+	}
+}
+
+// Reports returns up to limit unacknowledged ends, oldest first.
+func (l *Ledger) Reports(limit int) []End {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.outbox[:min(limit, len(l.outbox))])
+}
+
+// Acknowledge drops a report that the owner of the shard has taken.
+func (l *Ledger) Acknowledge(a hv.Attempt) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outbox = slices.DeleteFunc(l.outbox, func(e End) bool { return e.Attempt == a })
+}
