--- a/hvhost/ledger_test.go
+++ b/hvhost/ledger_test.go
@@ -17,7 +17,7 @@
 func (c *manualClock) Now() time.Time { return c.now }
 
 // limit bounds attempts and unacknowledged ends in the state machine.
-const limit = 7
+const limit = 4
 
 var capacity = hv.Resources{Processors: 16000, Memory: 60 * hv.GB, Accelerators: 2}
 
