--- /dev/null
+++ b/hvslot/slots_test.go
@@ -0,0 +1,312 @@
+package hvslot
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+type manualClock struct{ now time.Time }
+
+func (c *manualClock) Now() time.Time { return c.now }
+
+// oracle is what a caller of the slots knows of one request.
+type oracle struct {
+	ticket *Ticket
+	ran    bool
+	ended  bool
+	// told is set when settle answered that the request was not run.
+	told time.Time
+	sent time.Time
+	// place is the number of requests that had started before.
+	place int
+}
+
+type machine struct {
+	t        *rapid.T
+	clock    *manualClock
+	slots    *Slots
+	config   Config
+	requests map[string]*oracle
+	ids      []string
+	starts   int
+	idle     <-chan struct{}
+}
+
+func newMachine(t *rapid.T) *machine {
+	m := &machine{t: t, clock: &manualClock{now: time.Unix(1e9, 0)}, config: Config{Slots: 3, Connections: 7}, requests: map[string]*oracle{}}
+	m.slots = New(m.config, m.clock, func(n int, s string) { t.Fatalf("invariant %d: %s", n, s) })
+	// Small memories reach their bounds within one run.
+	m.slots.started, m.slots.blocked = newIDSet(6), newIDSet(3)
+	return m
+}
+
+func (m *machine) enter(t *rapid.T) {
+	id := fmt.Sprintf("r%d", rapid.IntRange(0, 40).Draw(t, "id"))
+	req := hv.Request{ID: id, Class: rapid.SampledFrom(hv.Classes).Draw(t, "class"), Left: hv.Duration(rapid.IntRange(0, 20).Draw(t, "left")) * hv.Duration(time.Second)}
+	fail := rapid.IntRange(0, 9).Draw(t, "fail") == 0
+	known := m.requests[id]
+	if known != nil && (known.ran || !known.ended) {
+		if m.starts-known.place > 6 && known.ended {
+			return
+		}
+		if _, err := m.slots.Enter(req, m.clock.now, nil); hv.KindOf(err) != hv.Uncertain {
+			t.Fatalf("%s entered again: %v", id, err)
+		}
+		return
+	}
+	o := &oracle{sent: m.clock.now}
+	ticket, err := m.slots.Enter(req, m.clock.now, func() error {
+		if fail {
+			return errors.New("lease lapsed")
+		}
+		if m.clock.now.Sub(o.sent) >= req.Left.Std() {
+			t.Fatalf("%s starts after its deadline", id)
+		}
+		return nil
+	})
+	if err != nil {
+		return
+	}
+	o.ticket = ticket
+	if known == nil {
+		m.ids = append(m.ids, id)
+	} else if !known.told.IsZero() && m.clock.now.Sub(known.told) < horizon {
+		t.Fatalf("invariant 5: %s entered after it was settled as not run", id)
+	}
+	m.requests[id] = o
+}
+
+func (m *machine) pick(want func(*oracle) bool) (string, *oracle) {
+	var fit []string
+	for _, id := range m.ids {
+		if o := m.requests[id]; want(o) {
+			fit = append(fit, id)
+		}
+	}
+	if len(fit) == 0 {
+		return "", nil
+	}
+	id := rapid.SampledFrom(fit).Draw(m.t, "request")
+	return id, m.requests[id]
+}
+
+func (m *machine) finish(*rapid.T) {
+	if id, o := m.pick(func(o *oracle) bool { return o.ran && !o.ended }); o != nil {
+		o.ended = true
+		m.slots.Finish(o.ticket, hv.Answer{ID: id, Outcome: hv.Done})
+	}
+}
+
+func (m *machine) settle(t *rapid.T) {
+	id, o := m.pick(func(*oracle) bool { return true })
+	if o == nil {
+		return
+	}
+	ans, wait := m.slots.settle(id, m.clock.now.Sub(o.sent))
+	switch {
+	case wait != nil && (!o.ran || o.ended):
+		t.Fatalf("settle waits for %s, which does not run", id)
+	case wait == nil && ans.Outcome == hv.NotRun && o.ran:
+		t.Fatalf("invariant 5: %s was settled as not run after it ran", id)
+	case wait == nil && ans.Outcome == hv.Done && !o.ended:
+		t.Fatalf("%s was settled as done", id)
+	}
+	if wait == nil && ans.Outcome == hv.NotRun {
+		o.told = m.clock.now
+	}
+}
+
+func (m *machine) advance(t *rapid.T) {
+	m.clock.now = m.clock.now.Add(time.Duration(rapid.IntRange(1, 15).Draw(t, "seconds")) * time.Second)
+}
+
+func (m *machine) drain(t *rapid.T) {
+	if rapid.IntRange(0, 30).Draw(t, "drain") == 0 {
+		m.idle = m.slots.Drain()
+	}
+}
+
+func decided(t *Ticket) bool {
+	select {
+	case <-t.Decided():
+		return true
+	default:
+		return false
+	}
+}
+
+func (m *machine) check(t *rapid.T) {
+	run, wait := 0, 0
+	for _, id := range m.ids {
+		o := m.requests[id]
+		if o.ended {
+			continue
+		}
+		switch {
+		case !decided(o.ticket):
+			wait++
+		case o.ticket.Runs() != nil:
+			o.ended = true
+		default:
+			if !o.ran {
+				m.starts++
+				o.ran, o.place = true, m.starts
+			}
+			if !o.told.IsZero() {
+				t.Fatalf("invariant 5: %s runs after it was settled as not run", id)
+			}
+			run++
+		}
+	}
+	gotRun, gotWait := m.slots.Load()
+	if run != gotRun || wait != gotWait || run > m.config.Slots || run+wait > m.config.Connections {
+		t.Fatalf("%d run and %d wait, reported %d and %d", run, wait, gotRun, gotWait)
+	}
+	if wait > 0 && run < m.config.Slots {
+		t.Fatalf("%d requests wait while %d of %d slots are used", wait, run, m.config.Slots)
+	}
+	m.checkIdle(run + wait)
+}
+
+func (m *machine) checkIdle(active int) {
+	if m.idle == nil {
+		return
+	}
+	select {
+	case <-m.idle:
+		if active > 0 {
+			m.t.Fatalf("idle with %d requests", active)
+		}
+	default:
+		if active == 0 {
+			m.t.Fatalf("drained but not idle")
+		}
+	}
+}
+
+// TestSlots guards against more requests than slots or connections, requests
+// that run although somebody was told not-run (invariant 5), and requests that
+// never end.
+func TestSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"": m.check, "enter": m.enter, "enter more": m.enter, "finish": m.finish, "settle": m.settle,
+			"advance": m.advance, "drain": m.drain,
+		})
+		for range 100 {
+			m.finish(t)
+			m.check(t)
+		}
+		if run, wait := m.slots.Load(); run+wait > 0 {
+			t.Fatalf("%d requests run and %d wait at the end", run, wait)
+		}
+	})
+}
+
+// TestFullMemory guards against a false not-run for a request that ran, and
+// against a settled request that starts, when the memories are full.
+func TestFullMemory(t *testing.T) {
+	clock := &manualClock{now: time.Unix(1e9, 0)}
+	s := New(Config{Slots: 1, Connections: 1}, clock, func(n int, s string) { t.Fatalf("invariant %d: %s", n, s) })
+	s.started, s.blocked = newIDSet(2), newIDSet(2)
+	run := func(id string) error {
+		ticket, err := s.Enter(hv.Request{ID: id, Left: hv.Duration(time.Second)}, clock.now, nil)
+		if err == nil {
+			s.Finish(ticket, hv.Answer{ID: id, Outcome: hv.Done})
+		}
+		return err
+	}
+	for i := range 6 {
+		if err := run(fmt.Sprint("ran", i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	clock.now = clock.now.Add(horizon + 10*time.Second)
+	if err := run("last"); err != nil {
+		t.Fatal(err)
+	}
+	if ans, _ := s.settle("ran0", horizon+10*time.Second); ans.Outcome != hv.Unknown {
+		t.Errorf("a forgotten request was settled as %s", ans.Outcome)
+	}
+	clock.now = clock.now.Add(horizon + 10*time.Second)
+	for i := range 9 {
+		id := fmt.Sprint("new", i)
+		ans, _ := s.settle(id, 0)
+		if want := i < 4; want != (ans.Outcome == hv.NotRun) {
+			t.Errorf("%s was settled as %s", id, ans.Outcome)
+		}
+	}
+	for i := range 4 {
+		if err := run(fmt.Sprint("new", i)); hv.KindOf(err) != hv.Conflict {
+			t.Errorf("new%d ran after it was settled: %v", i, err)
+		}
+	}
+}
+
+// TestOrder guards against urgent or nearly late requests that wait behind
+// others.
+func TestOrder(t *testing.T) {
+	clock := &manualClock{now: time.Unix(1e9, 0)}
+	s := New(Config{Slots: 1, Connections: 9}, clock, func(n int, s string) { t.Fatalf("invariant %d: %s", n, s) })
+	var got []string
+	tickets := map[string]*Ticket{}
+	for _, r := range []hv.Request{
+		{ID: "first", Class: hv.Batch, Left: 9},
+		{ID: "batch", Class: hv.Batch, Left: 2},
+		{ID: "late", Class: hv.Urgent, Left: 8},
+		{ID: "soon", Class: hv.Urgent, Left: 3},
+		{ID: "standard", Class: hv.Standard, Left: 1},
+	} {
+		r.Left *= hv.Duration(time.Second)
+		ticket, err := s.Enter(r, clock.now, func() error { got = append(got, r.ID); return nil })
+		if err != nil {
+			t.Fatal(err)
+		}
+		tickets[r.ID] = ticket
+	}
+	for i := 0; i < len(got); i++ {
+		s.Finish(tickets[got[i]], hv.Answer{ID: got[i]})
+	}
+	if want := "[first soon late standard batch]"; fmt.Sprint(got) != want {
+		t.Errorf("order %v, want %s", got, want)
+	}
+}
+
+// TestSlowdown guards against a tail latency that old samples keep high.
+func TestSlowdown(t *testing.T) {
+	clock := &manualClock{now: time.Unix(1e9, 0)}
+	l := NewLatency(clock)
+	for range 100 {
+		l.Add(40 * time.Millisecond)
+	}
+	if got := l.Slowdown(20 * time.Millisecond); got != 2 {
+		t.Errorf("slowdown %v, want 2", got)
+	}
+	clock.now = clock.now.Add(windowAge + time.Second)
+	for range windowLeast {
+		l.Add(10 * time.Millisecond)
+	}
+	if got := l.Slowdown(20 * time.Millisecond); got != 0.5 {
+		t.Errorf("slowdown %v after the window, want 0.5", got)
+	}
+}
+
+// TestMain fixes the seed and the number of checks, so that every run has the
+// same verdict; flags of the command line replace them.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "200", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
