Add the memory of idempotency keys and the table of key slots

A side runs a key at most once and replays its answer. It refuses a key that an earlier owner may have run: ownership counts from the first grant, not from the record in the log, because the previous owner may run keys until its lease lapses. A handover continues the ownership only with all parts of the memory.

--- /dev/null
+++ b/hvkey/handover.go
@@ -0,0 +1,165 @@
+package hvkey
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// Part is one message of a handover. A successor that has all parts serves the
+// slots as if it had owned them from the start of the predecessor.
+type Part struct {
+	// From is the incarnation of the predecessor.
+	From string `json:"from"`
+	// Part counts from 0 to Parts-1.
+	Part  int            `json:"part"`
+	Parts int            `json:"parts"`
+	Slots []HandoverSlot `json:"slots"`
+	Keys  []HandoverKey  `json:"keys,omitempty"`
+}
+
+// HandoverSlot is a slot that changes its owner.
+type HandoverSlot struct {
+	Slot int `json:"slot"`
+	// Since is the start of the ownership in the log, Start the time from
+	// which on the memory is complete; both in Unix milliseconds.
+	Since int64 `json:"since"`
+	Start int64 `json:"start"`
+}
+
+// HandoverKey is a remembered key.
+type HandoverKey struct {
+	Key    string `json:"key"`
+	Digest uint64 `json:"digest,string"`
+	// Age is the time since the request ended.
+	Age    hv.Duration `json:"age"`
+	Answer hv.Answer   `json:"answer"`
+}
+
+const (
+	// partBytes keeps a part below the size limit of a message.
+	partBytes = 1 << 20
+	// partKeys bounds the keys without large answers in a part.
+	partKeys = 2048
+	// maxTransfers bounds the handovers that a successor receives at a time.
+	maxTransfers = 16
+)
+
+// transfer is a handover of which some parts are missing.
+type transfer struct {
+	parts map[int]bool
+}
+
+// Release stops to serve slots and returns their memory in parts. Requests
+// that still run are handed over as unknown.
+func (m *Memory) Release(from string, slots []int) []Part {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	m.forget(now)
+	var released []HandoverSlot
+	var picked [SlotCount]bool
+	for _, i := range slots {
+		o := &m.slots[i]
+		if o.start.IsZero() || picked[i] {
+			continue
+		}
+		o.released, picked[i] = true, true
+		released = append(released, HandoverSlot{Slot: i, Since: o.since, Start: o.start.UnixMilli()})
+	}
+	return split(from, released, m.export(picked, now))
+}
+
+func (m *Memory) export(picked [SlotCount]bool, now time.Time) []HandoverKey {
+	var keys []HandoverKey
+	for _, e := range slices.SortedFunc(maps.Values(m.entries), func(a, b *Entry) int { return cmp.Compare(a.key, b.key) }) {
+		if !picked[SlotOf(e.key)] {
+			continue
+		}
+		k := HandoverKey{Key: e.key, Digest: e.digest, Answer: e.answer}
+		if e.running() {
+			k.Answer = hv.Answer{Outcome: hv.Unknown, Reason: "the request was running when its key slot changed owner"}
+		} else {
+			k.Age = hv.Duration(max(0, now.Sub(e.at)))
+		}
+		keys = append(keys, k)
+	}
+	return keys
+}
+
+func split(from string, slots []HandoverSlot, keys []HandoverKey) []Part {
+	parts := []Part{{From: from, Slots: slots}}
+	bytes := 0
+	for _, k := range keys {
+		last := &parts[len(parts)-1]
+		if len(last.Keys) >= partKeys || bytes+len(k.Answer.Body) > partBytes && len(last.Keys) > 0 {
+			parts = append(parts, Part{From: from, Part: len(parts), Slots: slots})
+			last, bytes = &parts[len(parts)-1], 0
+		}
+		last.Keys = append(last.Keys, k)
+		bytes += len(k.Answer.Body)
+	}
+	for i := range parts {
+		parts[i].Parts = len(parts)
+	}
+	return parts
+}
+
+// Import adds one part of a predecessor's memory. It reports true when all
+// parts have arrived. A part that does not fit is refused as a whole, and the
+// handover then does not take place.
+func (m *Memory) Import(p Part) (bool, error) {
+	if p.Part < 0 || p.Part >= p.Parts || len(p.Slots) > SlotCount {
+		return false, errorf("import", hv.Invalid, "part: %d of %d", p.Part, p.Parts)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	m.forget(now)
+	t := m.pending[p.From]
+	if t == nil {
+		if len(m.pending) >= maxTransfers {
+			return false, errorf("import", hv.Full, "%d handovers are incomplete", len(m.pending))
+		}
+		t = &transfer{parts: map[int]bool{}}
+		m.pending[p.From] = t
+	}
+	if len(m.entries)+len(p.Keys) > m.config.Keys {
+		delete(m.pending, p.From)
+		return false, errorf("import", hv.Full, "no room for %d more keys", len(p.Keys))
+	}
+	m.merge(p.Keys, now)
+	t.parts[p.Part] = true
+	if len(t.parts) < p.Parts {
+		return false, nil
+	}
+	delete(m.pending, p.From)
+	m.inherit(p.Slots)
+	return true, nil
+}
+
+func (m *Memory) merge(keys []HandoverKey, now time.Time) {
+	for _, k := range keys {
+		if m.entries[k.Key] != nil {
+			continue
+		}
+		e := &Entry{key: k.Key, digest: k.Digest, done: make(chan struct{})}
+		m.entries[k.Key] = e
+		m.store(e, k.Answer, now.Add(-k.Age.Std()))
+	}
+	slices.SortStableFunc(m.finished, func(a, b *Entry) int { return a.at.Compare(b.at) })
+}
+
+func (m *Memory) inherit(slots []HandoverSlot) {
+	for _, s := range slots {
+		if s.Slot >= 0 && s.Slot < SlotCount {
+			m.imported[s.Slot] = ownership{since: s.Since, start: time.UnixMilli(s.Start)}
+			if m.slots[s.Slot].released {
+				m.slots[s.Slot] = ownership{}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/hvkey/memory_test.go
@@ -0,0 +1,329 @@
+package hvkey
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"pgregory.net/rapid"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+type manualClock struct{ now time.Time }
+
+func (c *manualClock) Now() time.Time { return c.now }
+
+const (
+	lease   = 10 * time.Second
+	margin  = 500 * time.Millisecond
+	service = "labels"
+	keys    = 5
+)
+
+// side is one process that remembers keys. It may be cut off from the gates.
+type side struct {
+	name   string
+	memory *Memory
+	beat   time.Time
+	grant  *Grant
+}
+
+// use is a request between its steps at a side.
+type use struct {
+	key   string
+	entry *Entry
+	side  *side
+	ran   bool
+}
+
+// machine moves key slots between sides that are paused, cut off, restarted or
+// drained while callers repeat keys. Its oracle counts the runs of each key.
+type machine struct {
+	t      *rapid.T
+	clock  *manualClock
+	table  *Table
+	sides  []*side
+	starts int
+	waits  time.Time
+	uses   []*use
+	keys   []string
+	ran    map[string]time.Time
+}
+
+func newMachine(t *rapid.T) *machine {
+	m := &machine{t: t, clock: &manualClock{now: time.Unix(1e9, 0)}, ran: map[string]time.Time{}}
+	m.table = NewTable(m.violated)
+	m.sides = []*side{m.newSide(), m.newSide()}
+	m.record(KindMove, Moves{Service: service, Moves: m.all("", m.sides[0].name)})
+	m.heal(t)
+	m.clock.now = m.clock.now.Add(Retention)
+	m.heal(t)
+	return m
+}
+
+func (m *machine) violated(n int, s string) { m.t.Fatalf("invariant %d: %s", n, s) }
+
+func (m *machine) newSide() *side {
+	m.starts++
+	return &side{name: fmt.Sprint("side-", m.starts), memory: New(Config{Keys: keys, Answer: 10}, m.clock, m.violated)}
+}
+
+// all holds the only slot of the keys, so that each run moves often.
+func (m *machine) all(from, to string) []Move { return []Move{{Slot: 0, From: from, To: to}} }
+
+func (m *machine) record(kind string, body any) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	m.table.Apply(hv.Record{Offset: m.table.Next(), Time: m.clock.now, Kind: kind, Body: b})
+}
+
+func (m *machine) drawSide(t *rapid.T) *side { return rapid.SampledFrom(m.sides).Draw(t, "side") }
+
+func (m *machine) other(s *side) *side {
+	if m.sides[0] == s {
+		return m.sides[1]
+	}
+	return m.sides[0]
+}
+
+func (m *machine) newKey(t *rapid.T) {
+	if rapid.IntRange(0, 3).Draw(t, "plain") == 0 {
+		m.keys = append(m.keys, search(func(i uint64) string { return fmt.Sprintf("plain-%03d", i) }, len(m.keys)))
+		return
+	}
+	at := m.clock.now.Add(time.Duration(rapid.IntRange(-1999, 1999).Draw(t, "error")) * time.Millisecond)
+	var id uuid.UUID
+	binary.BigEndian.PutUint64(id[:8], uint64(at.UnixMilli())<<16|0x7000)
+	m.keys = append(m.keys, search(func(i uint64) string {
+		binary.BigEndian.PutUint64(id[8:], 1<<63|i)
+		return id.String()
+	}, len(m.keys)))
+}
+
+// search returns a new key of slot 0.
+func search(key func(uint64) string, place int) string {
+	for i := uint64(place) << 20; ; i++ {
+		if k := key(i); SlotOf(k) == 0 {
+			return k
+		}
+	}
+}
+
+// call sends a new or recent key to the owner, or to any side.
+func (m *machine) call(t *rapid.T) {
+	if len(m.keys) == 0 || rapid.IntRange(0, 2).Draw(t, "new") == 0 {
+		m.newKey(t)
+	}
+	key := rapid.SampledFrom(m.keys[max(0, len(m.keys)-6):]).Draw(t, "key")
+	s := m.drawSide(t)
+	if owner := m.table.Slot(service, SlotOf(key)).Owner; owner == m.other(s).name && rapid.Bool().Draw(t, "to owner") {
+		s = m.other(s)
+	}
+	e, first, err := s.memory.Begin(key, 1)
+	switch {
+	case err != nil:
+	case first:
+		m.uses = append(m.uses, &use{key: key, entry: e, side: s})
+		for range rapid.IntRange(0, 2).Draw(t, "steps") {
+			m.step(t)
+		}
+	case !e.running() && e.Answer().Outcome == hv.Done && string(e.Answer().Body) != answerOf(key):
+		t.Fatalf("key %s got the answer %q", key, e.Answer().Body)
+	}
+}
+
+func answerOf(key string) string { return key[len(key)-3:] }
+
+// step starts or finishes one request, so that any time may pass in between.
+func (m *machine) step(t *rapid.T) {
+	if len(m.uses) == 0 {
+		return
+	}
+	i := len(m.uses) - 1 - rapid.IntRange(0, len(m.uses)-1).Draw(t, "use")
+	u := m.uses[i]
+	if !u.ran && u.side.memory.Check(u.key) == nil {
+		m.run(u)
+		return
+	}
+	m.uses = slices.Delete(m.uses, i, i+1)
+	if u.ran {
+		m.ran[u.key] = m.clock.now
+		u.side.memory.Finish(u.entry, hv.Answer{Outcome: hv.Done, Body: []byte(answerOf(u.key))})
+		return
+	}
+	u.side.memory.Abandon(u.entry, "lease lapsed")
+}
+
+func (m *machine) run(u *use) {
+	at, again := m.ran[u.key]
+	_, timed := created(u.key)
+	// Without a creation time a key is only known to its retention.
+	if again && (timed || m.clock.now.Sub(at) < Retention) {
+		m.t.Fatalf("invariant 6: key %s runs again at %s, %s after its first run", u.key, u.side.name, m.clock.now.Sub(at))
+	}
+	u.ran, m.ran[u.key] = true, m.clock.now
+}
+
+// beat, acknowledge and deliver are the steps of a heartbeat.
+func (m *machine) beat(t *rapid.T) { m.drawSide(t).beat = m.clock.now }
+
+func (m *machine) acknowledge(t *rapid.T) {
+	s := m.drawSide(t)
+	if s.beat.IsZero() {
+		return
+	}
+	g := &Grant{Offset: m.table.Next(), Sent: s.beat, Lease: lease}
+	for i, state := range m.table.Slots(service) {
+		if state.Owner == s.name && (state.Clean || !m.clock.now.Before(m.waits)) {
+			g.Slots = append(g.Slots, Slot{Slot: i, Since: state.Since})
+		}
+	}
+	s.grant = g
+}
+
+func (m *machine) deliver(t *rapid.T) {
+	if s := m.drawSide(t); s.grant != nil {
+		s.memory.Grant(*s.grant)
+	}
+}
+
+// move gives all slots to a side without the consent of the owner.
+func (m *machine) move(t *rapid.T) {
+	to, from := m.drawSide(t), m.table.Slot(service, 0).Owner
+	if from != to.name {
+		m.record(KindMove, Moves{Service: service, Moves: m.all(from, to.name)})
+		m.waits = m.clock.now.Add(lease + margin)
+	}
+}
+
+// handover is a graceful change of owner; steps after the export may be lost.
+func (m *machine) handover(t *rapid.T) {
+	from := m.drawSide(t)
+	to := m.other(from)
+	if m.table.Slot(service, 0).Owner != from.name {
+		return
+	}
+	lost := rapid.IntRange(0, 3).Draw(t, "lost step")
+	all := []int{0}
+	release := Release{Service: service, From: from.name, Slots: all}
+	for _, p := range from.memory.Release(from.name, all) {
+		if done, err := to.memory.Import(p); err != nil || lost == 1 {
+			break
+		} else if done {
+			release.Heir = to.name
+		}
+	}
+	if lost == 2 {
+		return
+	}
+	m.record(KindRelease, release)
+	if lost != 3 {
+		m.record(KindMove, Moves{Service: service, Moves: m.all("", to.name)})
+	}
+}
+
+func (m *machine) crash(t *rapid.T) {
+	i := rapid.IntRange(0, len(m.sides)-1).Draw(t, "side")
+	dead := m.sides[i]
+	m.uses = slices.DeleteFunc(m.uses, func(u *use) bool { return u.side == dead })
+	m.sides[i] = m.newSide()
+}
+
+func (m *machine) restore(t *rapid.T) {
+	b, err := m.table.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	fresh := NewTable(m.violated)
+	if err := fresh.Restore(b, m.table.Next()); err != nil || fresh.Slots(service) != m.table.Slots(service) {
+		t.Fatalf("snapshot differs: %v", err)
+	}
+	m.table = fresh
+}
+
+// heal lets the owner serve, so that most requests run.
+func (m *machine) heal(*rapid.T) {
+	m.clock.now = m.clock.now.Add(lease + margin)
+	for _, s := range m.sides {
+		s.beat = m.clock.now
+		g := Grant{Offset: m.table.Next(), Sent: s.beat, Lease: lease}
+		for i, state := range m.table.Slots(service) {
+			if state.Owner == s.name {
+				g.Slots = append(g.Slots, Slot{Slot: i, Since: state.Since})
+			}
+		}
+		s.memory.Grant(g)
+	}
+}
+
+// change makes another side the owner, in most cases one that then serves.
+func (m *machine) change(t *rapid.T) {
+	switch rapid.IntRange(0, 3).Draw(t, "change") {
+	case 0:
+		m.crash(t)
+		m.move(t)
+	case 1:
+		m.handover(t)
+	default:
+		m.move(t)
+	}
+	if rapid.IntRange(0, 3).Draw(t, "heal") > 0 {
+		m.heal(t)
+	}
+}
+
+// heartbeat lets time pass between the steps of a heartbeat.
+func (m *machine) heartbeat(t *rapid.T) {
+	for _, step := range []func(*rapid.T){m.beat, m.acknowledge, m.deliver} {
+		if rapid.IntRange(0, 3).Draw(t, "step") > 0 {
+			step(t)
+		}
+	}
+}
+
+func (m *machine) check(t *rapid.T) {
+	for _, s := range m.sides {
+		if n, _ := s.memory.Len(); n > keys {
+			t.Fatalf("%s remembers %d keys", s.name, n)
+		}
+	}
+}
+
+// TestKeys guards against a key that runs twice (invariant 6) across repeats,
+// sides, moves, handovers, pauses and restarts, and against a full memory that
+// forgets a young key.
+func TestKeys(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"": m.check, "call": m.call, "call 2": m.call, "call 3": m.call, "step": m.step,
+			"heartbeat": m.heartbeat, "change": m.change, "restore": m.restore, "heal": m.heal,
+			"pause": func(t *rapid.T) {
+				m.clock.now = m.clock.now.Add(time.Duration(rapid.IntRange(1, 15000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"wait": func(t *rapid.T) {
+				m.clock.now = m.clock.now.Add(time.Duration(rapid.IntRange(1, 11).Draw(t, "minutes")) * time.Minute)
+			},
+		})
+	})
+}
+
+// TestMain fixes the seed and the number of checks, so that every run has the
+// same verdict; flags of the command line replace them.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "400", "rapid.steps": "60", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/hvkey/record.go
@@ -0,0 +1,123 @@
+package hvkey
+
+import (
+	"encoding/json"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// Kinds of records in the keys stream.
+const (
+	KindMove    = "move"
+	KindRelease = "release"
+	KindKeep    = "keep"
+)
+
+// Move gives a slot to another incarnation of a side. It is valid if From is
+// the current owner; From is empty for a slot that has none.
+type Move struct {
+	Slot int    `json:"slot"`
+	From string `json:"from,omitempty"`
+	To   string `json:"to"`
+}
+
+// Moves is the body of a move record. Each move is valid or not by itself.
+type Moves struct {
+	Service string `json:"service"`
+	Moves   []Move `json:"moves"`
+}
+
+// Release is the body of a release record: From has stopped to serve the
+// slots. Heir is the incarnation that has all of its memory, or empty.
+type Release struct {
+	Service string `json:"service"`
+	From    string `json:"from"`
+	Slots   []int  `json:"slots"`
+	Heir    string `json:"heir,omitempty"`
+}
+
+// snapshot is the body of a keep record.
+type snapshot struct {
+	Services map[string]snapshotService `json:"services"`
+}
+
+// snapshotService lists slots as indexes into Names, because a few
+// incarnations own hundreds of slots.
+type snapshotService struct {
+	Names []string       `json:"names"`
+	Slots []snapshotSlot `json:"slots"`
+}
+
+type snapshotSlot struct {
+	Slot   int       `json:"slot"`
+	Owner  int       `json:"owner"`
+	Heir   int       `json:"heir,omitempty"`
+	Since  int64     `json:"since"`
+	Offset hv.Offset `json:"offset"`
+	Clean  bool      `json:"clean,omitempty"`
+}
+
+// Snapshot returns the body of a keep record with the state as of Next.
+func (t *Table) Snapshot() ([]byte, error) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	s := snapshot{Services: make(map[string]snapshotService, len(t.services))}
+	for name, slots := range t.services {
+		s.Services[name] = pack(slots)
+	}
+	b, err := json.Marshal(s)
+	if err != nil {
+		return nil, &Error{Op: "snapshot", Kind: hv.Internal, Err: err}
+	}
+	return b, nil
+}
+
+func pack(slots *[SlotCount]SlotState) snapshotService {
+	p := snapshotService{Names: []string{""}}
+	index := map[string]int{"": 0}
+	number := func(name string) int {
+		if _, ok := index[name]; !ok {
+			index[name] = len(p.Names)
+			p.Names = append(p.Names, name)
+		}
+		return index[name]
+	}
+	for i, s := range slots {
+		if s != (SlotState{}) {
+			p.Slots = append(p.Slots, snapshotSlot{i, number(s.Owner), number(s.Heir), s.Since, s.Offset, s.Clean})
+		}
+	}
+	return p
+}
+
+// Restore replaces the state by that of a snapshot. Next is the offset of the
+// first record that the snapshot does not reflect.
+func (t *Table) Restore(body []byte, next hv.Offset) error {
+	var s snapshot
+	if err := json.Unmarshal(body, &s); err != nil {
+		return &Error{Op: "restore", Kind: hv.Invalid, Err: err}
+	}
+	services := make(map[string]*[SlotCount]SlotState, len(s.Services))
+	for name, p := range s.Services {
+		slots, err := unpack(p)
+		if err != nil {
+			return err
+		}
+		services[name] = slots
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.services, t.next = services, next
+	return nil
+}
+
+func unpack(p snapshotService) (*[SlotCount]SlotState, error) {
+	var slots [SlotCount]SlotState
+	for _, s := range p.Slots {
+		if s.Slot < 0 || s.Slot >= SlotCount || s.Owner < 0 || s.Owner >= len(p.Names) || s.Heir < 0 || s.Heir >= len(p.Names) {
+			return nil, errorf("restore", hv.Invalid, "slot %d of a snapshot is out of range", s.Slot)
+		}
+		slots[s.Slot] = SlotState{Owner: p.Names[s.Owner], Heir: p.Names[s.Heir], Since: s.Since, Offset: s.Offset, Clean: s.Clean}
+	}
+	return &slots, nil
+}
--- /dev/null
+++ b/hvkey/rules_test.go
@@ -0,0 +1,169 @@
+package hvkey
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// keyAt returns a key that carries a creation time.
+func keyAt(at time.Time) string {
+	var id uuid.UUID
+	binary.BigEndian.PutUint64(id[:8], uint64(at.UnixMilli())<<16|0x7000)
+	id[8] = 0x80
+	return id.String()
+}
+
+func granted(offset hv.Offset, sent, since time.Time) Grant {
+	g := Grant{Offset: offset, Sent: sent, Lease: lease}
+	for i := range SlotCount {
+		g.Slots = append(g.Slots, Slot{Slot: i, Since: since.UnixMilli()})
+	}
+	return g
+}
+
+func kindOfBegin(m *Memory, key string) hv.ErrorKind {
+	if _, _, err := m.Begin(key, 1); err != nil {
+		return hv.KindOf(err)
+	}
+	return ""
+}
+
+// TestGrantRules guards against serving a key that another owner may have run:
+// each case is one way in which a side can be wrong about its ownership.
+func TestGrantRules(t *testing.T) {
+	zero := time.Unix(1e9, 0)
+	at := func(seconds float64) time.Time { return zero.Add(time.Duration(seconds * float64(time.Second))) }
+	part := func(number, parts int) Part {
+		return Part{From: "old", Part: number, Parts: parts, Slots: []HandoverSlot{{Slot: SlotOf(keyAt(at(5))), Since: zero.UnixMilli(), Start: zero.UnixMilli()}}}
+	}
+	for name, c := range map[string]struct {
+		prepare func(*Memory)
+		now     time.Time
+		key     string
+		want    hv.ErrorKind
+	}{
+		"key after the start":         {func(m *Memory) { m.Grant(granted(1, zero, zero)) }, at(5), keyAt(at(3)), ""},
+		"key within the clock error":  {func(m *Memory) { m.Grant(granted(1, zero, zero)) }, at(5), keyAt(at(1)), hv.Uncertain},
+		"key from the future":         {func(m *Memory) { m.Grant(granted(1, zero, zero)) }, at(5), keyAt(at(9)), hv.Invalid},
+		"old owner ran until its end": {func(m *Memory) { m.Grant(granted(1, zero, at(-11))) }, at(5), keyAt(at(-3)), hv.Uncertain},
+		"lease counts from the beat":  {func(m *Memory) { m.Grant(granted(1, at(-9), zero)) }, at(5), keyAt(at(3)), hv.Expired},
+		"older offset":                {func(m *Memory) { m.Grant(Grant{Offset: 2}); m.Grant(granted(1, zero, zero)) }, at(5), keyAt(at(3)), hv.NotFound},
+		"taken away":                  {func(m *Memory) { m.Grant(granted(1, zero, zero)); m.Grant(Grant{Offset: 2}) }, at(5), keyAt(at(3)), hv.NotFound},
+		"released": {func(m *Memory) {
+			m.Grant(granted(1, zero, zero))
+			m.Release("me", allSlots())
+			m.Grant(granted(2, zero, zero))
+		}, at(5), keyAt(at(3)), hv.NotFound},
+		"handover with all parts": {func(m *Memory) { imports(m, part(0, 2), part(1, 2)) }, at(20), keyAt(at(5)), ""},
+		"handover without a part": {func(m *Memory) { imports(m, part(0, 2)) }, at(20), keyAt(at(5)), hv.Uncertain},
+		"handover of older ownership": {func(m *Memory) {
+			imports(m, Part{From: "old", Parts: 1, Slots: []HandoverSlot{{Slot: SlotOf(keyAt(at(5))), Since: 1, Start: 1}}})
+		}, at(20), keyAt(at(5)), hv.Uncertain},
+		"answer that is still running": {func(m *Memory) { m.Grant(granted(1, zero, zero)); _, _, _ = m.Begin(keyAt(at(2)), 2) }, at(5), keyAt(at(2)), hv.Conflict},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clock := &manualClock{now: zero}
+			m := New(Config{}, clock, func(int, string) {})
+			c.prepare(m)
+			clock.now = c.now
+			if c.now == at(20) {
+				m.Grant(granted(3, at(20), zero))
+			}
+			if got := kindOfBegin(m, c.key); got != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+func imports(m *Memory, parts ...Part) {
+	for _, p := range parts {
+		if _, err := m.Import(p); err != nil {
+			panic(err)
+		}
+	}
+}
+
+func allSlots() []int {
+	all := make([]int, SlotCount)
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
+// TestTableRules guards against two owners of a slot and against an heir that
+// continues an ownership without its memory.
+func TestTableRules(t *testing.T) {
+	table := NewTable(func(n int, s string) { t.Fatalf("invariant %d: %s", n, s) })
+	move := func(from, to string) any {
+		return Moves{Service: service, Moves: []Move{{Slot: 7, From: from, To: to}}}
+	}
+	release := func(from, heir string) any {
+		return Release{Service: service, From: from, Heir: heir, Slots: []int{7}}
+	}
+	for i, c := range []struct {
+		kind string
+		body any
+		at   int64
+		want SlotState
+	}{
+		{KindMove, move("", "a"), 100, SlotState{Owner: "a", Since: 100, Offset: 0, Clean: true}},
+		{KindMove, move("", "b"), 200, SlotState{Owner: "a", Since: 100, Offset: 0, Clean: true}},
+		{KindMove, move("a", "b"), 100, SlotState{Owner: "b", Since: 101, Offset: 2}},
+		{KindRelease, release("a", "c"), 300, SlotState{Owner: "b", Since: 101, Offset: 2}},
+		{KindRelease, release("b", "c"), 300, SlotState{Heir: "c", Since: 101, Offset: 2}},
+		{KindMove, move("", "c"), 400, SlotState{Owner: "c", Since: 101, Offset: 5, Clean: true}},
+		{KindRelease, release("c", "d"), 500, SlotState{Heir: "d", Since: 101, Offset: 5, Clean: true}},
+		{KindMove, move("", "e"), 600, SlotState{Owner: "e", Since: 600, Offset: 7, Clean: true}},
+		{"other", move("e", "f"), 700, SlotState{Owner: "e", Since: 600, Offset: 7, Clean: true}},
+	} {
+		body, err := json.Marshal(c.body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		// The loss of an append answer can repeat a record.
+		rec := hv.Record{Offset: hv.Offset(i), Time: time.UnixMilli(c.at), Kind: c.kind, Body: body}
+		table.Apply(rec)
+		table.Apply(rec)
+		if got := table.Slot(service, 7); got != c.want {
+			t.Errorf("record %d: got %+v, want %+v", i, got, c.want)
+		}
+	}
+}
+
+// TestAssign guards against unbalanced slots and against moves that balance
+// does not need.
+func TestAssign(t *testing.T) {
+	var slots [SlotCount]SlotState
+	counts := func(want int, live ...string) {
+		t.Helper()
+		moves := Assign(slots, live)
+		owned := map[string]int{}
+		for _, m := range moves {
+			slots[m.Slot] = SlotState{Owner: m.To}
+		}
+		for _, s := range slots {
+			owned[s.Owner]++
+		}
+		for _, name := range live {
+			if n := owned[name]; n < SlotCount/len(live) || n > SlotCount/len(live)+1 {
+				t.Errorf("%s has %d of %d slots among %d", name, n, SlotCount, len(live))
+			}
+		}
+		if len(moves) != want {
+			t.Errorf("%d moves for %v, want %d", len(moves), live, want)
+		}
+	}
+	counts(256, "a", "b")
+	counts(0, "b", "a")
+	counts(85, "a", "b", "c")
+	counts(85, "b", "c")
+	counts(128, "d", "b")
+}
