--- a/hvhost/ledger.go
+++ b/hvhost/ledger.go
@@ -12,9 +12,6 @@
 	hv "hibiscusvane.example/hibiscusvane"
 )
 
-// Violations is told about each violated invariant.
-type Violations func(invariant int, message string)
-
 const (
 	// defaultAttempts bounds the attempts and unacknowledged ends of a host.
 	// A host of 32 cores holds some tens of attempts; the rest is room for
@@ -36,7 +33,7 @@
 // concurrent use.
 type Ledger struct {
 	clock      hv.Clock
-	violations Violations
+	violations hv.Violations
 	config     Config
 
 	mu        sync.Mutex
@@ -77,7 +74,7 @@
 }
 
 // New returns a ledger that admits nothing before Recover.
-func New(config Config, clock hv.Clock, violations Violations) *Ledger {
+func New(config Config, clock hv.Clock, violations hv.Violations) *Ledger {
 	if config.Attempts <= 0 {
 		config.Attempts = defaultAttempts
 	}
--- a/hvkey/key.go
+++ b/hvkey/key.go
@@ -9,9 +9,6 @@
 	"github.com/google/uuid"
 )
 
-// Violations is told about each violated invariant.
-type Violations func(invariant int, message string)
-
 // SlotCount is the number of key slots of a service.
 const SlotCount = 256
 
--- a/hvkey/memory.go
+++ b/hvkey/memory.go
@@ -44,7 +44,7 @@
 type Memory struct {
 	config     Config
 	clock      hv.Clock
-	violations Violations
+	violations hv.Violations
 
 	mu       sync.Mutex
 	entries  map[string]*Entry
@@ -66,7 +66,7 @@
 }
 
 // New returns an empty memory that serves no slots.
-func New(config Config, clock hv.Clock, violations Violations) *Memory {
+func New(config Config, clock hv.Clock, violations hv.Violations) *Memory {
 	return &Memory{
 		config: config.withDefaults(), clock: clock, violations: violations,
 		entries:  make(map[string]*Entry),
--- a/hvkey/table.go
+++ b/hvkey/table.go
@@ -31,7 +31,7 @@
 // Table is the owner of each key slot by the records of the keys stream. It is
 // safe for concurrent use.
 type Table struct {
-	violations Violations
+	violations hv.Violations
 
 	mu       sync.RWMutex
 	services map[string]*[SlotCount]SlotState
@@ -39,7 +39,7 @@
 }
 
 // NewTable returns the table of an empty stream.
-func NewTable(violations Violations) *Table {
+func NewTable(violations hv.Violations) *Table {
 	return &Table{violations: violations, services: make(map[string]*[SlotCount]SlotState)}
 }
 
--- a/hvslot/slots.go
+++ b/hvslot/slots.go
@@ -10,9 +10,6 @@
 	hv "hibiscusvane.example/hibiscusvane"
 )
 
-// Violations is told about each violated invariant.
-type Violations func(invariant int, message string)
-
 // Config holds the limits of an upstream.
 type Config struct {
 	// Slots is how many requests run at a time.
@@ -24,7 +21,7 @@
 // Slots admits requests and decides which run. It is safe for concurrent use.
 type Slots struct {
 	clock      hv.Clock
-	violations Violations
+	violations hv.Violations
 
 	mu       sync.Mutex
 	config   Config
@@ -67,7 +64,7 @@
 func (t *Ticket) Runs() error { return t.reason }
 
 // New returns free slots.
-func New(config Config, clock hv.Clock, violations Violations) *Slots {
+func New(config Config, clock hv.Clock, violations hv.Violations) *Slots {
 	return &Slots{
 		config: config, clock: clock, violations: violations,
 		active:  make(map[string]*Ticket),
