--- a/cmd/hvfake/verbs.go
+++ b/cmd/hvfake/verbs.go
@@ -22,6 +22,7 @@
 var verbs = []verb{
 	{"log", "Run a log service in memory", &logCommand{}},
 	{"upstream", "Run an upstream that echoes requests", &upstreamCommand{}},
+	{"worker", "Run a worker with fake tasks", &workerCommand{}},
 	{"version", "Print the version", &versionCommand{}},
 }
 
