--- a/hvkey/grant.go
+++ b/hvkey/grant.go
@@ -24,6 +24,10 @@
 type Slot struct {
 	Slot  int
 	Since int64
+	// Wait is set while the gate cannot exclude that an earlier owner still
+	// serves the slot. Such a slot is neither begun nor renewed by the grant,
+	// but another gate may have begun it.
+	Wait bool
 }
 
 // Grant confirms the slots of a side. The lease counts from the time at which
@@ -51,6 +55,9 @@
 			continue
 		}
 		listed[s.Slot] = true
+		if s.Wait {
+			continue
+		}
 		m.grant(s, g.Sent.Add(g.Lease), now)
 	}
 	for i := range m.slots {
--- /dev/null
+++ b/hvkey/wait_test.go
@@ -0,0 +1,37 @@
+package hvkey
+
+import (
+	"testing"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+type fixedClock struct{ now time.Time }
+
+func (c *fixedClock) Now() time.Time { return c.now }
+
+// Guards against two faults of a grant from a gate that was just started and
+// cannot yet tell whether an earlier owner has stopped: beginning to serve the
+// slot, and ending the service that another gate has granted.
+func TestWaitingSlotIsNeitherBegunNorEnded(t *testing.T) {
+	clock := &fixedClock{now: time.Now()}
+	m := New(Config{}, clock, func(_ int, message string) { t.Error(message) })
+	grant := func(offset hv.Offset, wait bool) {
+		m.Grant(Grant{Slots: []Slot{{Slot: 7, Since: 1, Wait: wait}}, Offset: offset, Sent: clock.now, Lease: 10 * time.Second})
+	}
+	grant(1, true)
+	if served := m.Served(); len(served) != 0 {
+		t.Fatalf("slots %v are served after a waiting grant, want none", served)
+	}
+	grant(1, false)
+	clock.now = clock.now.Add(5 * time.Second)
+	grant(2, true)
+	if served := m.Served(); len(served) != 1 {
+		t.Errorf("slots %v are served, want the one that another gate granted", served)
+	}
+	clock.now = clock.now.Add(6 * time.Second)
+	if served := m.Served(); len(served) != 0 {
+		t.Errorf("slots %v are served after the lease, want none: a waiting grant must not renew", served)
+	}
+}
