--- a/cmd/hvfake/hvload/table.go
+++ b/cmd/hvfake/hvload/table.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvworker/hvworkertest"
 )
 
 // Row counts the outcomes of one class.
@@ -32,7 +33,9 @@
 	False int
 	// Foreign counts answers that belong to another request.
 	Foreign int
-	times   []time.Duration
+	// Notes describe the faults in words.
+	Notes []string
+	times []time.Duration
 }
 
 func (r *Row) count(o hv.Outcome, took time.Duration) {
@@ -80,7 +83,15 @@
 			r.quantile(0.5).Round(time.Millisecond), r.quantile(0.99).Round(time.Millisecond),
 			r.Doubled, r.Lost, r.False, r.Foreign)
 	}
-	return tw.Flush()
+	if err := tw.Flush(); err != nil {
+		return err
+	}
+	for _, r := range t.Rows {
+		for _, n := range r.Notes {
+			fmt.Fprintf(w, "%s: %s\n", r.Name, n)
+		}
+	}
+	return nil
 }
 
 func (l *Loader) table() Table {
@@ -121,36 +132,21 @@
 	return nil
 }
 
-// interval is one run of an attempt at a stand-in worker.
-type interval struct {
-	Attempt hv.Attempt `json:"attempt"`
-	Start   time.Time  `json:"start"`
-	// End is zero while the attempt runs.
-	End time.Time `json:"end"`
-}
-
 // countOverlaps looks for tasks that ran in two places at the same time.
 func (l *Loader) countOverlaps(ctx context.Context) error {
-	byTask := map[string][]interval{}
+	var histories [][]hvworkertest.Interval
 	for _, w := range l.conf.Workers {
-		var all []interval
-		if err := l.get(ctx, w+"/starts", &all); err != nil {
+		var history []hvworkertest.Interval
+		if err := l.get(ctx, w+"/history", &history); err != nil {
 			return err
 		}
-		for _, i := range all {
-			if i.End.IsZero() {
-				i.End = time.Now()
-			}
-			byTask[i.Attempt.Task] = append(byTask[i.Attempt.Task], i)
-		}
+		histories = append(histories, history)
 	}
-	for _, runs := range byTask {
-		slices.SortFunc(runs, func(a, b interval) int { return a.Start.Compare(b.Start) })
-		for i := 1; i < len(runs); i++ {
-			if runs[i].Start.Before(runs[i-1].End) {
-				l.update(jobRow, func(r *Row) { r.Doubled++ })
-			}
-		}
+	for _, overlap := range hvworkertest.Overlaps(histories...) {
+		l.update(jobRow, func(r *Row) {
+			r.Doubled++
+			r.Notes = append(r.Notes, overlap)
+		})
 	}
 	return nil
 }
--- a/cmd/hvfake/hvload/table_test.go
+++ b/cmd/hvfake/hvload/table_test.go
@@ -21,8 +21,8 @@
 	l := New(Config{
 		Upstreams: []string{serve("/runs", `{"twice":1,"false":1}`), serve("/runs", `{"twice":1}`)},
 		Workers: []string{
-			serve("/starts", `[{"attempt":{"task":"t","number":1},"start":"2026-01-01T00:00:00Z","end":"2026-01-01T00:00:02Z"}]`),
-			serve("/starts", `[{"attempt":{"task":"t","number":2},"start":"2026-01-01T00:00:01Z","end":"2026-01-01T00:00:03Z"}]`),
+			serve("/history", `[{"attempt":{"task":"t","number":1},"begin":"2026-01-01T00:00:00Z","end":"2026-01-01T00:00:02Z"}]`),
+			serve("/history", `[{"attempt":{"task":"t","number":2},"begin":"2026-01-01T00:00:01Z","end":"2026-01-01T00:00:03Z"}]`),
 		},
 	})
 	l.sent = []sent{{"urgent", "twice", hv.Done}, {"urgent", "lost", hv.Done}, {"urgent", "false", hv.NotRun}}
--- /dev/null
+++ b/cmd/hvfake/load.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/cmd/hvfake/hvload"
+)
+
+type loadCommand struct {
+	Gates     []string      `long:"gate" required:"true" description:"Base URL of a gate (repeatable)"`
+	Upstreams []string      `long:"upstream" description:"Base URL of a stand-in upstream, to count runs (repeatable)"`
+	Workers   []string      `long:"worker" description:"Base URL of a stand-in worker, to find overlapping attempts (repeatable)"`
+	Token     string        `long:"token" env:"HV_TOKEN" description:"Token of the caller"`
+	Service   string        `long:"service" default:"label" description:"Service to call"`
+	Urgent    int           `long:"urgent" default:"200" description:"Number of urgent requests"`
+	Standard  int           `long:"standard" default:"100" description:"Number of standard requests"`
+	Batch     int           `long:"batch" default:"100" description:"Number of batch requests"`
+	Every     time.Duration `long:"every" default:"20ms" description:"Time between two requests of a class"`
+	Deadline  time.Duration `long:"deadline" default:"2s" description:"Deadline of each request"`
+	Jobs      int           `long:"jobs" default:"6" description:"Number of batch jobs"`
+	JobTime   time.Duration `long:"jobtime" default:"3s" description:"Run time of a job"`
+	JobWait   time.Duration `long:"jobwait" default:"40s" description:"Deadline of the jobs"`
+}
+
+// Execute implements flags.Commander.
+func (c *loadCommand) Execute([]string) error {
+	table, err := hvload.New(hvload.Config{
+		Gates: c.Gates, Upstreams: c.Upstreams, Workers: c.Workers, Token: c.Token, Service: c.Service,
+		Classes: map[hv.Class]int{hv.Urgent: c.Urgent, hv.Standard: c.Standard, hv.Batch: c.Batch},
+		Every:   c.Every, Deadline: c.Deadline, Jobs: c.Jobs, JobTime: c.JobTime, JobWait: c.JobWait,
+	}).Run(context.Background())
+	if err != nil {
+		return err
+	}
+	if err := table.Write(os.Stdout); err != nil {
+		return err
+	}
+	if !table.Clean() {
+		return errors.New("something was doubled, lost, falsely reported or delivered to another request")
+	}
+	return nil
+}
--- a/cmd/hvfake/verbs.go
+++ b/cmd/hvfake/verbs.go
@@ -7,10 +7,6 @@
 	"time"
 
 	"github.com/jessevdk/go-flags"
-
-	hv "hibiscusvane.example/hibiscusvane"
-	"hibiscusvane.example/hibiscusvane/cmd/hvfake/hvstream"
-	"hibiscusvane.example/hibiscusvane/cmd/hvfake/hvupstream"
 )
 
 type verb struct {
@@ -19,32 +15,15 @@
 	command flags.Commander
 }
 
+// verbs is the lookup table of the commands, one file each.
 var verbs = []verb{
 	{"log", "Run a log service in memory", &logCommand{}},
+	{"worker", "Run a platform worker with fake tasks", &workerCommand{}},
 	{"upstream", "Run an upstream that echoes requests", &upstreamCommand{}},
-	{"worker", "Run a worker with fake tasks", &workerCommand{}},
+	{"load", "Send requests and jobs to gates and print a table of their outcomes", &loadCommand{}},
 	{"version", "Print the version", &versionCommand{}},
 }
 
-type logCommand struct {
-	Listen string `long:"listen" required:"true" description:"IP address and port to listen on"`
-}
-
-// Execute implements flags.Commander.
-func (c *logCommand) Execute([]string) error {
-	return serve(c.Listen, hvstream.New(hv.SystemClock{}).Handler())
-}
-
-type upstreamCommand struct {
-	Listen string        `long:"listen" required:"true" description:"IP address and port to listen on"`
-	Took   time.Duration `long:"took" default:"5ms" description:"How long a request runs"`
-}
-
-// Execute implements flags.Commander.
-func (c *upstreamCommand) Execute([]string) error {
-	return serve(c.Listen, hvupstream.New(hvupstream.Faults{Took: hv.Duration(c.Took)}).Handler())
-}
-
 type versionCommand struct{}
 
 // Execute implements flags.Commander.
@@ -53,6 +32,7 @@
 	return nil
 }
 
+// serve answers HTTP on an address until the process ends.
 func serve(addr string, h http.Handler) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
