Date the lease of a start and the age of a settle

The lease of a start had no reference time: a start that is delayed on the way would outlast what its owner assumes. It now counts from a heartbeat of the side. A settle carries the age of the request, because a side that may have forgotten the request must not answer not-run. Handover gets its messages, and heartbeats name released slots.

--- a/hvwire/messages.go
+++ b/hvwire/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvkey"
 )
 
 // Methods of the protocol between gates and sides.
@@ -57,6 +58,9 @@
 	Slowdown float64   `json:"slowdown,omitempty"`
 	Version  hv.Offset `json:"version"`
 	Leaving  bool      `json:"leaving,omitempty"`
+	// Released lists key slots that the gate confirms but the side has stopped
+	// to serve, after a handover that did not reach the log. They need an owner.
+	Released []int `json:"released,omitempty"`
 }
 
 // AttemptState is the state of one attempt in a heartbeat.
@@ -142,14 +146,44 @@
 type Settle struct {
 	ID  string `json:"id"`
 	Key string `json:"key,omitempty"`
+	// Age is the time since the gate sent the request.
+	Age hv.Duration `json:"age,omitempty"`
+}
+
+// Handover moves the memory of key slots through a gate, in parts: the gate
+// asks the owner for parts until it has them all, gives each to the heir, and
+// then appends the release record. The owner stops to serve the slots with the
+// first question, and answers with the kind Unavailable while requests with
+// their keys still run.
+type Handover struct {
+	Service string `json:"service"`
+	// To is the incarnation of the heir.
+	To string `json:"to"`
+	// Slots and Number ask the owner for a part.
+	Slots  []int `json:"slots,omitempty"`
+	Number int   `json:"number,omitempty"`
+	// Part gives one to the heir.
+	Part *hvkey.Part `json:"part,omitempty"`
+}
+
+// HandoverAck answers Handover.
+type HandoverAck struct {
+	// Part is the part that was asked for.
+	Part *hvkey.Part `json:"part,omitempty"`
+	// Done reports that the heir has all parts.
+	Done bool `json:"done,omitempty"`
 }
 
 // Start asks a side to run an attempt.
 type Start struct {
-	Task       hv.Task      `json:"task"`
-	Attempt    hv.Attempt   `json:"attempt"`
-	Shard      int          `json:"shard"`
-	Epoch      int64        `json:"epoch"`
+	Task    hv.Task    `json:"task"`
+	Attempt hv.Attempt `json:"attempt"`
+	Shard   int        `json:"shard"`
+	Epoch   int64      `json:"epoch"`
+	// Lease counts from the time at which the side sent the heartbeat with
+	// this sequence on this connection; 0 is the announcement. A start that is
+	// delayed on the way therefore never outlasts what the gate assumes.
+	Sequence   uint64       `json:"sequence"`
 	Lease      hv.Duration  `json:"lease"`
 	Commit     hv.Resources `json:"commit"`
 	Checkpoint string       `json:"checkpoint,omitempty"`
