--- a/hvcontrol/sides.go
+++ b/hvcontrol/sides.go
@@ -17,7 +17,6 @@
 	hvwire.Handle(c.Mux, hvwire.MethodPeer, c.servePeer)
 	hvwire.Handle(c.Mux, hvwire.MethodConfirm, c.serveConfirm)
 	hvwire.Handle(c.Mux, hvwire.MethodFetch, c.serveFetch)
-	hvwire.Handle(c.Mux, hvwire.MethodRelease, c.serveRelease)
 }
 
 func (c *Control) serveAnnounce(_ context.Context, conn *hvwire.Conn, a hvwire.Announce) (hvwire.AnnounceAck, error) {
--- a/hvcontrol/slots.go
+++ b/hvcontrol/slots.go
@@ -130,13 +130,3 @@
 	c.changed[service] = sideSet{names: names, since: now}
 	return false
 }
-
-// serveRelease records that a side has handed its key slots over. It answers
-// when the record was read back, after which the side may stop.
-func (c *Control) serveRelease(ctx context.Context, _ *hvwire.Conn, r hvwire.Release) (hvwire.Ack, error) {
-	body := hvkey.Release{Service: r.Service, From: r.From, Slots: r.Slots, Heir: r.Heir}
-	if _, err := c.keys.append(ctx, hvkey.KindRelease, body, true); err != nil {
-		return hvwire.Ack{}, err
-	}
-	return hvwire.Ack{OK: true}, nil
-}
--- a/hvwire/messages.go
+++ b/hvwire/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvkey"
 )
 
 // Methods of the protocol between gates and sides.
@@ -19,7 +20,6 @@
 	MethodConfirm  = "confirm"
 	MethodFetch    = "fetch"
 	MethodHandover = "handover"
-	MethodRelease  = "release"
 	MethodDrain    = "drain"
 )
 
@@ -59,6 +59,9 @@
 	Slowdown float64   `json:"slowdown,omitempty"`
 	Version  hv.Offset `json:"version"`
 	Leaving  bool      `json:"leaving,omitempty"`
+	// Released lists key slots that the gate confirms but the side has stopped
+	// to serve, after a handover that did not reach the log. They need an owner.
+	Released []int `json:"released,omitempty"`
 }
 
 // AttemptState is the state of one attempt in a heartbeat.
@@ -147,6 +150,32 @@
 type Settle struct {
 	ID  string `json:"id"`
 	Key string `json:"key,omitempty"`
+	// Age is the time since the gate sent the request.
+	Age hv.Duration `json:"age,omitempty"`
+}
+
+// Handover moves the memory of key slots through a gate, in parts: the gate
+// asks the owner for parts until it has them all, gives each to the heir, and
+// then appends the release record. The owner stops to serve the slots with the
+// first question, and answers with the kind Unavailable while requests with
+// their keys still run.
+type Handover struct {
+	Service string `json:"service"`
+	// To is the incarnation of the heir.
+	To string `json:"to"`
+	// Slots and Number ask the owner for a part.
+	Slots  []int `json:"slots,omitempty"`
+	Number int   `json:"number,omitempty"`
+	// Part gives one to the heir.
+	Part *hvkey.Part `json:"part,omitempty"`
+}
+
+// HandoverAck answers Handover.
+type HandoverAck struct {
+	// Part is the part that was asked for.
+	Part *hvkey.Part `json:"part,omitempty"`
+	// Done reports that the heir has all parts.
+	Done bool `json:"done,omitempty"`
 }
 
 // Start asks a side to run an attempt.
@@ -155,9 +184,10 @@
 	Attempt hv.Attempt `json:"attempt"`
 	Shard   int        `json:"shard"`
 	Epoch   int64      `json:"epoch"`
-	// Lease counts from the send time of the heartbeat Beat that the side sent
-	// to the same gate. Counted from the receipt of this message, a delayed
-	// start would run longer than its owner knows.
+	// Lease counts from the time at which the side sent the heartbeat with the
+	// sequence Beat on this connection; 0 is the announcement. Counted from the
+	// receipt of this message, a delayed start would run longer than its owner
+	// knows.
 	Lease      hv.Duration  `json:"lease"`
 	Beat       uint64       `json:"beat"`
 	Commit     hv.Resources `json:"commit"`
@@ -238,16 +268,6 @@
 	Epoch     int64 `json:"epoch"`
 }
 
-// Release tells a gate that a side serves key slots no more. The gate answers
-// when the log shows it.
-type Release struct {
-	Service string `json:"service"`
-	From    string `json:"from"`
-	Slots   []int  `json:"slots"`
-	// Heir is the incarnation that has all of the memory, or empty.
-	Heir string `json:"heir,omitempty"`
-}
-
 // Drain asks a side to take no new work.
 type Drain struct {
 	Host string `json:"host"`
