--- a/hvcontrol/slots.go
+++ b/hvcontrol/slots.go
@@ -73,7 +73,9 @@
 	return ok && c.Clock.Now().Sub(since) >= limits.Lease.Std()+limits.Margin.Std()
 }
 
-// assignSlots moves the slots of lost sides to the others.
+// assignSlots gives the slots of lost and leaving sides to the others. The
+// first gate by name does it; two gates that both believe to be the first do
+// no harm, because a move is valid only if it names the current owner.
 func (c *Control) assignSlots(ctx context.Context) {
 	every(ctx, assignInterval, func() {
 		if !c.member() || !c.first() || !c.view.Reachable() || !c.keys.follower.Status().Live {
@@ -81,9 +83,15 @@
 		}
 		services := map[string][]string{}
 		for _, s := range c.Members.Alive() {
-			if s.Service != "" && s.Left.IsZero() && !s.Beat.Leaving {
-				services[s.Service] = append(services[s.Service], s.Incarnation)
+			c.dropReleased(ctx, s)
+			if s.Service == "" {
+				continue
 			}
+			live := services[s.Service]
+			if !leaves(s) {
+				live = append(live, s.Incarnation)
+			}
+			services[s.Service] = live
 		}
 		for service, live := range services {
 			c.assign(ctx, service, live)
@@ -91,26 +99,71 @@
 	})
 }
 
+func leaves(s hvmember.Side) bool { return !s.Left.IsZero() || s.Beat.Leaving }
+
+// assign moves the slots of one service. A move away from a side that is alive
+// follows a handover of its memory, because the new owner answers unknown to
+// every key that it cannot know about.
 func (c *Control) assign(ctx context.Context, service string, live []string) {
-	if !c.stable(service, live) {
-		return
-	}
+	stable := c.stable(service, live)
 	body := hvkey.Moves{Service: service}
+	handovers := map[[2]string][]int{}
 	for _, m := range hvkey.Assign(c.table.Slots(service), live) {
-		// A move away from a live side waits until that side has released the
-		// slot, because a new owner does not know the keys that ran before.
-		if _, ok := c.Members.Find(m.From); m.From != "" && ok {
-			continue
+		from, alive := c.Members.Find(m.From)
+		switch {
+		case m.From != "" && alive && (stable || leaves(from)):
+			pair := [2]string{m.From, m.To}
+			handovers[pair] = append(handovers[pair], m.Slot)
+		case stable && !alive:
+			body.Moves = append(body.Moves, m)
 		}
-		body.Moves = append(body.Moves, m)
 	}
-	if len(body.Moves) == 0 {
+	if len(body.Moves) > 0 {
+		c.appendKeys(ctx, service, hvkey.KindMove, body)
+	}
+	for pair, slots := range handovers {
+		c.handOver(ctx, service, pair[0], pair[1], slots)
+	}
+}
+
+// handOver carries the memory of key slots from their owner to an heir and
+// records that the owner serves them no more.
+func (c *Control) handOver(ctx context.Context, service, from, to string, slots []int) {
+	owner, ok := c.Members.Find(from)
+	heir, alive := c.Members.Find(to)
+	if !ok || !alive {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	if _, err := c.keys.append(ctx, hvkey.KindMove, body, true); err != nil {
-		_ = c.Logger.Log("msg", "key slots were not assigned", "service", service, "err", err)
+	for number, done := 0, false; !done; number++ {
+		var part, imported hvwire.HandoverAck
+		err := owner.Conn.Call(ctx, hvwire.MethodHandover, hvwire.Handover{Service: service, To: to, Slots: slots, Number: number}, &part)
+		if err == nil && part.Part != nil {
+			err = heir.Conn.Call(ctx, hvwire.MethodHandover, hvwire.Handover{Service: service, To: to, Part: part.Part}, &imported)
+		}
+		if err != nil || part.Part == nil {
+			_ = c.Logger.Log("msg", "key slots were not handed over", "service", service, "host", owner.Host.Name, "err", err)
+			return
+		}
+		done = imported.Done || part.Part.Part+1 >= part.Part.Parts
+	}
+	c.appendKeys(ctx, service, hvkey.KindRelease, hvkey.Release{Service: service, From: from, Slots: slots, Heir: to})
+}
+
+// dropReleased frees slots whose handover did not reach the log. Their memory
+// is lost to the next owner.
+func (c *Control) dropReleased(ctx context.Context, s hvmember.Side) {
+	if len(s.Beat.Released) > 0 {
+		c.appendKeys(ctx, s.Service, hvkey.KindRelease, hvkey.Release{Service: s.Service, From: s.Incarnation, Slots: s.Beat.Released})
+	}
+}
+
+func (c *Control) appendKeys(ctx context.Context, service, kind string, body any) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	if _, err := c.keys.append(ctx, kind, body, true); err != nil {
+		_ = c.Logger.Log("msg", "key slots were not changed", "service", service, "kind", kind, "err", err)
 	}
 }
 
--- a/hvquorum/peers.go
+++ b/hvquorum/peers.go
@@ -75,11 +75,23 @@
 			times = append(times, since)
 		}
 	}
-	if len(times) < t.majority() {
+	if len(times) < t.blocking() {
 		return time.Time{}, false
 	}
 	slices.SortFunc(times, time.Time.Compare)
-	return times[t.majority()-1], true
+	return times[t.blocking()-1], true
+}
+
+// blocking is the number of gates without which no majority can be formed. It
+// is a majority, which also intersects with the majorities of the lists before
+// and after a change of one gate. With two gates one is enough: every round of
+// the other one needs its answer, and otherwise the loss of one gate would
+// keep tasks from being placed again until it returns.
+func (t *Tracker) blocking() int {
+	if len(t.gates) == 2 {
+		return 1
+	}
+	return t.majority()
 }
 
 func (t *Tracker) acked(gate, name string, epoch int64) (time.Time, bool) {
