--- a/hvlog/follower_test.go
+++ b/hvlog/follower_test.go
@@ -236,6 +236,8 @@
 		b := start(cut, "b", nil)
 		defer b.stop()
 		must(t, a, "1")
+		// The other reader has its own pace and must have read the record too.
+		time.Sleep(2 * time.Second)
 		cut.off.Store(true)
 		time.Sleep(2 * time.Second)
 		must(t, a, "2")
