--- a/cmd/hvgate/gate.go
+++ b/cmd/hvgate/gate.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
@@ -20,6 +21,7 @@
 	"hibiscusvane.example/hibiscusvane/hvhealth"
 	"hibiscusvane.example/hibiscusvane/hvhttp"
 	"hibiscusvane.example/hibiscusvane/hvlog"
+	"hibiscusvane.example/hibiscusvane/hvlogger"
 	"hibiscusvane.example/hibiscusvane/hvmember"
 	"hibiscusvane.example/hibiscusvane/hvmetric"
 	"hibiscusvane.example/hibiscusvane/hvplace"
@@ -42,6 +44,7 @@
 type gate struct {
 	conf    config
 	clock   hv.Clock
+	logs    *hvlogger.Root
 	logger  log.Logger
 	metric  *hvmetric.Registry
 	members *hvmember.Table
@@ -53,8 +56,10 @@
 	mux     hvwire.Mux
 }
 
-func newGate(conf config, logger log.Logger) *gate {
-	g := &gate{conf: conf, clock: hv.SystemClock{}, logger: logger, metric: hvmetric.New(maxCallers), mux: hvwire.Mux{}}
+func newGate(conf config, logs *hvlogger.Root) *gate {
+	g := &gate{
+		conf: conf, clock: hv.SystemClock{}, logs: logs, logger: logs.Part("gate"), metric: hvmetric.New(maxCallers), mux: hvwire.Mux{},
+	}
 	g.members = hvmember.New(g.clock)
 	g.admit = hvadmit.New(g.clock, hvadmit.DefaultSettings(), g.violation)
 	g.placer = hvplace.New(hvplace.Options{
@@ -69,13 +74,13 @@
 		hvcontrol.Deps{
 			Log: hvlog.NewClient(conf.Log, logClient()), Clock: g.clock, Members: g.members, Placer: g.placer,
 			Health: hvhealth.New(hvhealth.Options{Fleet: func() int { return len(g.members.Alive()) }}),
-			Logger: logger, Mux: g.mux, Violations: g.violation, Applied: g.apply,
+			Logger: logs.Part("control"), Mux: g.mux, Violations: g.violation, Applied: g.apply,
 		})
 	g.run = hvdispatch.New(hvdispatch.Deps{
 		Members: g.members, Admit: g.admit,
 		Pick:   hvroute.New(conf.Zone, g.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		Budget: hvretry.New(), Keys: g.control, Clock: g.clock, Metric: g.metric,
-		Logger: log.With(logger, "part", "run"), Violations: g.violation,
+		Logger: logs.Part("run"), Violations: g.violation,
 	})
 	return g
 }
@@ -90,12 +95,15 @@
 // violation counts and logs the violation of an invariant.
 func (g *gate) violation(invariant int, message string) {
 	g.metric.Violation(invariant, message)
-	_ = g.logger.Log("level", "error", "msg", "invariant violated", "invariant", invariant, "detail", message)
+	_ = level.Error(g.logger).Log("msg", "invariant violated", "invariant", invariant, "detail", message)
 }
 
 // apply puts a version of the settings into force.
 func (g *gate) apply(v hvconf.Version) {
 	g.metric.Set("hv_settings_version", int64(v.Number))
+	if err := g.logs.SetLevel(v.Settings.Logs.Level); err != nil {
+		_ = level.Error(g.logger).Log("msg", "level of the logs is unchanged", "err", err)
+	}
 	g.auth.set(v.Settings)
 	g.admit.Set(admitSettings(v.Settings))
 	g.placer.SetPrefer(hv.Prefer(v.Settings.Policy.Prefer))
--- a/cmd/hvgate/main.go
+++ b/cmd/hvgate/main.go
@@ -9,8 +9,9 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/go-kit/log"
 	"github.com/jessevdk/go-flags"
+
+	"hibiscusvane.example/hibiscusvane/hvlogger"
 )
 
 // version is set by the build.
@@ -42,7 +43,8 @@
 		fmt.Println(version)
 		return exitOK
 	}
-	logger := log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "part", "gate")
+	logs := hvlogger.New(os.Stderr)
+	logger := logs.Part("gate")
 	conf, err := readConfig(opts.Config)
 	if err != nil {
 		_ = logger.Log("msg", "settings are invalid", "err", err)
@@ -50,7 +52,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := newGate(conf, logger).serve(ctx); err != nil {
+	if err := newGate(conf, logs).serve(ctx); err != nil {
 		_ = logger.Log("msg", "gate failed", "err", err)
 		return exitFailure
 	}
--- a/hvcontrol/control.go
+++ b/hvcontrol/control.go
@@ -88,7 +88,7 @@
 	c.newStreams()
 	c.newOwners(limits)
 	c.peers = hvpeer.New(hvpeer.Deps{
-		Clock: deps.Clock, Logger: log.With(deps.Logger, "part", "peer"), Mux: deps.Mux, Self: c.self, Heard: c.heard,
+		Clock: deps.Clock, Logger: deps.Logger, Mux: deps.Mux, Self: c.self, Heard: c.heard,
 	})
 	c.peers.SetAddresses(conf.Gates)
 	c.register()
--- a/hvcontrol/streams.go
+++ b/hvcontrol/streams.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-kit/log"
 
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvconf"
@@ -53,7 +52,7 @@
 }
 
 func (c *Control) newStream(name, full, snapshot string, applier hvlog.Applier, may func() bool) *stream {
-	logger := log.With(c.Logger, "part", "log")
+	logger := c.Logger
 	f := hvlog.NewFollower(hvlog.FollowerConfig{
 		Stream: full, Log: c.Log, Clock: c.Clock, Applier: applier, Jitter: rand.Float64, Logger: logger,
 		Fetch: func(ctx context.Context, after hv.Offset) ([]byte, error) { return c.fetch(ctx, name, after) },
--- a/hvlog/deliver.go
+++ b/hvlog/deliver.go
@@ -50,7 +50,7 @@
 		d.uncertain = true
 		return w.readBack(ctx, d)
 	}
-	_ = w.cfg.Logger.Log("part", "log", "stream", w.cfg.Stream, "id", d.rec.ID, "msg", "append failed", "err", err)
+	_ = w.cfg.Logger.Log("stream", w.cfg.Stream, "id", d.rec.ID, "msg", "append failed", "err", err)
 	switch kind := hv.KindOf(err); {
 	case kind == hv.Invalid && !d.uncertain:
 		endAll(d.batch, err)
--- a/hvlog/follower.go
+++ b/hvlog/follower.go
@@ -107,13 +107,19 @@
 	for ctx.Err() == nil {
 		err := f.step(ctx)
 		if err == nil {
+			if failures > 0 {
+				_ = f.cfg.Logger.Log("stream", f.cfg.Stream, "msg", "reads work again", "failures", failures)
+			}
 			failures = 0
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		_ = f.cfg.Logger.Log("part", "log", "stream", f.cfg.Stream, "msg", "read failed", "err", err)
+		// An outage is one line at its start and one at its end.
+		if failures == 0 {
+			_ = f.cfg.Logger.Log("stream", f.cfg.Stream, "msg", "read failed", "err", err)
+		}
 		f.Sync(ctx)
 		pause(ctx, backoff(failures, f.cfg.Jitter))
 		failures++
--- a/hvlog/restore.go
+++ b/hvlog/restore.go
@@ -32,7 +32,7 @@
 	}
 	im, err := decodeImage(body)
 	if err != nil {
-		_ = f.cfg.Logger.Log("part", "log", "stream", f.cfg.Stream, "msg", "answer of peer refused", "err", err)
+		_ = f.cfg.Logger.Log("stream", f.cfg.Stream, "msg", "answer of peer refused", "err", err)
 		return false
 	}
 	f.work.Lock()
@@ -61,7 +61,7 @@
 		return false
 	}
 	if err := f.cfg.Applier.Restore(im.State, im.Asof); err != nil {
-		_ = f.cfg.Logger.Log("part", "log", "stream", f.cfg.Stream, "msg", "snapshot refused", "asof", im.Asof, "err", err)
+		_ = f.cfg.Logger.Log("stream", f.cfg.Stream, "msg", "snapshot refused", "asof", im.Asof, "err", err)
 		return false
 	}
 	f.mu.Lock()
--- a/hvlog/schedule.go
+++ b/hvlog/schedule.go
@@ -74,7 +74,7 @@
 			continue
 		}
 		if err := s.write(ctx, f); err != nil && ctx.Err() == nil {
-			_ = s.logger.Log("part", "log", "stream", s.writer.cfg.Stream, "msg", "snapshot not written", "err", err)
+			_ = s.logger.Log("stream", s.writer.cfg.Stream, "msg", "snapshot not written", "err", err)
 		}
 	}
 }
--- /dev/null
+++ b/hvlogger/logger_test.go
@@ -0,0 +1,27 @@
+package hvlogger
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/go-kit/log/level"
+)
+
+// Guards against a level setting without effect on parts that exist already.
+func TestSetLevelAppliesToExistingParts(t *testing.T) {
+	var b bytes.Buffer
+	r := New(&b)
+	part := r.Part("gate")
+	_ = level.Debug(part).Log("msg", "first")
+	if err := r.SetLevel("debug"); err != nil {
+		t.Fatal(err)
+	}
+	_ = level.Debug(part).Log("msg", "second")
+	if got := b.String(); strings.Contains(got, "first") || !strings.Contains(got, "part=gate level=debug msg=second") {
+		t.Errorf("log = %q, want only the second line with its part and level", got)
+	}
+	if err := r.SetLevel("loud"); err == nil || !strings.Contains(err.Error(), "loud") {
+		t.Errorf("error = %v, want one that names the level", err)
+	}
+}
--- a/hvpeer/link.go
+++ b/hvpeer/link.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"hibiscusvane.example/hibiscusvane/hvwire"
 )
 
@@ -26,7 +28,7 @@
 func (l *link) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := l.connect(ctx); err != nil && ctx.Err() == nil {
-			_ = l.peers.deps.Logger.Log("level", "debug", "msg", "connection to peer ended", "address", l.addr, "err", err)
+			_ = level.Debug(l.peers.deps.Logger).Log("msg", "connection to peer ended", "address", l.addr, "err", err)
 		}
 		select {
 		case <-ctx.Done():
