--- /dev/null
+++ b/hvquorum/tracker_test.go
@@ -0,0 +1,134 @@
+package hvquorum
+
+import (
+	"testing"
+	"time"
+
+	"hibiscusvane.example/hibiscusvane/hvwire"
+)
+
+type fakeClock struct{ now time.Time }
+
+func (c *fakeClock) Now() time.Time { return c.now }
+
+func (c *fakeClock) add(d time.Duration) { c.now = c.now.Add(d) }
+
+const (
+	lease  = 10 * time.Second
+	margin = 500 * time.Millisecond
+)
+
+func trackers(c *fakeClock) map[string]*Tracker {
+	names := []string{"a", "b", "c"}
+	all := map[string]*Tracker{}
+	for _, name := range names {
+		all[name] = New(Config{Gate: name, Incarnation: name + "1", Lease: lease, Margin: margin}, c, names)
+	}
+	return all
+}
+
+func name(int) string { return "s" }
+
+// Guards against leases that outlast the confirmation of the view.
+func TestReadConfirms(t *testing.T) {
+	c := &fakeClock{now: time.Unix(1000, 0)}
+	a := trackers(c)["a"]
+	if _, ok := a.RenewUntil("s", 0); ok {
+		t.Fatal("confirmed before the first read")
+	}
+	start := c.now
+	c.add(3 * time.Second)
+	a.Learn("s", 4)
+	a.Read("s", start)
+	if until, ok := a.RenewUntil("s", 4); !ok || !until.Equal(start.Add(lease)) {
+		t.Fatalf("until %s, %t", until, ok)
+	}
+	if _, ok := a.RenewUntil("s", 3); ok {
+		t.Fatal("confirmed for an older epoch")
+	}
+	c.add(7 * time.Second)
+	if _, ok := a.RenewUntil("s", 4); ok {
+		t.Fatal("confirmed after the lease duration")
+	}
+}
+
+// Guards against rounds that confirm a view although one of the majority knows
+// a newer epoch, reaches the log or has not loaded the stream.
+func TestRound(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		prepare func(b *Tracker, c *fakeClock)
+		want    bool
+	}{
+		{"cut off like the asker", func(b *Tracker, c *fakeClock) { b.Read("s", c.now) }, true},
+		{"not loaded", func(*Tracker, *fakeClock) {}, false},
+		{"newer epoch read", func(b *Tracker, c *fakeClock) { b.Learn("s", 2); b.Read("s", c.now) }, false},
+		{"newer epoch heard", func(b *Tracker, c *fakeClock) {
+			b.Read("s", c.now)
+			b.Hear(hvwire.Peer{Name: "c", Epochs: []int64{2}, Keys: -1}, name)
+		}, false},
+		{"reaches the log", func(b *Tracker, c *fakeClock) { c.add(lease); b.Read("s", c.now) }, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := &fakeClock{now: time.Unix(1000, 0)}
+			all := trackers(c)
+			a, b := all["a"], all["b"]
+			a.Learn("s", 1)
+			a.Read("s", c.now)
+			test.prepare(b, c)
+			if test.name != "reaches the log" {
+				c.add(lease)
+			}
+			q := a.Begin("s")
+			a.Answer("s", "b", b.Confirm(q))
+			if _, ok := a.RenewUntil("s", 1); ok != test.want {
+				t.Fatalf("confirmed is %t", ok)
+			}
+			if _, ok := a.StartUntil("s", 1); ok {
+				t.Fatal("a round must not permit a start")
+			}
+		})
+	}
+}
+
+// Guards against a restarted gate that forgot a newer epoch and helps the
+// older owner to renew leases that the newer one counts as lapsed.
+func TestLoadedFromPeer(t *testing.T) {
+	c := &fakeClock{now: time.Unix(1000, 0)}
+	b := trackers(c)["b"]
+	b.LoadedFromPeer("s")
+	c.add(lease + margin - 1)
+	if b.Confirm(hvwire.Confirm{Stream: "s"}).Loaded {
+		t.Fatal("answers before the leases have lapsed")
+	}
+	c.add(1)
+	if !b.Confirm(hvwire.Confirm{Stream: "s"}).Loaded {
+		t.Fatal("does not answer after the leases have lapsed")
+	}
+}
+
+// Guards against a majority that is counted too early or from a gate that has
+// since forgotten the epoch.
+func TestAcknowledged(t *testing.T) {
+	c := &fakeClock{now: time.Unix(1000, 0)}
+	a := trackers(c)["a"]
+	a.Learn("s", 2)
+	c.add(time.Second)
+	a.Hear(hvwire.Peer{Name: "b", Incarnation: "b1", Epochs: []int64{1}, Keys: -1}, name)
+	a.Hear(hvwire.Peer{Name: "stranger", Epochs: []int64{2}, Keys: -1}, name)
+	if _, ok := a.Acknowledged("s", 2); ok {
+		t.Fatal("one gate of three is no majority")
+	}
+	c.add(time.Second)
+	want := c.now
+	a.Hear(hvwire.Peer{Name: "b", Incarnation: "b1", Epochs: []int64{2}, Keys: -1}, name)
+	c.add(time.Second)
+	a.Hear(hvwire.Peer{Name: "b", Incarnation: "b1", Epochs: []int64{2}, Keys: -1}, name)
+	if since, ok := a.Acknowledged("s", 2); !ok || !since.Equal(want) {
+		t.Fatalf("since %s, %t", since, ok)
+	}
+	a.Hear(hvwire.Peer{Name: "b", Incarnation: "b2", Keys: -1}, name)
+	if _, ok := a.Acknowledged("s", 2); ok {
+		t.Fatal("a restarted gate still counts")
+	}
+}
--- a/hvshard/batch.go
+++ b/hvshard/batch.go
@@ -73,6 +73,12 @@
 	}
 	o.pending[key] = true
 	o.waiting = append(o.waiting, &Ticket{op: op, key: key, owner: o})
+	switch op.Op {
+	case hvtask.OpRefuse, hvtask.OpEnd, hvtask.OpEvict, hvtask.OpLose:
+		if a := o.attempts[op.Task]; a != nil && a.number == op.Number {
+			a.closed = true
+		}
+	}
 	return true
 }
 
--- a/hvshard/claim.go
+++ b/hvshard/claim.go
@@ -37,6 +37,10 @@
 	if o.missing.IsZero() {
 		o.missing = now
 	}
+	if current.Released {
+		// A gate releases because it leaves, which its heartbeat may not say yet.
+		live = slices.DeleteFunc(live, func(p hvquorum.Peer) bool { return p.Incarnation == current.Incarnation })
+	}
 	// A gate that is not the desired owner steps in when those before it do
 	// not claim, for example because they cannot reach the log.
 	rank := slices.Index(rendezvous(o.stream, live), o.config.Gate)
--- a/hvshard/owner.go
+++ b/hvshard/owner.go
@@ -65,6 +65,10 @@
 	// evict is the reason of a requested eviction, asked at evictAt.
 	evict   string
 	evictAt time.Time
+	// closed is set when the end of the attempt is on its way to the log. No
+	// start may follow: a host that returns at that moment would run the
+	// attempt beside the next one.
+	closed bool
 }
 
 // host is the last heartbeat of a host.
--- a/hvshard/start.go
+++ b/hvshard/start.go
@@ -20,7 +20,7 @@
 
 func (o *Owner) start(e hvtask.Entry, a *attempt, now time.Time) {
 	h := o.hosts[e.Hold.Host]
-	if o.silent(e.Hold.Host, now) || h.side != e.Hold.Side {
+	if a.closed || o.silent(e.Hold.Host, now) || h.side != e.Hold.Side {
 		if a.sent.IsZero() && e.Hold.Epoch == o.epoch {
 			o.emit(hvtask.Op{Op: hvtask.OpRefuse, Task: e.Task.ID, Number: a.number, Reason: "host " + e.Hold.Host + " went away before the start was sent"})
 		}
@@ -35,7 +35,7 @@
 	}
 	a.sent, a.until = now, latest(a.until, until)
 	o.Hosts.Start(e.Hold.Host, hvwire.Start{
-		Task: e.Task, Attempt: e.Attempt(), Shard: o.config.Shard, Epoch: o.epoch,
+		Task: e.Task, Attempt: e.Attempt(), Shard: o.config.Shard, Epoch: o.epoch, Side: h.side,
 		Lease: hv.Duration(lease), Beat: h.sequence, Commit: e.Task.Need, Checkpoint: e.Checkpoint,
 	})
 }
--- a/hvshard/sweep.go
+++ b/hvshard/sweep.go
@@ -42,7 +42,7 @@
 	case a.evict != "" && now.Sub(a.evictAt) < evictFor:
 		o.stop(e, true, a.evict)
 	case now.Sub(latest(a.since, latest(a.listed, a.sent))) < missingAfter:
-	case e.State == hvtask.Placed && a.listed.IsZero() && o.hosts[e.Hold.Host].side == e.Hold.Side:
+	case e.State == hvtask.Placed && a.listed.IsZero() && !a.closed && o.hosts[e.Hold.Host].side == e.Hold.Side:
 		// startPlaced repeats the start; the side process is the one that the
 		// placement named, so it knows whether it has seen the attempt before.
 	default:
--- a/hvtask/shard.go
+++ b/hvtask/shard.go
@@ -102,7 +102,7 @@
 	default:
 		// The incarnation is compared too: a record that carries a claim that
 		// came second in a race has the same epoch as the winner.
-		if ops.Epoch == s.epoch && ops.Owner == s.owner && !s.released {
+		if s.epoch > 0 && ops.Epoch == s.epoch && ops.Owner == s.owner && !s.released {
 			s.applyOwned(op)
 		}
 	}
--- a/hvwire/messages.go
+++ b/hvwire/messages.go
@@ -150,6 +150,9 @@
 	Attempt hv.Attempt `json:"attempt"`
 	Shard   int        `json:"shard"`
 	Epoch   int64      `json:"epoch"`
+	// Side is the incarnation that the attempt was placed on. Another one
+	// ignores the message: it cannot know whether the attempt has run before.
+	Side string `json:"side"`
 	// Lease counts from the send time of the heartbeat Beat that the side sent
 	// to the same gate. Counted from the receipt of this message, a delayed
 	// start would run longer than its owner knows.
