--- a/hvcontrol/streams.go
+++ b/hvcontrol/streams.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvconf"
 	"hibiscusvane.example/hibiscusvane/hvlog"
