--- a/cmd/hvctl/main.go
+++ b/cmd/hvctl/main.go
@@ -1,19 +1,20 @@
-// Command hvctl is described in README.md beside this file.
+// Command hvctl is the operator's tool; README.md beside this file lists its
+// verbs.
 package main
 
 import (
-	"fmt"
-
-	"github.com/jessevdk/go-flags"
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
 )
 
 // version is set by the build.
 var version = "dev"
 
 func main() {
-	var opts struct{}
-	if _, err := flags.Parse(&opts); err != nil {
-		fmt.Println(err)
-	}
-	fmt.Println(version)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
 }
--- /dev/null
+++ b/cmd/hvctl/status.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+)
+
+var statusVerb = verb{name: "status", usage: "Show the state of a gate and of what it knows", parse: parseStatus}
+
+func parseStatus(c *command) (work, error) {
+	_, cl, err := c.online(nil, 0, 0)
+	if err != nil {
+		return nil, err
+	}
+	return newDocument(cl, "/admin/status"), nil
+}
+
+// document prints what a gate answers to a read.
+type document struct {
+	client *client
+	path   string
+}
+
+func newDocument(cl *client, path string) *document { return &document{client: cl, path: path} }
+
+func (d *document) do(ctx context.Context, out io.Writer) error {
+	var v any
+	if err := d.client.get(ctx, d.path, &v); err != nil {
+		return err
+	}
+	fmt.Fprintln(out, indent(v))
+	return nil
+}
