Hold batch back earlier by the predicted slowdown

The services' load rises further while a task runs, so a limit near the target left the rest to the guard, which throttles a whole host and sees the effect 30 s late. Limits 0.9 to 0.8 (latency) and 1.1 to 0.9 (throughput).

--- a/hvplace/score.go
+++ b/hvplace/score.go
@@ -23,9 +23,9 @@
 
 func weightsOf(p hv.Prefer) weights {
 	if p == hv.Latency {
-		return weights{interference: 2, packing: 0.1, spread: 0.5, limit: 0.9, caution: 0.5}
+		return weights{interference: 2, packing: 0.1, spread: 0.5, limit: 0.8, caution: 0.5}
 	}
-	return weights{interference: 1, packing: 0.3, spread: 0.5, limit: 1.1, caution: 0}
+	return weights{interference: 1, packing: 0.3, spread: 0.5, limit: 0.9, caution: 0}
 }
 
 // batchSpread is the weight of spread for jobs relative to tasks that serve:
