Reserve less room for urgent tasks when throughput is preferred

One part in 16 of each host stayed free; 1 in 32 is half a core and 1.9 GB on the Foundation's hosts.

--- a/hvplace/placer.go
+++ b/hvplace/placer.go
@@ -168,10 +168,6 @@
 	}
 }
 
-// reservePart is the part of the largest host that jobs leave free on each
-// host, so that urgent tasks start within 5 s on a full fleet.
-const reservePart = 16
-
 // withReserve is what a host must have free for a task. A job that would fit
 // no host with the reserve goes without it.
 func (p *Placer) withReserve(t hv.Task) hv.Resources {
@@ -180,8 +176,8 @@
 	}
 	largest := p.capacities.maximal[0]
 	need := t.Need
-	need.Processors += largest.Processors / reservePart
-	need.Memory += largest.Memory / reservePart
+	need.Processors += largest.Processors / p.weights.reserve
+	need.Memory += largest.Memory / hv.Size(p.weights.reserve)
 	if !p.capacities.holds(need) {
 		return t.Need
 	}
--- a/hvplace/score.go
+++ b/hvplace/score.go
@@ -17,15 +17,19 @@
 	// limit is the predicted slowdown above which no further batch task is
 	// put beside a service; 1 is the service's target latency.
 	limit float64
+	// reserve is the part, as one in this many, of the largest host that jobs
+	// leave free on each host, so that urgent tasks start within 5 s on a full
+	// fleet.
+	reserve int64
 	// caution is the number of deviations that are added to a prediction.
 	caution float64
 }
 
 func weightsOf(p hv.Prefer) weights {
 	if p == hv.Latency {
-		return weights{interference: 2, packing: 0.1, spread: 0.5, limit: 0.8, caution: 0.5}
+		return weights{interference: 2, packing: 0.1, spread: 0.5, limit: 0.8, reserve: 16, caution: 0.5}
 	}
-	return weights{interference: 1, packing: 0.3, spread: 0.5, limit: 0.9, caution: 0}
+	return weights{interference: 1, packing: 0.3, spread: 0.5, limit: 0.9, reserve: 32, caution: 0}
 }
 
 // batchSpread is the weight of spread for jobs relative to tasks that serve:
