--- a/hvmeasure/arm.go
+++ b/hvmeasure/arm.go
@@ -25,7 +25,7 @@
 	suspect func(host string) bool
 	history *hvplace.History
 	guards  []hv.Guard
-	commit  func(hv.Task) hv.Resources
+	correct func(hv.Task) hv.Task
 }
 
 const queueLimit = 20000
@@ -34,7 +34,7 @@
 	a := &arm{
 		placer: hvplace.NewFirstFit(), queue: hvplace.NewFIFO(queueLimit), health: hvhealth.NewNone(),
 		suspect: func(string) bool { return false }, history: hvplace.NewHistory(),
-		commit: func(t hv.Task) hv.Resources { return t.Need },
+		correct: func(t hv.Task) hv.Task { return t },
 	}
 	for range hostCount {
 		a.guards = append(a.guards, hvguard.None{})
@@ -50,12 +50,7 @@
 		queue:  hvplace.NewQueue(history, queueLimit),
 		health: health, suspect: health.Suspect, history: history,
 	}
-	a.commit = func(t hv.Task) hv.Resources {
-		if c := history.Commit(t); c.Fits(d.Size) {
-			return c
-		}
-		return t.Need
-	}
+	a.correct = func(t hv.Task) hv.Task { return history.Correct(t, d.Size) }
 	for range hostCount {
 		a.guards = append(a.guards, hvguard.New(hvguard.Options{Prefer: d.Prefer, Settle: reportLag + reportEvery}))
 	}
--- a/hvmeasure/run.go
+++ b/hvmeasure/run.go
@@ -174,8 +174,7 @@
 		if j.ended {
 			continue
 		}
-		need := t.Need
-		t.Need = r.a.commit(t)
+		t = r.a.correct(t)
 		name, err := r.a.placer.Place(t, j.failedOn...)
 		switch {
 		case err == nil:
@@ -185,8 +184,7 @@
 			r.m["impossible found"]++
 		default:
 			full++
-			t.Need = need
-			back = append(back, t)
+			back = append(back, j.task)
 		}
 	}
 	r.a.queue.Return(back)
--- a/hvplace/estimate.go
+++ b/hvplace/estimate.go
@@ -130,3 +130,13 @@
 		Accelerators: t.Need.Accelerators,
 	}
 }
+
+// Correct returns a copy of a task with its corrected size and run time, for
+// placement. A size that no longer fits the largest host stays as declared.
+func (h *History) Correct(t hv.Task, largest hv.Resources) hv.Task {
+	t.Runtime = hv.Duration(h.Runtime(t))
+	if c := h.Commit(t); c.Fits(largest) {
+		t.Need = c
+	}
+	return t
+}
--- a/hvplace/score.go
+++ b/hvplace/score.go
@@ -82,7 +82,7 @@
 		before := p.predict(service, e)
 		after := before + cost
 		over := throttled || after > math.Log(p.weights.limit)
-		if over && e.batch > 0 && t.Kind == hv.Job && !t.Urgent && cost > harmless {
+		if over && e.batch > 0 && cost > harmless && t.Kind == hv.Job && !t.Urgent {
 			return 0, false
 		}
 		sum += math.Exp(min(after, 3)) - math.Exp(min(before, 3))
