Let the prior of a correction leave with observations

The four assumed factors stayed among 32 observations, so the 95% quantile was the assumed 2 even for a program that uses a quarter of its declared memory, and hosts stood half empty. TestEstimator fails without this.

--- a/hvplace/estimate.go
+++ b/hvplace/estimate.go
@@ -22,8 +22,11 @@
 )
 
 // priorFactors stand for a program of which little is known: its declaration
-// is right on average. They count less with each observation.
-var priorFactors = []float64{0.5, 1, 1, 2}
+// is right on average. One leaves for every fourth observation; while they
+// stay, a high quantile is one of them and not an observation.
+var priorFactors = []float64{1, 1, 0.5, 2}
+
+const observationsPerPrior = 4
 
 // Estimator corrects what callers declare by what earlier tasks of the same
 // program turned out to be.
@@ -80,7 +83,8 @@
 		return 1
 	}
 	if f.sorted == nil {
-		f.sorted = append(slices.Clone(f.recent), priorFactors...)
+		gone := min(len(f.recent)/observationsPerPrior, len(priorFactors))
+		f.sorted = append(slices.Clone(f.recent), priorFactors[:len(priorFactors)-gone]...)
 		slices.Sort(f.sorted)
 	}
 	i := int(quantile * float64(len(f.sorted)))
--- a/hvplace/queue_test.go
+++ b/hvplace/queue_test.go
@@ -90,7 +90,7 @@
 		for range 40 {
 			e.Observe("p", 10, c.actual)
 		}
-		if f := e.Factor("p", 0.75); f != c.want {
+		if f := e.Factor("p", 0.95); f != c.want {
 			t.Fatalf("factor is %v, want %v", f, c.want)
 		}
 	}
