Index the sides by service

A request copied and sorted every matching side after a scan of the whole table, so its cost grew with the hosts of other services.

--- a/hvdispatch/attempt.go
+++ b/hvdispatch/attempt.go
@@ -11,7 +11,7 @@
 )
 
 // attempt sends a request to one side and returns its outcome there.
-func (d *Dispatcher) attempt(ctx context.Context, p *pending, side hvmember.Side, req hv.Request) hv.Answer {
+func (d *Dispatcher) attempt(ctx context.Context, p *pending, side *hvmember.Side, req hv.Request) hv.Answer {
 	// Nothing has been written up to here, which no error of a call proves.
 	if reason := d.gone(side); reason != "" {
 		return notRun(req, reason, defaultRetry)
@@ -41,7 +41,7 @@
 }
 
 // gone says why a side that was chosen must not get the request after all.
-func (d *Dispatcher) gone(side hvmember.Side) string {
+func (d *Dispatcher) gone(side *hvmember.Side) string {
 	now, alive := d.deps.Members.Get(side.Host.Name)
 	switch {
 	case !alive || now.Conn != side.Conn || ended(side.Conn):
--- a/hvdispatch/choose.go
+++ b/hvdispatch/choose.go
@@ -11,7 +11,7 @@
 
 // choose returns the side for the next dispatch, or the reason why there is
 // none.
-func (d *Dispatcher) choose(req hv.Request, tried []string) (side hvmember.Side, reason string) {
+func (d *Dispatcher) choose(req hv.Request, tried []string) (side *hvmember.Side, reason string) {
 	sides := d.deps.Members.Usable(req.Service)
 	if req.Key != "" && !req.Idempotent {
 		return d.owner(req, sides, tried)
@@ -19,38 +19,39 @@
 	targets := hvretry.Untried(d.targets(sides), tried)
 	i := d.deps.Pick.Pick(req.Service, targets)
 	if i < 0 {
-		return side, "no upstream of service " + req.Service + " is usable"
+		return nil, "no upstream of service " + req.Service + " is usable"
 	}
 	return find(sides, targets[i].Host), ""
 }
 
 // owner returns the side that owns the key. Any other side could run a request
 // again that the owner has already run.
-func (d *Dispatcher) owner(req hv.Request, sides []hvmember.Side, tried []string) (side hvmember.Side, reason string) {
+func (d *Dispatcher) owner(req hv.Request, sides []*hvmember.Side, tried []string) (side *hvmember.Side, reason string) {
 	if d.deps.Keys == nil {
-		return side, "the table of key slots is not loaded"
+		return nil, "the table of key slots is not loaded"
 	}
 	host, ok := d.deps.Keys.Owner(req.Service, req.Key)
 	if !ok {
-		return side, "the slot of the idempotency key has no owner"
+		return nil, "the slot of the idempotency key has no owner"
 	}
 	side = find(sides, host)
-	if side.Conn == nil || slices.Contains(tried, host) {
-		return side, "the owner of the idempotency key takes no work now"
+	if side == nil || slices.Contains(tried, host) {
+		return nil, "the owner of the idempotency key takes no work now"
 	}
 	return side, ""
 }
 
-func find(sides []hvmember.Side, host string) hvmember.Side {
+// find returns nil for a host that is not among the sides.
+func find(sides []*hvmember.Side, host string) *hvmember.Side {
 	for _, s := range sides {
 		if s.Host.Name == host {
 			return s
 		}
 	}
-	return hvmember.Side{}
+	return nil
 }
 
-func (d *Dispatcher) targets(sides []hvmember.Side) []hv.Target {
+func (d *Dispatcher) targets(sides []*hvmember.Side) []hv.Target {
 	targets := make([]hv.Target, len(sides))
 	for i, s := range sides {
 		targets[i] = hv.Target{
--- a/hvdispatch/dispatch.go
+++ b/hvdispatch/dispatch.go
@@ -20,7 +20,7 @@
 
 // Members is the view of the sides; *hvmember.Table implements it.
 type Members interface {
-	Usable(service string) []hvmember.Side
+	Usable(service string) []*hvmember.Side
 	Get(host string) (side hvmember.Side, alive bool)
 	Failed(host, incarnation string)
 }
--- a/hvdispatch/limits.go
+++ b/hvdispatch/limits.go
@@ -19,7 +19,7 @@
 // it.
 type Fleet interface {
 	Alive() []hvmember.Side
-	Usable(service string) []hvmember.Side
+	Usable(service string) []*hvmember.Side
 }
 
 // Limits keeps the admission limits in step with the live slots.
--- a/hvdispatch/settle.go
+++ b/hvdispatch/settle.go
@@ -20,7 +20,7 @@
 // settle asks the side what became of a request that was sent; got is what
 // came back, if anything. It goes on after the caller has left, because the
 // request must not start any more and its outcome is counted.
-func (d *Dispatcher) settle(ctx context.Context, side hvmember.Side, req hv.Request, got hv.Answer, cause error) hv.Answer {
+func (d *Dispatcher) settle(ctx context.Context, side *hvmember.Side, req hv.Request, got hv.Answer, cause error) hv.Answer {
 	if ctx.Err() == nil {
 		d.deps.Members.Failed(side.Host.Name, side.Incarnation)
 	}
@@ -48,7 +48,7 @@
 
 // ask sends settle on the connection of the request, or on a later one of the
 // same side process. Another incarnation can't know the request.
-func (d *Dispatcher) ask(ctx context.Context, side hvmember.Side, req hv.Request) (hv.Answer, error) {
+func (d *Dispatcher) ask(ctx context.Context, side *hvmember.Side, req hv.Request) (hv.Answer, error) {
 	tick := time.NewTicker(settleInterval)
 	defer tick.Stop()
 	conn := side.Conn
--- a/hvmember/events.go
+++ b/hvmember/events.go
@@ -59,7 +59,9 @@
 		e.Beat, left = hvwire.Beat{}, time.Time{}
 	}
 	t.hosts[a.Incarnation] = a.Host.Name
-	e.Announce, e.Conn, e.Seen, e.Left, e.lost, e.failed = a, c, now, left, false, 0
+	t.index.remove(e)
+	e.Announce, e.Conn, e.Seen, e.Left, e.lost, e.failed, e.view = a, c, now, left, false, 0, nil
+	t.index.add(e)
 	if a.Leaving {
 		e.leave(now)
 	}
@@ -68,7 +70,7 @@
 // leave is final for an incarnation, so a late message can't undo it.
 func (e *entry) leave(now time.Time) {
 	if e.Left.IsZero() {
-		e.Left = now
+		e.Left, e.view = now, nil
 	}
 }
 
@@ -85,7 +87,7 @@
 		return nil
 	}
 	now := t.clock.Now()
-	e.Beat, e.Seen, e.failed = b, now, 0
+	e.Beat, e.Seen, e.failed, e.view = b, now, 0, nil
 	if b.Leaving && e.Left.IsZero() {
 		e.leave(now)
 		t.notify()
@@ -133,6 +135,7 @@
 		if now.Sub(e.Seen) > forget {
 			delete(t.sides, host)
 			delete(t.hosts, e.Incarnation)
+			t.index.remove(e)
 		}
 	}
 }
--- /dev/null
+++ b/hvmember/index.go
@@ -0,0 +1,46 @@
+package hvmember
+
+import (
+	"slices"
+	"strings"
+)
+
+// index holds the entries of each service in the order of their hosts, so that
+// a request does not scan the hosts of other services.
+type index map[string][]*entry
+
+func place(list []*entry, host string) (int, bool) {
+	return slices.BinarySearchFunc(list, host, func(e *entry, host string) int {
+		return strings.Compare(e.Host.Name, host)
+	})
+}
+
+// add inserts an entry that is not in the index.
+func (x index) add(e *entry) {
+	i, _ := place(x[e.Service], e.Host.Name)
+	x[e.Service] = slices.Insert(x[e.Service], i, e)
+}
+
+// remove must be called before the host or the service of the entry changes.
+func (x index) remove(e *entry) {
+	list := x[e.Service]
+	i, ok := place(list, e.Host.Name)
+	if !ok {
+		return
+	}
+	if list = slices.Delete(list, i, i+1); len(list) == 0 {
+		delete(x, e.Service)
+		return
+	}
+	x[e.Service] = list
+}
+
+// snapshot returns a copy of the side that never changes. It is shared by all
+// requests until the next change.
+func (e *entry) snapshot() *Side {
+	if e.view == nil {
+		side := e.Side
+		e.view = &side
+	}
+	return e.view
+}
--- a/hvmember/table.go
+++ b/hvmember/table.go
@@ -69,6 +69,8 @@
 
 type entry struct {
 	Side
+	// view is the snapshot of Side for requests, nil after a change.
+	view    *Side
 	lost    bool
 	failed  int
 	retired []string
@@ -80,6 +82,7 @@
 
 	mu      sync.Mutex
 	sides   map[string]*entry
+	index   index
 	hosts   map[string]string
 	gates   map[string]gate
 	changed chan struct{}
@@ -88,7 +91,7 @@
 // New returns an empty table.
 func New(clock hv.Clock) *Table {
 	return &Table{
-		clock: clock, sides: map[string]*entry{}, hosts: map[string]string{},
+		clock: clock, sides: map[string]*entry{}, index: index{}, hosts: map[string]string{},
 		gates: map[string]gate{}, changed: make(chan struct{}, 1),
 	}
 }
@@ -115,8 +118,19 @@
 }
 
 // Usable returns the sides of a service that take new work, sorted by host.
-func (t *Table) Usable(service string) []Side {
-	return t.filter(func(e *entry, now time.Time) bool { return e.Service == service && e.usable(now) })
+// The sides are shared and must not be changed.
+func (t *Table) Usable(service string) []*Side {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	entries := t.index[service]
+	list := make([]*Side, 0, len(entries))
+	for _, e := range entries {
+		if e.usable(now) {
+			list = append(list, e.snapshot())
+		}
+	}
+	return list
 }
 
 // Alive returns all sides that are there, including leaving ones.
@@ -135,7 +149,9 @@
 
 // Known reports whether any side of a service is in the table, usable or not.
 func (t *Table) Known(service string) bool {
-	return len(t.filter(func(e *entry, _ time.Time) bool { return e.Service == service })) > 0
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.index[service]) > 0
 }
 
 func (t *Table) filter(keep func(*entry, time.Time) bool) []Side {
