--- a/hvshard/place.go
+++ b/hvshard/place.go
@@ -105,7 +105,7 @@
 			return o.later(e, w, "the quota of team "+t.Team+" is in use", now)
 		}
 	}
-	name, err := o.Placer.Place(t)
+	name, err := o.Placer.Place(t, e.Hosts...)
 	switch {
 	case err != nil && hv.KindOf(err) == hv.NotFound:
 		return o.misfit(e, w, "no host can hold the task", now)
