--- a/cmd/hvgate/gate.go
+++ b/cmd/hvgate/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -54,6 +55,8 @@
 	run     *hvdispatch.Dispatcher
 	auth    *auth
 	mux     hvwire.Mux
+	// logTraffic counts the bytes to and from the log service.
+	logTraffic traffic
 }
 
 func newGate(conf config, logs *hvlogger.Root) *gate {
@@ -72,7 +75,7 @@
 			Address: conf.Internal, Gates: conf.Gates,
 		},
 		hvcontrol.Deps{
-			Log: hvlog.NewClient(conf.Log, logClient()), Clock: g.clock, Members: g.members, Placer: g.placer,
+			Log: hvlog.NewClient(conf.Log, logClient(&g.logTraffic)), Clock: g.clock, Members: g.members, Placer: g.placer,
 			Health: hvhealth.New(hvhealth.Options{Fleet: func() int { return len(g.members.Alive()) }}),
 			Logger: logs.Part("control"), Mux: g.mux, Violations: g.violation, Applied: g.apply,
 		})
@@ -85,10 +88,12 @@
 	return g
 }
 
-func logClient() *http.Client {
+func logClient(t *traffic) *http.Client {
 	return &http.Client{
-		Timeout:   logTimeout,
-		Transport: &http.Transport{MaxIdleConnsPerHost: logConnections, MaxConnsPerHost: logConnections},
+		Timeout: logTimeout,
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: logConnections, MaxConnsPerHost: logConnections, DialContext: t.dial,
+		},
 	}
 }
 
@@ -156,10 +161,22 @@
 	hvhttp.Run{Auth: g.auth.caller, Runner: g.run, NewID: newID, Deadline: g.deadline}.Register(mux)
 	hvhttp.Tasks{Auth: g.auth.caller, Jobs: g.control, NewID: newID}.Register(mux)
 	hvhttp.Operators{Auth: g.auth.operator, Admin: g.control.Admin()}.Register(mux)
-	hvhttp.Health{Ready: g.control.Ready, Metrics: g.metric.Write}.Register(mux)
+	hvhttp.Health{Ready: g.control.Ready, Metrics: g.writeMetrics}.Register(mux)
 	return mux
 }
 
 func (g *gate) deadline(c hv.Class) time.Duration {
 	return g.control.Current().Settings.Classes[c].Deadline.Std()
 }
+
+// writeMetrics brings the gauges up to date and writes all series.
+func (g *gate) writeMetrics(w io.Writer) error {
+	out, in := hvwire.Traffic()
+	g.metric.Set("hv_wire_sent_bytes", out)
+	g.metric.Set("hv_wire_received_bytes", in)
+	g.metric.Set("hv_log_sent_bytes", g.logTraffic.sent.Load())
+	g.metric.Set("hv_log_received_bytes", g.logTraffic.received.Load())
+	g.metric.Set("hv_hosts", int64(len(g.members.Alive())))
+	g.metric.Set("hv_shards_owned", int64(g.control.Owned()))
+	return g.metric.Write(w)
+}
--- a/hvcontrol/control.go
+++ b/hvcontrol/control.go
@@ -174,12 +174,13 @@
 		o.Leave()
 	}
 	end := time.Now().Add(releaseTimeout)
-	for time.Now().Before(end) && c.owned() > 0 {
+	for time.Now().Before(end) && c.Owned() > 0 {
 		time.Sleep(50 * time.Millisecond)
 	}
 }
 
-func (c *Control) owned() int {
+// Owned returns the number of shards that this gate owns.
+func (c *Control) Owned() int {
 	n := 0
 	for _, o := range c.owners {
 		if _, ok := o.Owns(); ok {
@@ -202,7 +203,7 @@
 	return nil
 }
 
-// Settings returns the version in force.
+// Current returns the version of the settings in force.
 func (c *Control) Current() hvconf.Version { return c.book.Current() }
 
 // every calls f at an interval until ctx ends.
--- a/hvwire/codec.go
+++ b/hvwire/codec.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -52,9 +53,24 @@
 
 type limitedConn struct{ net.Conn }
 
+// sent and received count the bytes of all connections of the process.
+var sent, received atomic.Int64
+
+// Traffic returns the bytes that the process has sent and received over all
+// its connections to gates and sides.
+func Traffic() (out, in int64) { return sent.Load(), received.Load() }
+
 func (c *limitedConn) Write(b []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	sent.Add(int64(n))
+	return n, err
+}
+
+func (c *limitedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	received.Add(int64(n))
+	return n, err
 }
