--- a/cmd/hvgate/gate.go
+++ b/cmd/hvgate/gate.go
@@ -103,6 +103,19 @@
 	_ = level.Error(g.logger).Log("msg", "invariant violated", "invariant", invariant, "detail", message)
 }
 
+// reload reads the local settings file again. The token and the addresses of
+// the gates to contact first can change; the other fields need a restart.
+func (g *gate) reload(path string) {
+	conf, err := readConfig(path)
+	if err != nil {
+		_ = level.Error(g.logger).Log("msg", "local settings are unchanged", "err", err)
+		return
+	}
+	g.auth.setLocal(conf.Token)
+	g.control.SetSeeds(conf.Gates)
+	_ = g.logger.Log("msg", "local settings were read again", "file", path)
+}
+
 // apply puts a version of the settings into force.
 func (g *gate) apply(v hvconf.Version) {
 	g.metric.Set("hv_settings_version", int64(v.Number))
--- a/cmd/hvgate/main.go
+++ b/cmd/hvgate/main.go
@@ -52,9 +52,26 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := newGate(conf, logs).serve(ctx); err != nil {
+	g := newGate(conf, logs)
+	go reloadOnHangup(ctx, opts.Config, g)
+	if err := g.serve(ctx); err != nil {
 		_ = logger.Log("msg", "gate failed", "err", err)
 		return exitFailure
 	}
 	return exitOK
 }
+
+// reloadOnHangup reads the local settings file again at each SIGHUP.
+func reloadOnHangup(ctx context.Context, path string, g *gate) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			g.reload(path)
+		}
+	}
+}
--- a/cmd/hvgate/settings.go
+++ b/cmd/hvgate/settings.go
@@ -15,12 +15,12 @@
 
 // auth maps tokens to callers and operators by the settings in force.
 type auth struct {
-	// local admits operators before the first publication.
-	local string
-
 	mu      sync.RWMutex
 	callers *hvhttp.Tokens
 	admin   *hvhttp.Tokens
+	// published admits operators; while it is empty, local does.
+	published string
+	local     string
 }
 
 func newAuth(local string) *auth {
@@ -36,13 +36,26 @@
 	for name, c := range s.Callers {
 		tokens[c.Token] = name
 	}
-	admin := s.Admin.Token
-	if admin == "" {
-		admin = a.local
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.callers, a.admin = hvhttp.NewTokens(tokens), operators(admin)
+	a.callers, a.published = hvhttp.NewTokens(tokens), s.Admin.Token
+	a.refresh()
+}
+
+func (a *auth) setLocal(token string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.local = token
+	a.refresh()
+}
+
+// refresh chooses the token of operators. The caller holds mu.
+func (a *auth) refresh() {
+	token := a.published
+	if token == "" {
+		token = a.local
+	}
+	a.admin = operators(token)
 }
 
 func (a *auth) caller(token string) (string, bool) {
--- a/hvcontrol/peers.go
+++ b/hvcontrol/peers.go
@@ -151,3 +151,10 @@
 	c.view.SetGates(names)
 	c.peers.SetAddresses(addrs)
 }
+
+// SetSeeds replaces the gates to contact before the first publication.
+func (c *Control) SetSeeds(addrs []string) {
+	if c.book.Current().Number == 0 {
+		c.peers.SetAddresses(addrs)
+	}
+}
