Tell the side the age of a request when settling it

Without the age the side cannot know whether it may have forgotten the request, and an answer that a paused gate finds after 60 s outlives the block.

--- a/hvdispatch/attempt.go
+++ b/hvdispatch/attempt.go
@@ -32,7 +32,7 @@
 		d.deps.Pick.Observe(req.Service, side.Host.Name, took, classify(ans))
 	} else {
 		d.deps.Pick.Observe(req.Service, side.Host.Name, took, failure(ctx, err))
-		ans = d.settle(ctx, side, req, ans, err)
+		ans = d.settle(ctx, side, req, start, ans, err)
 	}
 	if ans.Outcome == hv.NotRun {
 		p.disowned()
--- a/hvdispatch/settle.go
+++ b/hvdispatch/settle.go
@@ -15,18 +15,22 @@
 	SettleTimeout = time.Second
 	// settleInterval is the pause between looks for a new connection.
 	settleInterval = 20 * time.Millisecond
+	// settleValid bounds the age of an answer to settle. A side blocks the
+	// request for 60 s, so a later not-run would promise too much; a paused
+	// gate can find such an answer when it wakes.
+	settleValid = 30 * time.Second
 )
 
 // settle asks the side what became of a request that was sent; got is what
 // came back, if anything. It goes on after the caller has left, because the
 // request must not start any more and its outcome is counted.
-func (d *Dispatcher) settle(ctx context.Context, side *hvmember.Side, req hv.Request, got hv.Answer, cause error) hv.Answer {
+func (d *Dispatcher) settle(ctx context.Context, side *hvmember.Side, req hv.Request, sent time.Time, got hv.Answer, cause error) hv.Answer {
 	if ctx.Err() == nil {
 		d.deps.Members.Failed(side.Host.Name, side.Incarnation)
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), SettleTimeout)
 	defer cancel()
-	ans, err := d.ask(ctx, side, req)
+	ans, err := d.ask(ctx, side, req, sent)
 	switch {
 	case err != nil:
 		return unknown(req, "no usable answer: "+cause.Error()+"; settling: "+err.Error())
@@ -48,14 +52,19 @@
 
 // ask sends settle on the connection of the request, or on a later one of the
 // same side process. Another incarnation can't know the request.
-func (d *Dispatcher) ask(ctx context.Context, side *hvmember.Side, req hv.Request) (hv.Answer, error) {
+func (d *Dispatcher) ask(ctx context.Context, side *hvmember.Side, req hv.Request, sent time.Time) (hv.Answer, error) {
 	tick := time.NewTicker(settleInterval)
 	defer tick.Stop()
 	conn := side.Conn
 	for {
 		if conn != nil {
 			var ans hv.Answer
-			err := conn.Call(ctx, hvwire.MethodSettle, hvwire.Settle{ID: req.ID, Key: req.Key}, &ans)
+			asked := d.deps.Clock.Now()
+			question := hvwire.Settle{ID: req.ID, Key: req.Key, Age: hv.Duration(asked.Sub(sent))}
+			err := conn.Call(ctx, hvwire.MethodSettle, question, &ans)
+			if err == nil && d.deps.Clock.Now().Sub(asked) > settleValid {
+				return hv.Answer{}, errorf("settle", hv.Expired, "the answer is older than %s", settleValid)
+			}
 			if err == nil {
 				return ans, verify(req, ans)
 			}
