--- /dev/null
+++ b/hvprocess/fleet_test.go
@@ -0,0 +1,113 @@
+package hvprocess
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// Tokens of the fleet's settings.
+const (
+	callerToken   = "caller-token-0123456789"
+	operatorToken = "operator-token-0123456789"
+)
+
+// cmdFleet starts a log service, gates, and hosts with worker, upstream and
+// side, and publishes settings: fleet GATES HOSTS [EXTRA.json]. The extra file
+// becomes a second settings file. Addresses are in the variables LOG, GATE1,
+// UP1, WORK1 and so on; processes are log, gate1, up1, work1, side1 and so on.
+func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
+	gates, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	hosts, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	address(ts, "LOG")
+	cmdSpawn(ts, false, []string{"log", "hvfake", "log", "--listen", ts.Getenv("LOG")})
+	internal := startGates(ts, gates)
+	for i := 1; i <= hosts; i++ {
+		startHost(ts, i, internal)
+	}
+	cmdPublish(ts, false, append([]string{"1", "0"}, args[2:]...))
+}
+
+func address(ts *testscript.TestScript, name string) string {
+	cmdPorts(ts, false, []string{name})
+	return ts.Getenv(name)
+}
+
+func startGates(ts *testscript.TestScript, n int) []string {
+	var internal []string
+	for i := 1; i <= n; i++ {
+		address(ts, fmt.Sprintf("GATE%d", i))
+		internal = append(internal, address(ts, fmt.Sprintf("INTERNAL%d", i)))
+	}
+	for i := 1; i <= n; i++ {
+		name := fmt.Sprintf("gate%d", i)
+		writeJSON(ts, name+".json", map[string]any{
+			"name": name, "region": "r1", "zone": zone(i), "listen": ts.Getenv(fmt.Sprintf("GATE%d", i)),
+			"internal": internal[i-1], "log": "http://" + ts.Getenv("LOG"), "gates": internal, "token": operatorToken,
+		})
+		cmdSpawn(ts, false, []string{name, "hvgate", "--config", name + ".json"})
+	}
+	ts.Setenv("GATES", strconv.Itoa(n))
+	ts.Setenv("HV_GATE", "http://"+ts.Getenv("GATE1"))
+	ts.Setenv("HV_TOKEN", operatorToken)
+	return internal
+}
+
+func startHost(ts *testscript.TestScript, i int, gates []string) {
+	work, up, side := address(ts, fmt.Sprintf("WORK%d", i)), address(ts, fmt.Sprintf("UP%d", i)), address(ts, fmt.Sprintf("SIDE%d", i))
+	cmdSpawn(ts, false, []string{fmt.Sprintf("work%d", i), "hvfake", "worker", "--listen", work, "--cores", "4", "--memory", "8GB", "--lag", "2s"})
+	cmdSpawn(ts, false, []string{fmt.Sprintf("up%d", i), "hvfake", "upstream", "--listen", up})
+	name := fmt.Sprintf("side%d", i)
+	writeJSON(ts, name+".json", map[string]any{
+		"host": map[string]any{
+			"name": fmt.Sprintf("host%d", i), "zone": zone(i), "rack": fmt.Sprintf("rack%d", i),
+			"capacity": map[string]any{"processors": 4000, "memory": "8GB"},
+		},
+		"region": "r1", "service": "label", "upstream": "http://" + up, "worker": "http://" + work,
+		"slots": 8, "connections": 64, "gates": gates, "listen": side,
+	})
+	cmdSpawn(ts, false, []string{name, "hvside", "--config", name + ".json"})
+}
+
+func zone(i int) string { return string(rune('a' + (i-1)%4)) }
+
+// cmdPublish publishes the settings of the fleet through a gate, on a base:
+// publish GATE BASE [EXTRA.json].
+func cmdPublish(ts *testscript.TestScript, _ bool, args []string) {
+	zones, gates := map[string]any{}, map[string]any{}
+	n, err := strconv.Atoi(ts.Getenv("GATES"))
+	ts.Check(err)
+	for i := 1; i <= 4; i++ {
+		zones[zone(i)] = map[string]any{"region": "r1"}
+	}
+	for i := 1; i <= n; i++ {
+		gates[fmt.Sprintf("gate%d", i)] = map[string]any{
+			"zone": zone(i), "address": ts.Getenv(fmt.Sprintf("INTERNAL%d", i)), "http": ts.Getenv(fmt.Sprintf("GATE%d", i)),
+		}
+	}
+	files := map[string]any{"10-fleet.json": map[string]any{
+		"zones": zones, "gates": gates, "callers": map[string]any{"shop": map[string]any{"token": callerToken}},
+		"services": map[string]any{"label": map[string]any{"slots": 8, "connections": 64}},
+	}}
+	if len(args) > 2 {
+		files["20-extra.json"] = json.RawMessage(ts.ReadFile(args[2]))
+	}
+	base, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	writeJSON(ts, "publication.json", map[string]any{"base": base, "author": "test", "files": files})
+	url := "http://" + ts.Getenv("GATE"+args[0]) + "/admin/publish"
+	cmdUntil(ts, false, []string{
+		"10s", `^(200|409)$`, "http", "POST", url, "-H", "Authorization: Bearer " + operatorToken, "@publication.json",
+	})
+}
+
+func writeJSON(ts *testscript.TestScript, name string, v any) {
+	b, err := json.Marshal(v)
+	ts.Check(err)
+	ts.Check(os.WriteFile(ts.MkAbs(name), b, 0o600))
+}
--- a/hvprocess/process_test.go
+++ b/hvprocess/process_test.go
@@ -34,13 +34,15 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"ports":  cmdPorts,
-			"expand": cmdExpand,
-			"spawn":  cmdSpawn,
-			"signal": cmdSignal,
-			"exited": cmdExited,
-			"http":   cmdHTTP,
-			"until":  cmdUntil,
+			"ports":   cmdPorts,
+			"expand":  cmdExpand,
+			"fleet":   cmdFleet,
+			"publish": cmdPublish,
+			"spawn":   cmdSpawn,
+			"signal":  cmdSignal,
+			"exited":  cmdExited,
+			"http":    cmdHTTP,
+			"until":   cmdUntil,
 		},
 	})
 }
