--- a/cmd/hvside/main.go
+++ b/cmd/hvside/main.go
@@ -1,4 +1,5 @@
-// Command hvside runs beside an upstream and connects it to the gates.
+// Command hvside runs beside an upstream and on each worker host, and connects
+// both to the gates.
 package main
 
 import (
@@ -9,9 +10,11 @@
 	"syscall"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/jessevdk/go-flags"
 
 	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvagent"
 )
 
 // version is set by the build.
@@ -43,16 +46,18 @@
 		fmt.Println(version)
 		return exitOK
 	}
-	logger := log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "part", "side")
-	conf, err := readConfig(opts.Config)
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
+	conf, err := hvagent.ReadConfig(opts.Config)
 	if err != nil {
-		_ = logger.Log("msg", "settings are invalid", "err", err)
+		_ = level.Error(logger).Log("part", "side", "msg", "settings are invalid", "err", err)
 		return exitUsage
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := newSide(conf, hv.SystemClock{}, logger).run(ctx); err != nil {
-		_ = logger.Log("msg", "side failed", "err", err)
+	agent := hvagent.New(conf, hvagent.Deps{Clock: hv.SystemClock{}, Logger: logger})
+	go reload(ctx, opts.Config, agent, logger)
+	if err := agent.Run(ctx); err != nil {
+		_ = level.Error(logger).Log("part", "side", "msg", "failed", "err", err)
 		return exitFailure
 	}
 	return exitOK
--- /dev/null
+++ b/hvagent/agent.go
@@ -0,0 +1,148 @@
+// Package hvagent is the process beside an upstream and on each worker host:
+// it connects both to the gates.
+package hvagent
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/google/uuid"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvconf"
+	"hibiscusvane.example/hibiscusvane/hvmetric"
+	"hibiscusvane.example/hibiscusvane/hvworker"
+)
+
+// callTimeout bounds a call to a gate or to the worker. It is below the 3 s
+// of silence after which a process counts as missing.
+const callTimeout = 2 * time.Second
+
+// Deps are the parts that an agent uses.
+type Deps struct {
+	Clock  hv.Clock
+	Logger log.Logger
+	// Violations is told of violated invariants after they were counted and
+	// logged; it may be nil.
+	Violations hv.Violations
+}
+
+// Agent is one side process.
+type Agent struct {
+	clock       hv.Clock
+	logs        *leveled
+	logger      log.Logger
+	metric      *hvmetric.Registry
+	told        hv.Violations
+	incarnation string
+	// sequence numbers the heartbeats of all connections, because a gate
+	// compares those of one incarnation across connections.
+	sequence atomic.Uint64
+	leaving  atomic.Bool
+	// listed changes whenever the agent must announce itself again.
+	listed atomic.Int64
+
+	book    *hvconf.Book
+	gates   *gates
+	service *service
+	tasks   *tasks
+	reports *reports
+	http    *http.Client
+
+	mu   sync.Mutex
+	conf Config
+}
+
+// New returns an agent that does nothing before Run.
+func New(conf Config, d Deps) *Agent {
+	a := &Agent{
+		conf: conf, clock: d.Clock, logs: newLeveled(d.Logger), told: d.Violations,
+		metric: hvmetric.New(hvmetric.DefaultCallers), incarnation: uuid.Must(uuid.NewV7()).String(),
+		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workerCalls}},
+	}
+	a.logger = a.logs.part("side")
+	a.book = hvconf.NewBook(a.violation)
+	a.gates = newGates(a)
+	if conf.Service != "" {
+		a.service = newService(a, conf)
+	}
+	if conf.Worker != "" {
+		a.tasks = newTasks(a, hvworker.New(conf.Worker, a.http))
+		a.reports = newReports(a)
+	}
+	return a
+}
+
+// violation counts and logs the violation of an invariant.
+func (a *Agent) violation(invariant int, message string) {
+	a.metric.Violation(invariant, message)
+	logError(a.logger, "msg", "invariant violated", "invariant", invariant, "detail", message)
+	if a.told != nil {
+		a.told(invariant, message)
+	}
+}
+
+// Run works until ctx ends, then leaves: it refuses new work, finishes what is
+// in flight and hands its key slots over.
+func (a *Agent) Run(ctx context.Context) error {
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	l, err := listen(a.config().Listen)
+	if err != nil {
+		return err
+	}
+	var wg sync.WaitGroup
+	start := func(f func(context.Context)) { wg.Go(func() { f(serving) }) }
+	failed := make(chan error, 1)
+	if l != nil {
+		start(func(ctx context.Context) { failed <- a.serveHealth(ctx, l) })
+	}
+	start(a.followSettings)
+	if a.tasks != nil {
+		a.tasks.run(serving, start)
+		start(a.reports.run)
+		start(a.runGuard)
+	}
+	logInfo(a.logger, "msg", "started", "host", a.config().Host.Name, "incarnation", a.incarnation)
+	select {
+	case <-ctx.Done():
+		a.leave(serving)
+	case err = <-failed:
+	}
+	stop()
+	wg.Wait()
+	a.gates.wait()
+	a.closeIdle()
+	return err
+}
+
+func (a *Agent) closeIdle() {
+	a.http.CloseIdleConnections()
+	if a.service != nil {
+		a.service.upstream.http.CloseIdleConnections()
+	}
+}
+
+func (a *Agent) config() Config {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.conf
+}
+
+// every calls f at an interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			f()
+		}
+	}
+}
--- /dev/null
+++ b/hvagent/beat.go
@@ -0,0 +1,108 @@
+package hvagent
+
+import (
+	"context"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvwire"
+)
+
+// announce tells the gate about the side. First marks the one that opens the
+// connection, from whose send time a start without a heartbeat counts.
+func (l *link) announce(ctx context.Context, c *hvwire.Conn, first bool) error {
+	if first {
+		l.mu.Lock()
+		l.announced = l.agent.clock.Now()
+		l.mu.Unlock()
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	ack, err := hvwire.Call[hvwire.AnnounceAck](call, c, hvwire.MethodAnnounce, l.agent.announcement())
+	if err != nil {
+		return err
+	}
+	logInfo(l.logger, "msg", "announced", "name", ack.Gate, "version", ack.Version)
+	l.agent.fetch(ctx, c, ack.Version)
+	return nil
+}
+
+func (a *Agent) announcement() hvwire.Announce {
+	c := a.config()
+	m := hvwire.Announce{Host: c.Host, Incarnation: a.incarnation, Leaving: a.leaving.Load()}
+	if a.service != nil {
+		limits := a.limits()
+		m.Service, m.Slots, m.Connections = c.Service, limits.Slots, limits.Connections
+	}
+	if a.tasks != nil {
+		m.Host.Capacity, m.Running = a.tasks.announcement()
+	}
+	return m
+}
+
+// beat sends one heartbeat and applies its answer.
+func (l *link) beat(ctx context.Context, c *hvwire.Conn) error {
+	m := l.agent.heartbeat()
+	if l.agent.tasks != nil {
+		m.Usage, l.measured = l.agent.tasks.usageSince(l.measured)
+	}
+	sent := l.agent.clock.Now()
+	l.note(m.Sequence, sent)
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	ack, err := hvwire.Call[hvwire.BeatAck](call, c, hvwire.MethodBeat, m)
+	if err != nil {
+		return err
+	}
+	l.agent.acknowledged(ack, sent)
+	l.agent.fetch(ctx, c, ack.Version)
+	return nil
+}
+
+func (a *Agent) heartbeat() hvwire.Beat {
+	b := hvwire.Beat{
+		Incarnation: a.incarnation, Sequence: a.sequence.Add(1),
+		Version: a.book.Current().Number, Leaving: a.leaving.Load(),
+	}
+	if s := a.service; s != nil {
+		b.Running, b.Waiting = s.slots.Load()
+		b.Slowdown = a.slowdown()
+		b.Released = s.keys.stranded()
+	}
+	if a.tasks != nil {
+		a.tasks.describe(&b)
+	}
+	return b
+}
+
+// slowdown returns the tail latency of the upstream divided by its target.
+func (a *Agent) slowdown() float64 {
+	if a.service == nil {
+		return 0
+	}
+	s, ok := a.book.Current().Settings.Services[a.service.name]
+	if !ok {
+		return 0
+	}
+	return a.service.latency.Slowdown(s.Target.Std())
+}
+
+func (a *Agent) acknowledged(ack hvwire.BeatAck, sent time.Time) {
+	if a.tasks != nil {
+		a.tasks.renewals(ack.Renewals, sent)
+	}
+	if a.service != nil && ack.Keys != nil {
+		a.service.keys.grant(*ack.Keys, sent)
+	}
+}
+
+func capacityOf(local, worker hv.Resources) hv.Resources {
+	if local == (hv.Resources{}) {
+		return worker
+	}
+	return hv.Resources{
+		Processors:   min(local.Processors, worker.Processors),
+		Memory:       min(local.Memory, worker.Memory),
+		Accelerators: min(local.Accelerators, worker.Accelerators),
+	}
+}
--- /dev/null
+++ b/hvagent/guard.go
@@ -0,0 +1,62 @@
+package hvagent
+
+import (
+	"context"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvguard"
+)
+
+const (
+	guardInterval = time.Second
+	// guardSettle is the age of the oldest latency in the measured slowdown.
+	guardSettle = 10 * time.Second
+)
+
+// runGuard protects the latency of the upstream from the tasks of the host.
+func (a *Agent) runGuard(ctx context.Context) {
+	if a.service == nil {
+		return
+	}
+	var guard hv.Guard = hvguard.None{}
+	active, prefer := false, hv.Prefer("")
+	every(ctx, guardInterval, func() {
+		settings := a.book.Current().Settings
+		wanted := settings.Services[a.service.name].Guard
+		if wanted != active || prefer != hv.Prefer(settings.Policy.Prefer) {
+			active, prefer = wanted, hv.Prefer(settings.Policy.Prefer)
+			guard = a.newGuard(ctx, active, prefer)
+		}
+		for _, step := range guard.Decide(a.clock.Now(), a.slowdown(), a.tasks.live()) {
+			a.guardStep(ctx, step)
+		}
+	})
+}
+
+// newGuard returns a guard for changed settings. One that is switched off
+// gives everything back that it has throttled.
+func (a *Agent) newGuard(ctx context.Context, active bool, prefer hv.Prefer) hv.Guard {
+	if active {
+		return hvguard.New(hvguard.Options{Prefer: prefer, Settle: guardSettle})
+	}
+	for _, r := range a.tasks.live() {
+		if r.Share < fullShare {
+			a.guardStep(ctx, hv.Action{Attempt: r.Attempt, Share: fullShare})
+		}
+	}
+	return hvguard.None{}
+}
+
+func (a *Agent) guardStep(ctx context.Context, step hv.Action) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var err error
+	if step.Share > 0 {
+		err = a.tasks.throttle(ctx, step.Attempt, step.Share)
+	} else if run, ok := a.tasks.ledger.Load().Find(step.Attempt); ok {
+		_, err = a.tasks.evict(ctx, step.Attempt, run.Epoch, "the guard protects the latency of "+a.service.name)
+	}
+	a.metric.Add("hv_guard_steps_total", 1)
+	logInfo(a.tasks.logger, "msg", "guard", "attempt", step.Attempt, "share", step.Share, "err", err)
+}
--- /dev/null
+++ b/hvagent/keys.go
@@ -0,0 +1,150 @@
+package hvagent
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvkey"
+	"hibiscusvane.example/hibiscusvane/hvwire"
+)
+
+// keys is the key memory with what heartbeats and handovers need to know.
+type keys struct {
+	memory      *hvkey.Memory
+	incarnation string
+	logger      log.Logger
+
+	mu     sync.Mutex
+	offset hv.Offset
+	// granted holds the start of the ownership of each confirmed slot.
+	granted map[int]int64
+	// released holds the same for slots that the side has stopped to serve.
+	released map[int]int64
+	// running counts the requests in each slot that have not ended.
+	running [hvkey.SlotCount]int
+	// export is the last memory that was asked for.
+	export struct {
+		question string
+		parts    []hvkey.Part
+	}
+}
+
+func newKeys(a *Agent) *keys {
+	limits := a.book.Current().Settings.Limits
+	return &keys{
+		memory:      hvkey.New(hvkey.Config{Keys: limits.Keys}, a.clock, a.violation),
+		incarnation: a.incarnation, logger: a.logs.part("keys"),
+		granted: map[int]int64{}, released: map[int]int64{},
+	}
+}
+
+// grant applies the key slots that a gate confirms.
+func (k *keys) grant(g hvwire.KeyGrant, sent time.Time) {
+	slots := make([]hvkey.Slot, 0, len(g.Slots))
+	for _, s := range g.Slots {
+		slots = append(slots, hvkey.Slot{Slot: s.Slot, Since: s.Since, Wait: s.Wait})
+	}
+	k.memory.Grant(hvkey.Grant{Slots: slots, Offset: g.Offset, Sent: sent, Lease: g.Lease.Std()})
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if g.Offset < k.offset {
+		return
+	}
+	k.offset = g.Offset
+	clear(k.granted)
+	for _, s := range g.Slots {
+		k.granted[s.Slot] = s.Since
+	}
+	for slot, since := range k.released {
+		if k.granted[slot] != since {
+			delete(k.released, slot)
+			k.export.question = ""
+		}
+	}
+}
+
+// owned returns how many slots the log gives to this side.
+func (k *keys) owned() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.granted)
+}
+
+// stranded lists slots that the log gives to this side after it has stopped to
+// serve them.
+func (k *keys) stranded() []int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var slots []int
+	for slot, since := range k.released {
+		if granted, ok := k.granted[slot]; ok && granted == since {
+			slots = append(slots, slot)
+		}
+	}
+	slices.Sort(slots)
+	return slots
+}
+
+// enter counts a request until it has ended.
+func (k *keys) enter(key string) (release func()) {
+	slot := hvkey.SlotOf(key)
+	k.count(slot, 1)
+	return func() { k.count(slot, -1) }
+}
+
+func (k *keys) count(slot, n int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.running[slot] += n
+}
+
+// serveHandover gives parts of the memory to a gate, or takes one from it.
+func (s *service) serveHandover(_ context.Context, _ *hvwire.Conn, m hvwire.Handover) (hvwire.HandoverAck, error) {
+	switch {
+	case m.Service != s.name:
+		return hvwire.HandoverAck{}, errorf("handover", hv.Invalid, "service: %q is not here", m.Service)
+	case m.Part != nil:
+		done, err := s.keys.memory.Import(*m.Part)
+		return hvwire.HandoverAck{Done: done}, err
+	}
+	part, err := s.keys.part(m)
+	return hvwire.HandoverAck{Part: part}, err
+}
+
+// part stops to serve the slots and returns a part of their memory when the
+// last request with one of their keys has ended.
+func (k *keys) part(m hvwire.Handover) (*hvkey.Part, error) {
+	slots := slices.DeleteFunc(slices.Clone(m.Slots), func(i int) bool { return i < 0 || i >= hvkey.SlotCount })
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	question := fmt.Sprint(m.To, slots)
+	if k.export.question != question {
+		// The slots are released first, so that the count only falls.
+		parts := k.memory.Release(k.incarnation, slots)
+		k.release(parts)
+		for _, i := range slots {
+			if k.running[i] > 0 {
+				return nil, errorf("handover", hv.Unavailable, "%d requests run with keys of slot %d", k.running[i], i)
+			}
+		}
+		k.export.question, k.export.parts = question, k.memory.Release(k.incarnation, slots)
+		logInfo(k.logger, "msg", "key slots are handed over", "to", m.To, "slots", len(slots), "parts", len(parts))
+	}
+	if m.Number < 0 || m.Number >= len(k.export.parts) {
+		return nil, errorf("handover", hv.Invalid, "number: %d of %d", m.Number, len(k.export.parts))
+	}
+	part := k.export.parts[m.Number]
+	return &part, nil
+}
+
+func (k *keys) release(parts []hvkey.Part) {
+	for _, s := range parts[0].Slots {
+		k.released[s.Slot] = s.Since
+	}
+}
--- /dev/null
+++ b/hvagent/link.go
@@ -0,0 +1,168 @@
+package hvagent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvwire"
+)
+
+const (
+	// redialInterval is the pause before a lost gate is dialed again. Gates
+	// look for a new connection for a second when they settle a request.
+	redialInterval = 500 * time.Millisecond
+	// maxSent bounds the remembered heartbeats. At one a second they reach
+	// back well beyond the lease.
+	maxSent = 64
+	// maxSilent is the number of heartbeats in a row without an answer after
+	// which the connection is made anew.
+	maxSilent = 2
+)
+
+// link keeps the connection to one gate.
+type link struct {
+	agent  *Agent
+	gate   string
+	logger log.Logger
+	stop   context.CancelFunc
+
+	mu   sync.Mutex
+	conn *hvwire.Conn
+	// announced is when the first announcement of the connection was sent.
+	announced time.Time
+	sent      map[uint64]time.Time
+	order     []uint64
+	// measured is the time of the last usage report that was sent. Only the
+	// goroutine of the link uses it.
+	measured time.Time
+}
+
+func newLink(a *Agent, gate string, stop context.CancelFunc) *link {
+	return &link{
+		agent: a, gate: gate, stop: stop, sent: map[uint64]time.Time{},
+		logger: log.With(a.logs.part("gate"), "gate", gate),
+	}
+}
+
+func (l *link) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := l.connect(ctx)
+		if ctx.Err() == nil {
+			logWarn(l.logger, "msg", "connection ended", "err", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialInterval):
+		}
+	}
+}
+
+// connect dials the gate and sends heartbeats until the connection ends.
+func (l *link) connect(ctx context.Context) error {
+	c, err := hvwire.Dial(ctx, l.gate, l.mux())
+	if err != nil {
+		return err
+	}
+	defer l.disconnect(c)
+	listed := l.agent.listed.Load()
+	if err := l.announce(ctx, c, true); err != nil {
+		return err
+	}
+	l.setConn(c)
+	if l.agent.reports != nil {
+		l.agent.reports.hasten()
+	}
+	for silent := 0; silent < maxSilent; {
+		if now := l.agent.listed.Load(); now != listed {
+			listed = now
+			if err := l.announce(ctx, c, false); err != nil {
+				return err
+			}
+		}
+		switch err = l.beat(ctx, c); {
+		case err == nil:
+			silent = 0
+		case hv.KindOf(err) == hv.NotFound:
+			if err := l.announce(ctx, c, false); err != nil {
+				return err
+			}
+		case hv.KindOf(err) == hv.Uncertain:
+			silent++
+		default:
+			logWarn(l.logger, "msg", "heartbeat was refused", "err", err)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.Done():
+			return err
+		case <-time.After(l.agent.beatInterval()):
+		}
+	}
+	return err
+}
+
+func (l *link) disconnect(c *hvwire.Conn) {
+	l.setConn(nil)
+	// The connection has ended or is given up; nothing is lost by an error.
+	_ = c.Close()
+}
+
+func (l *link) setConn(c *hvwire.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conn = c
+}
+
+func (l *link) current() *hvwire.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn
+}
+
+// note records when a heartbeat was sent.
+func (l *link) note(sequence uint64, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent[sequence] = at
+	l.order = append(l.order, sequence)
+	if len(l.order) > maxSent {
+		delete(l.sent, l.order[0])
+		l.order = l.order[1:]
+	}
+}
+
+// sentAt returns when a heartbeat was sent; 0 stands for the announcement.
+func (l *link) sentAt(sequence uint64) (time.Time, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if sequence == 0 {
+		return l.announced, !l.announced.IsZero()
+	}
+	at, ok := l.sent[sequence]
+	return at, ok
+}
+
+// mux returns the methods that gates call on this connection.
+func (l *link) mux() hvwire.Mux {
+	m := hvwire.Mux{}
+	a := l.agent
+	hvwire.Handle(m, hvwire.MethodDrain, a.serveDrain)
+	if a.service != nil {
+		hvwire.Handle(m, hvwire.MethodRun, a.service.serveRun)
+		hvwire.Handle(m, hvwire.MethodSettle, a.service.serveSettle)
+		hvwire.Handle(m, hvwire.MethodHandover, a.service.serveHandover)
+	}
+	if a.tasks != nil {
+		hvwire.Handle(m, hvwire.MethodStart, func(_ context.Context, _ *hvwire.Conn, s hvwire.Start) (hvwire.Ack, error) {
+			return a.tasks.serveStart(l, s)
+		})
+		hvwire.Handle(m, hvwire.MethodStop, a.tasks.serveStop)
+		hvwire.Handle(m, hvwire.MethodThrottle, a.tasks.serveThrottle)
+	}
+	return m
+}
--- /dev/null
+++ b/hvagent/reports.go
@@ -0,0 +1,160 @@
+package hvagent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvhost"
+	"hibiscusvane.example/hibiscusvane/hvwire"
+)
+
+const (
+	reportInterval = 100 * time.Millisecond
+	// firstRepeat and lastRepeat bound the pause between two sendings of one
+	// report. The owner acknowledges when the log reflects it, which takes a
+	// flush of 100 ms, or as long as an outage lasts.
+	firstRepeat = 200 * time.Millisecond
+	lastRepeat  = 5 * time.Second
+	// reportsPerRound bounds the messages to one gate at a time.
+	reportsPerRound = 64
+	// maxReports is above the number of ends that a ledger holds.
+	maxReports = 1 << 13
+	// maxStarted bounds the reports of starts. Heartbeats show the same.
+	maxStarted = 256
+)
+
+// reports repeats reports to all gates until the owner of the shard has
+// acknowledged them.
+type reports struct {
+	agent  *Agent
+	logger log.Logger
+
+	mu     sync.Mutex
+	starts []hvhost.End
+	plans  map[reportKey]plan
+}
+
+type reportKey struct {
+	attempt hv.Attempt
+	event   string
+}
+
+// plan is when a report is sent again.
+type plan struct {
+	next  time.Time
+	pause time.Duration
+}
+
+func newReports(a *Agent) *reports {
+	return &reports{agent: a, logger: a.logs.part("report"), plans: map[reportKey]plan{}}
+}
+
+// started adds the report of a start.
+func (r *reports) started(e hvhost.End) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.starts) < maxStarted {
+		r.starts = append(r.starts, e)
+	}
+}
+
+// hasten sends all reports at the next occasion, because there is a new
+// connection.
+func (r *reports) hasten() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.plans)
+}
+
+func (r *reports) run(ctx context.Context) {
+	every(ctx, reportInterval, func() { r.round(ctx) })
+}
+
+func (r *reports) round(ctx context.Context) {
+	l := r.agent.tasks.ledger.Load()
+	if l == nil {
+		return
+	}
+	conns := r.agent.gates.connected()
+	if len(conns) == 0 {
+		return
+	}
+	due := r.due(l)
+	var wg sync.WaitGroup
+	for _, c := range conns {
+		wg.Go(func() { r.send(ctx, c, l, due) })
+	}
+	wg.Wait()
+}
+
+// due returns the reports to send now and plans the next time for each.
+func (r *reports) due(l *hvhost.Ledger) []hvhost.End {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.agent.clock.Now()
+	var due []hvhost.End
+	plans := make(map[reportKey]plan, len(r.plans))
+	for _, e := range append(l.Reports(maxReports), r.current(l)...) {
+		key := reportKey{e.Attempt, e.Event}
+		p := r.plans[key]
+		if !now.Before(p.next) && len(due) < reportsPerRound {
+			p.pause = min(max(2*p.pause, firstRepeat), lastRepeat)
+			p.next = now.Add(p.pause)
+			due = append(due, e)
+		}
+		plans[key] = p
+	}
+	r.plans = plans
+	return due
+}
+
+// current drops reports of starts whose attempts have ended.
+func (r *reports) current(l *hvhost.Ledger) []hvhost.End {
+	kept := r.starts[:0]
+	for _, e := range r.starts {
+		if _, held := l.Find(e.Attempt); held {
+			kept = append(kept, e)
+		}
+	}
+	r.starts = kept
+	return kept
+}
+
+// send sends reports to one gate until a call fails.
+func (r *reports) send(ctx context.Context, c *hvwire.Conn, l *hvhost.Ledger, due []hvhost.End) {
+	host := r.agent.config().Host.Name
+	for _, e := range due {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		ack, err := hvwire.Call[hvwire.Ack](call, c, hvwire.MethodReport, hvwire.Report{
+			Host: host, Attempt: e.Attempt, Shard: e.Shard, Event: e.Event, Reason: e.Reason, Checkpoint: e.Checkpoint,
+		})
+		cancel()
+		if err != nil && hv.KindOf(err) == hv.Uncertain {
+			logWarn(r.logger, "msg", "a report was not answered", "attempt", e.Attempt, "event", e.Event, "gate", c.Remote(), "err", err)
+			return
+		}
+		if err == nil && ack.OK {
+			r.acknowledge(l, e)
+		}
+	}
+}
+
+func (r *reports) acknowledge(l *hvhost.Ledger, e hvhost.End) {
+	logDebug(r.logger, "msg", "acknowledged", "attempt", e.Attempt, "event", e.Event)
+	if e.Event != hvwire.EventStarted {
+		l.Acknowledge(e.Attempt)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range r.starts {
+		if r.starts[i].Attempt == e.Attempt {
+			r.starts = append(r.starts[:i], r.starts[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/hvagent/start.go
@@ -0,0 +1,120 @@
+package hvagent
+
+import (
+	"context"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvhost"
+	"hibiscusvane.example/hibiscusvane/hvwire"
+)
+
+// startRetry is the pause after a start that the worker did not answer.
+const startRetry = 200 * time.Millisecond
+
+// serveStart admits an attempt and starts it at the worker. What becomes of it
+// is also reported, because the owner of the shard counts on reports only.
+func (t *tasks) serveStart(l *link, m hvwire.Start) (hvwire.Ack, error) {
+	ledger := t.ledger.Load()
+	if ledger == nil {
+		return hvwire.Ack{}, errorf("start", hv.Unavailable, "the attempts have not been read from the worker")
+	}
+	sent, ok := l.sentAt(m.Beat)
+	if !ok {
+		return hvwire.Ack{}, errorf("start", hv.Expired, "heartbeat %d is not known", m.Beat)
+	}
+	release, err := t.locks.take(t.base, m.Attempt)
+	if err != nil {
+		return hvwire.Ack{}, err
+	}
+	defer release()
+	added, err := ledger.Admit(hvhost.Order{
+		Task: m.Task, Attempt: m.Attempt, Shard: m.Shard, Epoch: m.Epoch, Commit: m.Commit,
+		Checkpoint: m.Checkpoint, End: sent.Add(m.Lease.Std()),
+	})
+	if err != nil {
+		t.refused(ledger, m, err)
+		return hvwire.Ack{}, err
+	}
+	if !added {
+		return hvwire.Ack{OK: true}, nil
+	}
+	err = t.launch(ledger, m)
+	return hvwire.Ack{OK: err == nil}, err
+}
+
+// refused keeps a report for an attempt that can be placed elsewhere. An
+// expired start is repeated by the owner in force.
+func (t *tasks) refused(l *hvhost.Ledger, m hvwire.Start, err error) {
+	logInfo(t.logger, "msg", "an attempt was refused", "attempt", m.Attempt, "err", err)
+	t.agent.metric.Add("hv_starts_total", 1, "result", "refused")
+	if hv.KindOf(err) != hv.Expired && m.Attempt.Number > 0 {
+		l.Refuse(hvhost.End{Attempt: m.Attempt, Shard: m.Shard, Event: hvwire.EventRefused, Reason: err.Error()})
+	}
+}
+
+// launch starts an admitted attempt. A start without an answer is repeated as
+// long as the lease lasts, because the worker may have taken it.
+func (t *tasks) launch(l *hvhost.Ledger, m hvwire.Start) error {
+	for {
+		lease, err := l.Lease(m.Attempt)
+		if err != nil {
+			return err
+		}
+		run := hv.Running{
+			Attempt: m.Attempt, Task: m.Task, Shard: m.Shard, Epoch: m.Epoch, Commit: m.Commit, Lease: hv.Duration(lease),
+		}
+		end := t.clock.Now().Add(lease)
+		ctx, cancel := context.WithTimeout(t.base, callTimeout)
+		err = t.worker.Start(ctx, run, m.Checkpoint)
+		cancel()
+		switch {
+		case err == nil:
+			t.started(l, m, end)
+			return nil
+		case hv.KindOf(err) != hv.Uncertain:
+			t.failedStart(l, m, err)
+			return err
+		}
+		t.doubt(m.Attempt, end)
+		logWarn(t.logger, "msg", "a start was not answered", "attempt", m.Attempt, "err", err)
+		select {
+		case <-t.base.Done():
+			return err
+		case <-time.After(startRetry):
+		}
+	}
+}
+
+func (t *tasks) started(l *hvhost.Ledger, m hvwire.Start, end time.Time) {
+	l.Started(m.Attempt)
+	t.mu.Lock()
+	delete(t.doubts, m.Attempt)
+	t.renewed[m.Attempt] = end
+	t.mu.Unlock()
+	t.agent.metric.Add("hv_starts_total", 1, "result", "started")
+	t.agent.reports.started(hvhost.End{Attempt: m.Attempt, Shard: m.Shard, Event: hvwire.EventStarted})
+	logInfo(t.logger, "msg", "an attempt was started", "attempt", m.Attempt, "shard", m.Shard, "epoch", m.Epoch)
+}
+
+// failedStart ends an attempt that the worker refused. After an earlier start
+// without an answer the refusal does not prove that it never ran.
+func (t *tasks) failedStart(l *hvhost.Ledger, m hvwire.Start, err error) {
+	end := hvhost.End{Attempt: m.Attempt, Shard: m.Shard, Event: hvwire.EventRefused, Reason: err.Error()}
+	logWarn(t.logger, "msg", "the worker refused an attempt", "attempt", m.Attempt, "err", err)
+	t.agent.metric.Add("hv_starts_total", 1, "result", "failed")
+	t.mu.Lock()
+	_, doubt := t.doubts[m.Attempt]
+	t.mu.Unlock()
+	if doubt {
+		// The lapse of the lease ends it.
+		return
+	}
+	l.End(end)
+}
+
+func (t *tasks) doubt(a hv.Attempt, end time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.doubts[a] = end
+}
--- /dev/null
+++ b/hvagent/upstream.go
@@ -0,0 +1,126 @@
+package hvagent
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+const (
+	// maxAnswer bounds an answer, whatever the settings say, because a larger
+	// one does not fit into a message.
+	maxAnswer = 1 << 20
+	// dialTimeout bounds a new connection to the upstream, which is on the
+	// same host.
+	dialTimeout = 2 * time.Second
+	// idleConnections bounds the connections that are kept open, idleTimeout
+	// their age. A reused connection that the upstream closes at the same
+	// moment makes an outcome unknown, so unused ones are closed early.
+	idleConnections = 64
+	idleTimeout     = 10 * time.Second
+)
+
+// Headers of a request to the upstream.
+const (
+	headerRequest = "Hv-Request"
+	headerType    = "Content-Type"
+	// net/http sends a request again by itself if a reused connection ends
+	// and the request has the header Idempotency-Key. The upstream may have
+	// run it by then. That rule looks for the canonical name only, and names
+	// of headers have no case on the wire.
+	headerKey = "idempotency-key"
+)
+
+// upstream forwards requests over HTTP.
+type upstream struct {
+	base  string
+	limit func() int
+	http  *http.Client
+}
+
+func newUpstream(base string, limit func() int) *upstream {
+	return &upstream{
+		base: strings.TrimSuffix(base, "/"), limit: limit,
+		http: &http.Client{
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true,
+			},
+			// A redirect is an answer; to follow it would be another request.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+}
+
+// forward sends a request to the upstream. The answer is not-run only if no
+// byte of the request can have been sent.
+func (u *upstream) forward(ctx context.Context, req hv.Request, left time.Duration) hv.Answer {
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	connected := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
+	r, err := u.request(ctx, req)
+	if err != nil {
+		return notRun(req, errorf("forward", hv.Invalid, "%v", err))
+	}
+	res, err := u.http.Do(r)
+	switch {
+	case err != nil && !connected:
+		return notRun(req, errorf("forward", hv.Unavailable, "the upstream was not reached: %v", err))
+	case err != nil:
+		return unknown(req, err.Error())
+	}
+	defer res.Body.Close()
+	return u.answer(req, res)
+}
+
+func (u *upstream) request(ctx context.Context, req hv.Request) (*http.Request, error) {
+	if !strings.HasPrefix(req.Path, "/") {
+		// The path must not become part of the host name.
+		req.Path = "/" + req.Path
+	}
+	r, err := http.NewRequestWithContext(ctx, req.Method, u.base+req.Path, bytes.NewReader(req.Body))
+	if err != nil {
+		return nil, err
+	}
+	if !req.Idempotent && len(req.Body) == 0 && replayed[req.Method] {
+		// Without a body net/http would send the request again by its method.
+		r.Body, r.GetBody = io.NopCloser(strings.NewReader("")), nil
+	}
+	r.Header.Set(headerRequest, req.ID)
+	if req.Key != "" {
+		r.Header[headerKey] = []string{req.Key}
+	}
+	if req.Type != "" {
+		r.Header.Set(headerType, req.Type)
+	}
+	return r, nil
+}
+
+// replayed are the methods whose requests net/http sends again.
+var replayed = map[string]bool{
+	"": true, http.MethodGet: true, http.MethodHead: true, http.MethodOptions: true, http.MethodTrace: true,
+}
+
+// answer reads the whole answer. One that is cut or too long is unknown.
+func (u *upstream) answer(req hv.Request, res *http.Response) hv.Answer {
+	limit := min(u.limit(), maxAnswer)
+	body, err := io.ReadAll(io.LimitReader(res.Body, int64(limit)+1))
+	switch {
+	case err != nil:
+		return unknown(req, "the answer was cut: "+err.Error())
+	case len(body) > limit:
+		return unknown(req, "the answer is over the size limit")
+	}
+	return hv.Answer{
+		ID: req.ID, Outcome: hv.Done, Status: res.StatusCode, Type: res.Header.Get(headerType),
+		Body: body, Length: len(body), Sum: xxhash.Sum64(body),
+	}
+}
--- /dev/null
+++ b/hvagent/usage.go
@@ -0,0 +1,18 @@
+package hvagent
+
+import "context"
+
+// measure reads usage from the worker and lets the commitments follow.
+func (t *tasks) measure(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	usage, err := t.worker.Usage(ctx)
+	if err != nil {
+		logWarn(t.logger, "msg", "usage was not read", "err", err)
+		return
+	}
+	t.ledger.Load().Observe(usage)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.usage, t.measured = usage, t.clock.Now()
+}
--- a/hvhost/outbox.go
+++ b/hvhost/outbox.go
@@ -33,6 +33,41 @@
 	return true
 }
 
+// Refuse keeps a report that an attempt was refused, and from then on refuses
+// to admit it: the owner places the next attempt elsewhere. It reports false
+// for an attempt that was here before, whose end is reported instead, and when
+// there is no room for the report.
+func (l *Ledger) Refuse(end End) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if end.Attempt.Number <= l.last(end.Attempt.Task) {
+		return false
+	}
+	return l.absent(end)
+}
+
+// Absent keeps a report for an attempt that is not here, and from then on
+// refuses to admit it. It reports false for an attempt that is held, or whose
+// end is reported already, and when there is no room for the report.
+func (l *Ledger) Absent(end End) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.find(end.Attempt) != nil || slices.ContainsFunc(l.outbox, func(e End) bool { return e.Attempt == end.Attempt }) {
+		return false
+	}
+	return l.absent(end)
+}
+
+func (l *Ledger) absent(end End) bool {
+	l.forget(l.clock.Now())
+	if !l.ready || len(l.entries)+len(l.outbox) >= l.config.Attempts || len(l.order) >= 2*l.config.Attempts {
+		return false
+	}
+	l.remember(end.Attempt, l.clock.Now())
+	l.outbox = append(l.outbox, end)
+	return true
+}
+
 // Withdraw takes an attempt off the ledger that never started. Its refusal is
 // the answer to the start message, so no report is kept.
 func (l *Ledger) Withdraw(a hv.Attempt) {
--- a/hvwire/conn.go
+++ b/hvwire/conn.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -56,6 +57,7 @@
 type Conn struct {
 	rpc    *jsonrpc2.Conn
 	remote string
+	active atomic.Int64
 }
 
 // NewConn starts to serve mux on a network connection.
@@ -67,11 +69,32 @@
 		return c.dispatch(ctx, mux, req)
 	}
 	stream := jsonrpc2.NewBufferedStream(&limitedConn{Conn: nc}, frameCodec{})
-	c.rpc = jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(handle).SuppressErrClosed()))
+	next := jsonrpc2.HandlerWithError(handle).SuppressErrClosed()
+	c.rpc = jsonrpc2.NewConn(context.Background(), stream, &asyncHandler{conn: c, next: next})
 	close(ready)
 	return c
 }
 
+// asyncHandler answers each request in its own goroutine and counts those
+// whose answers have not been written yet.
+type asyncHandler struct {
+	conn *Conn
+	next jsonrpc2.Handler
+}
+
+// Handle implements jsonrpc2.Handler.
+func (h *asyncHandler) Handle(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	h.conn.active.Add(1)
+	go func() {
+		defer h.conn.active.Add(-1)
+		h.next.Handle(ctx, rpc, req)
+	}()
+}
+
+// Active returns the number of requests of the other end whose answers have
+// not been written yet. A process that stops closes the connection at 0.
+func (c *Conn) Active() int { return int(c.active.Load()) }
+
 func (c *Conn) dispatch(ctx context.Context, mux Mux, req *jsonrpc2.Request) (any, error) {
 	h, ok := mux[req.Method]
 	if !ok {
