--- a/hvagent/health.go
+++ b/hvagent/health.go
@@ -10,6 +10,7 @@
 
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvhttp"
+	"hibiscusvane.example/hibiscusvane/hvwire"
 )
 
 func listen(address string) (net.Listener, error) {
@@ -40,6 +41,9 @@
 }
 
 func (a *Agent) writeMetrics(w io.Writer) error {
+	out, in := hvwire.Traffic()
+	a.metric.Set("hv_wire_sent_bytes", out)
+	a.metric.Set("hv_wire_received_bytes", in)
 	a.metric.Set("hv_gates_connected", int64(len(a.gates.connected())))
 	a.metric.Set("hv_settings_version", int64(a.book.Current().Number))
 	if a.service != nil {
--- a/hvagent/start.go
+++ b/hvagent/start.go
@@ -19,6 +19,10 @@
 	if ledger == nil {
 		return hvwire.Ack{}, errorf("start", hv.Unavailable, "the attempts have not been read from the worker")
 	}
+	if m.Side != t.agent.incarnation {
+		// An earlier process of this host may have run the attempt.
+		return hvwire.Ack{}, errorf("start", hv.Conflict, "the attempt was placed on incarnation %q", m.Side)
+	}
 	sent, ok := l.sentAt(m.Beat)
 	if !ok {
 		return hvwire.Ack{}, errorf("start", hv.Expired, "heartbeat %d is not known", m.Beat)
