--- a/hvagent/keys.go
+++ b/hvagent/keys.go
@@ -16,6 +16,7 @@
 
 // keys is the key memory with what heartbeats and handovers need to know.
 type keys struct {
+	clock       hv.Clock
 	memory      *hvkey.Memory
 	incarnation string
 	logger      log.Logger
@@ -26,6 +27,8 @@
 	granted map[int]int64
 	// released holds the same for slots that the side has stopped to serve.
 	released map[int]int64
+	// asked is when a part of the memory was last asked for.
+	asked time.Time
 	// running counts the requests in each slot that have not ended.
 	running [hvkey.SlotCount]int
 	// export is the last memory that was asked for.
@@ -38,6 +41,7 @@
 func newKeys(a *Agent) *keys {
 	limits := a.book.Current().Settings.Limits
 	return &keys{
+		clock:       a.clock,
 		memory:      hvkey.New(hvkey.Config{Keys: limits.Keys}, a.clock, a.violation),
 		incarnation: a.incarnation, logger: a.logs.part("keys"),
 		granted: map[int]int64{}, released: map[int]int64{},
@@ -76,12 +80,20 @@
 	return len(k.granted)
 }
 
+// strandedAfter is the time after the last question of a handover from which
+// on it has failed. A gate takes up to 10 s to append the release.
+const strandedAfter = 15 * time.Second
+
 // stranded lists slots that the log gives to this side after it has stopped to
-// serve them.
+// serve them. A gate frees them without an heir, so they are not listed while
+// the handover may still be recorded.
 func (k *keys) stranded() []int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var slots []int
+	if k.clock.Now().Sub(k.asked) < strandedAfter {
+		return nil
+	}
 	for slot, since := range k.released {
 		if granted, ok := k.granted[slot]; ok && granted == since {
 			slots = append(slots, slot)
@@ -123,6 +135,7 @@
 	slots := slices.DeleteFunc(slices.Clone(m.Slots), func(i int) bool { return i < 0 || i >= hvkey.SlotCount })
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.asked = k.clock.Now()
 	question := fmt.Sprint(m.To, slots)
 	if k.export.question != question {
 		// The slots are released first, so that the count only falls.
--- a/hvagent/upstream.go
+++ b/hvagent/upstream.go
@@ -18,9 +18,6 @@
 	// maxAnswer bounds an answer, whatever the settings say, because a larger
 	// one does not fit into a message.
 	maxAnswer = 1 << 20
-	// dialTimeout bounds a new connection to the upstream, which is on the
-	// same host.
-	dialTimeout = 2 * time.Second
 	// idleConnections bounds the connections that are kept open, idleTimeout
 	// their age. A reused connection that the upstream closes at the same
 	// moment makes an outcome unknown, so unused ones are closed early.
