Test the side against gates over real connections

A request without a body, or a GET, that had a reused connection was sent twice by net/http; TestRequestIsSentOnce showed 2 runs for a GET with a body.

--- /dev/null
+++ b/hvagent/fixture_test.go
@@ -0,0 +1,285 @@
+package hvagent
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"go.uber.org/goleak"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvconf"
+	"hibiscusvane.example/hibiscusvane/hvkey"
+	"hibiscusvane.example/hibiscusvane/hvwire"
+	"hibiscusvane.example/hibiscusvane/hvworker/hvworkertest"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// shiftClock follows the machine's clock and can be set forward.
+type shiftClock struct {
+	mu    sync.Mutex
+	shift time.Duration
+}
+
+func (c *shiftClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Add(c.shift)
+}
+
+func (c *shiftClock) pass(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.shift += d
+}
+
+// fakeGate answers a side over a real connection.
+type fakeGate struct {
+	address string
+
+	mu       sync.Mutex
+	conn     *hvwire.Conn
+	announce hvwire.Announce
+	beat     hvwire.Beat
+	beats    int
+	renewals []hvwire.Renewal
+	keys     *hvwire.KeyGrant
+	reports  []hvwire.Report
+	left     bool
+	// refuse is the number of reports that are not acknowledged.
+	refuse   int
+	settings []byte
+}
+
+// newGate returns a gate whose settings make the side beat quickly. They name
+// no gate of the side's region, so that it keeps those of its file.
+func newGate(t *testing.T) *fakeGate {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &fakeGate{address: l.Addr().String(), settings: quickSettings(t)}
+	mux := hvwire.Mux{}
+	hvwire.Handle(mux, hvwire.MethodAnnounce, g.serveAnnounce)
+	hvwire.Handle(mux, hvwire.MethodBeat, g.serveBeat)
+	hvwire.Handle(mux, hvwire.MethodLeave, g.serveLeave)
+	hvwire.Handle(mux, hvwire.MethodReport, g.serveReport)
+	hvwire.Handle(mux, hvwire.MethodFetch, g.serveFetch)
+	var conns []*hvwire.Conn
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns = append(conns, hvwire.NewConn(nc, mux))
+		}
+	}()
+	t.Cleanup(func() {
+		l.Close()
+		<-done
+		for _, c := range conns {
+			c.Close()
+		}
+	})
+	return g
+}
+
+func quickSettings(t *testing.T) []byte {
+	t.Helper()
+	book := hvconf.NewBook(func(_ int, m string) { t.Error(m) })
+	body, err := json.Marshal(hvconf.Publication{Files: hvconf.Files{"10.json": json.RawMessage(`{
+		"limits": {"beat": "100ms"}, "zones": {"a": {"region": "r1"}, "b": {"region": "r2"}},
+		"gates": {"far": {"zone": "b", "address": "127.0.0.1:1"}}, "services": {"label": {"slots": 8, "connections": 64}}
+	}`)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	book.Apply(hv.Record{Offset: 1, Kind: hvconf.KindPublish, Body: body})
+	if v, _ := book.Verdict(1); v.Reason != "" {
+		t.Fatal(v.Reason)
+	}
+	state, err := book.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return state
+}
+
+func (g *fakeGate) serveAnnounce(_ context.Context, c *hvwire.Conn, m hvwire.Announce) (hvwire.AnnounceAck, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.announce, g.conn = m, c
+	return hvwire.AnnounceAck{Gate: "g", Version: 1}, nil
+}
+
+func (g *fakeGate) serveBeat(_ context.Context, _ *hvwire.Conn, b hvwire.Beat) (hvwire.BeatAck, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.beat = b
+	g.beats++
+	return hvwire.BeatAck{Version: 1, Renewals: g.renewals, Keys: g.keys}, nil
+}
+
+func (g *fakeGate) serveLeave(context.Context, *hvwire.Conn, hvwire.Leave) (hvwire.Ack, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.left = true
+	if g.keys != nil {
+		// The log has given the slots to others.
+		g.keys = &hvwire.KeyGrant{Offset: g.keys.Offset + 1}
+	}
+	return hvwire.Ack{OK: true}, nil
+}
+
+func (g *fakeGate) serveReport(_ context.Context, _ *hvwire.Conn, r hvwire.Report) (hvwire.Ack, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.reports = append(g.reports, r)
+	return hvwire.Ack{OK: len(g.reports) > g.refuse}, nil
+}
+
+func (g *fakeGate) serveFetch(context.Context, *hvwire.Conn, hvwire.Fetch) (hvwire.State, error) {
+	return hvwire.State{Version: 1, Body: g.settings}, nil
+}
+
+// get reads the state of the gate under its lock.
+func get[T any](g *fakeGate, f func(*fakeGate) T) T {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return f(g)
+}
+
+func (g *fakeGate) set(f func(*fakeGate)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f(g)
+}
+
+func (g *fakeGate) reported(event string) bool {
+	return get(g, func(g *fakeGate) bool {
+		return slices.ContainsFunc(g.reports, func(r hvwire.Report) bool { return r.Event == event })
+	})
+}
+
+// nextBeats waits for heartbeats that were sent from now on.
+func (g *fakeGate) nextBeats(t *testing.T) {
+	t.Helper()
+	seen := get(g, func(g *fakeGate) int { return g.beats })
+	eventually(t, "heartbeats", func() bool { return get(g, func(g *fakeGate) int { return g.beats }) >= seen+3 })
+}
+
+// grantAll confirms all key slots.
+func (g *fakeGate) grantAll(since time.Time) {
+	grant := &hvwire.KeyGrant{Lease: hv.Duration(10 * time.Second), Offset: 1}
+	for i := range hvkey.SlotCount {
+		grant.Slots = append(grant.Slots, hvwire.SlotGrant{Slot: i, Since: since.UnixMilli()})
+	}
+	g.set(func(g *fakeGate) { g.keys = grant })
+}
+
+func (g *fakeGate) call(method string, req, ans any) error {
+	return get(g, func(g *fakeGate) *hvwire.Conn { return g.conn }).Call(context.Background(), method, req, ans)
+}
+
+// eventually waits for a state that must come; the limit only ends a failure.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("gave up waiting for %s", what)
+		}
+	}
+}
+
+// fixture is a host with a worker, gates and an agent.
+type fixture struct {
+	*testing.T
+	clock  *shiftClock
+	worker *hvworkertest.Worker
+	gates  []*fakeGate
+	conf   Config
+}
+
+// newFixture returns a host. The clock of its worker is not set forward with
+// that of the agent, so that only the agent can end a lease early.
+func newFixture(t *testing.T, gates int) *fixture {
+	f := &fixture{T: t, clock: &shiftClock{}}
+	capacity := hv.Resources{Processors: 4000, Memory: 8 * hv.GB}
+	f.worker = hvworkertest.New(hvworkertest.Options{Capacity: capacity}, hv.SystemClock{})
+	server := httptest.NewServer(f.worker.Handler())
+	t.Cleanup(server.Close)
+	f.conf = Config{Host: hv.Host{Name: "h1", Zone: "a"}, Worker: server.URL}.withDefaults()
+	for range gates {
+		g := newGate(t)
+		f.gates = append(f.gates, g)
+		f.conf.Gates = append(f.conf.Gates, g.address)
+	}
+	return f
+}
+
+// start runs an agent until stop is called, and waits until all gates know it.
+func (f *fixture) start() (a *Agent, stop func()) {
+	f.Helper()
+	a = New(f.conf, Deps{
+		Clock: f.clock, Logger: log.NewNopLogger(),
+		Violations: func(i int, m string) { f.Errorf("invariant %d: %s", i, m) },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- a.Run(ctx) }()
+	stop = sync.OnceFunc(func() {
+		cancel()
+		if err := <-done; err != nil {
+			f.Error(err)
+		}
+	})
+	f.Cleanup(stop)
+	for _, g := range f.gates {
+		eventually(f.T, "the announcement", func() bool {
+			return get(g, func(g *fakeGate) bool {
+				known := g.announce.Incarnation == a.incarnation && g.beat.Incarnation == a.incarnation
+				return known && (f.conf.Worker == "" || g.announce.Host.Capacity.Processors > 0)
+			})
+		})
+	}
+	return a, stop
+}
+
+// place starts an attempt under a lease of 10 s.
+func (f *fixture) place(a *Agent, program string, args ...string) hv.Attempt {
+	f.Helper()
+	attempt := hv.Attempt{Task: "t1", Number: 1}
+	if err := f.gates[0].call(hvwire.MethodStart, f.order(a, attempt, program, args...), &hvwire.Ack{}); err != nil {
+		f.Fatal(err)
+	}
+	return attempt
+}
+
+func (f *fixture) order(a *Agent, attempt hv.Attempt, program string, args ...string) hvwire.Start {
+	need := hv.Resources{Processors: 1000, Memory: hv.GB}
+	return hvwire.Start{
+		Task:    hv.Task{ID: attempt.Task, Kind: hv.Watcher, Program: program, Args: args, Need: need},
+		Attempt: attempt, Shard: 3, Epoch: 5, Side: a.incarnation, Commit: need, Lease: hv.Duration(10 * time.Second),
+		Beat: get(f.gates[0], func(g *fakeGate) uint64 { return g.beat.Sequence }),
+	}
+}
+
+// why returns how the attempts ended at the worker; empty for a running one.
+func (f *fixture) why() []string {
+	var all []string
+	for _, i := range f.worker.History() {
+		all = append(all, i.Why)
+	}
+	return all
+}
--- a/hvagent/upstream.go
+++ b/hvagent/upstream.go
@@ -87,9 +87,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if !req.Idempotent && len(req.Body) == 0 && replayed[req.Method] {
-		// Without a body net/http would send the request again by its method.
-		r.Body, r.GetBody = io.NopCloser(strings.NewReader("")), nil
+	if !req.Idempotent && replayed[req.Method] {
+		// net/http would send the request again by its method, but only if it
+		// can read the body twice.
+		r.Body, r.GetBody = io.NopCloser(bytes.NewReader(req.Body)), nil
 	}
 	r.Header.Set(headerRequest, req.ID)
 	if req.Key != "" {
