--- a/hvshard/faults_test.go
+++ b/hvshard/faults_test.go
@@ -19,7 +19,7 @@
 	flag.Parse()
 	given := map[string]bool{}
 	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.checks": "30", "rapid.seed": "1", "rapid.steps": "60", "rapid.nofailfile": "true"} {
+	for name, value := range map[string]string{"rapid.checks": "50", "rapid.seed": "1", "rapid.steps": "60", "rapid.nofailfile": "true"} {
 		if given[name] {
 			continue
 		}
--- a/hvshard/scenario_test.go
+++ b/hvshard/scenario_test.go
@@ -117,6 +117,22 @@
 	}
 }
 
+// Guards against an eviction whose task does not continue from its checkpoint,
+// or continues more than once.
+func TestEviction(t *testing.T) {
+	s, id, owner, _, _ := runningWatcher(t)
+	for n := 1; n <= 3; n++ {
+		if err := owner.owners[shardOf(id)].Evict(id, "a test"); err != nil {
+			t.Fatal(err)
+		}
+		s.advance(8 * time.Second)
+		e, _ := owner.states[shardOf(id)].Lookup(id)
+		if h := s.tasks[id]; h.starts != n+1 || h.checkpoint != n || e.Evictions != n || e.Resumes != n || e.Checkpoint == "" {
+			t.Fatalf("after eviction %d: %+v, %s", n, h, e.Explain())
+		}
+	}
+}
+
 // Guards against a task that fits no host and never ends, or ends before a
 // larger host had time to join.
 func TestImpossible(t *testing.T) {
--- a/hvshard/simhost_test.go
+++ b/hvshard/simhost_test.go
@@ -173,7 +173,7 @@
 	open := len(h.reports)
 	h.reports = slices.DeleteFunc(h.reports, func(other *hvwire.Report) bool { return other == r })
 	if recorded && len(h.reports) < open {
-		h.s.tasks[r.Attempt.Task].evictionKnown(r.Attempt)
+		h.s.tasks[r.Attempt.Task].recorded++
 	}
 }
 
@@ -249,10 +249,10 @@
 	accepted bool
 	running  map[hv.Attempt]string
 	starts   int
-	// evicted is the last end, if it was an eviction with a checkpoint.
-	evicted   string
-	evictedAt hv.Attempt
-	known     bool
+	// evicted is the checkpoint of the last end, if it was an eviction with one.
+	evicted string
+	// resumed is the number of evictions in the log at the last start.
+	resumed int
 	// evictions counts all, recorded those that are in the log with their
 	// checkpoint, checkpoint those that wrote one.
 	evictions  int
@@ -265,30 +265,30 @@
 	if len(r.running) > 0 {
 		s.t.Fatalf("%s: invariant 2: %s starts on %s while %v runs", s.at(), m.Attempt, host, r.running)
 	}
-	if r.known && m.Checkpoint != r.evicted {
+	inLog := 0
+	for _, g := range s.gates {
+		e, _ := g.states[m.Shard].Lookup(m.Attempt.Task)
+		inLog = max(inLog, e.Evictions)
+	}
+	if inLog > r.resumed && r.evicted != "" && m.Checkpoint != r.evicted {
 		s.t.Fatalf("%s: invariant 3: %s starts from %q, evicted with %q", s.at(), m.Attempt, m.Checkpoint, r.evicted)
 	}
+	r.resumed = inLog
 	r.starts++
 	if r.task.Once && r.starts > 1+r.checkpoint {
 		s.t.Fatalf("%s: %s is start %d of a once task with %d checkpoints", s.at(), m.Attempt, r.starts, r.checkpoint)
 	}
 	r.running[m.Attempt] = host
-	r.evicted, r.known = "", false
+	r.evicted = ""
 }
 
 func (r *history) ended(s *sim, a hv.Attempt, event, checkpoint string) {
 	delete(r.running, a)
 	if event == hvwire.EventEvicted {
-		r.evicted, r.evictedAt = checkpoint, a
+		r.evicted = checkpoint
 		r.evictions++
 		if checkpoint != "" {
 			r.checkpoint++
 		}
 	}
 }
-
-// evictionKnown notes that the owner has recorded an eviction.
-func (r *history) evictionKnown(a hv.Attempt) {
-	r.recorded++
-	r.known = r.evicted != "" && r.evictedAt == a
-}
