Measure the costs of the control plane by the size of the fleet

The design states budgets for a daemon at 790 hosts, but no command showed what a heartbeat, a placement, a step of a shard owner or a record costs at that size. Bytes and counts repeat from run to run; times are medians on a shared machine and do not.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 MODULES := . $(addprefix ./cmd/,$(PROGRAMS))
 VERSION ?= $(shell git describe --tags --always --dirty 2>/dev/null || echo dev)
 
-.PHONY: all build test lint fmt demo measure soak budget clean
+.PHONY: all build test lint fmt demo measure slopes soak budget clean
 
 all: build
 
@@ -35,5 +35,9 @@
 measure:
 	go run ./hvmeasure/hvmeasurecmd
 
+# Prints the costs by the size of the fleet; see docs/CAPACITY.md.
+slopes:
+	go run ./hvslope/hvslopecmd
+
 clean:
 	rm -rf bin
--- /dev/null
+++ b/hvslope/fit.go
@@ -0,0 +1,34 @@
+package hvslope
+
+import "slices"
+
+// Line is a cost as a function of a size: Fixed + Each * size.
+type Line struct{ Fixed, Each float64 }
+
+// Fit returns the line of least squares through the points.
+func Fit(x, y []float64) Line {
+	mx, my := mean(x), mean(y)
+	var xy, xx float64
+	for i := range x {
+		xy += (x[i] - mx) * (y[i] - my)
+		xx += (x[i] - mx) * (x[i] - mx)
+	}
+	if xx == 0 {
+		return Line{Fixed: my}
+	}
+	each := xy / xx
+	return Line{Fixed: my - each*mx, Each: each}
+}
+
+func mean(v []float64) float64 {
+	var sum float64
+	for _, x := range v {
+		sum += x
+	}
+	return sum / float64(len(v))
+}
+
+func median(v []float64) float64 {
+	v = slices.Sorted(slices.Values(v))
+	return v[len(v)/2]
+}
--- /dev/null
+++ b/hvslope/fleet.go
@@ -0,0 +1,194 @@
+// Package hvslope measures what the parts of the control plane cost by the
+// size of the fleet, with the real types and fakes of a few lines.
+package hvslope
+
+import (
+	"fmt"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvkey"
+	"hibiscusvane.example/hibiscusvane/hvlog"
+	"hibiscusvane.example/hibiscusvane/hvtask"
+	"hibiscusvane.example/hibiscusvane/hvwire"
+)
+
+// The design size of docs/design.md. Smaller fleets are scaled by their hosts.
+const (
+	designHosts  = 790
+	designTasks  = 6600
+	designStarts = 83   // task starts in a second at the peak
+	designJobs   = 4900 // jobs in a day; ended tasks are kept for a day
+	teamCount    = 63
+	instances    = 11 // sides of one service
+	zoneCount    = 4
+	hostsPerRack = 3
+)
+
+// Sizes are the fleet sizes of the table.
+var Sizes = []int{11, 100, 400, designHosts}
+
+// gateName, region and owner name the gate that owns all shards.
+const (
+	gateName = "gate-1"
+	region   = "region-1"
+	owner    = "0190f3c2-0000-7000-8000-000000000001"
+	loader   = "0190f3c2-0000-7000-8000-000000000002"
+)
+
+// start is the time at which every measurement begins.
+var start = time.Date(2027, 3, 1, 9, 0, 0, 0, time.UTC)
+
+type manualClock struct{ now time.Time }
+
+func (c *manualClock) Now() time.Time { return c.now }
+
+// fleet is a deterministic set of hosts with running and ended tasks.
+type fleet struct {
+	hosts   []hv.Host
+	running []hv.Task
+	ended   []hv.Task
+}
+
+func newFleet(hosts int) *fleet {
+	f := &fleet{}
+	for i := range hosts {
+		f.hosts = append(f.hosts, hostOf(i))
+	}
+	for i := range designTasks * hosts / designHosts {
+		f.running = append(f.running, taskOf(i))
+	}
+	for i := range designJobs * hosts / designHosts {
+		f.ended = append(f.ended, taskOf(1_000_000+3*i))
+	}
+	return f
+}
+
+func hostOf(i int) hv.Host {
+	rack := i / hostsPerRack
+	return hv.Host{
+		Name: fmt.Sprintf("host-%03d", i), Zone: fmt.Sprintf("zone-%d", rack%zoneCount), Rack: fmt.Sprintf("rack-%03d", rack),
+		Capacity: hv.Resources{Processors: 32000, Memory: 125 * hv.GB, Accelerators: 1},
+	}
+}
+
+// taskOf returns a task with a generated identifier. Every third one serves.
+func taskOf(i int) hv.Task {
+	t := hv.Task{
+		ID: uuidOf(3, i), Kind: hv.Job, Team: fmt.Sprintf("team-%02d", i%teamCount), Program: fmt.Sprintf("program-%02d", i%24),
+		Args: []string{"--area", fmt.Sprintf("area-%03d", i%500)}, Labels: map[string]string{"caller": "field-office", "area": "cebu"},
+		Need: hv.Resources{Processors: 2000, Memory: 6 * hv.GB}, Runtime: hv.Duration(20 * time.Minute), Deadline: start.Add(6 * time.Hour),
+	}
+	if i%3 == 1 {
+		t.Kind, t.Runtime, t.Deadline = hv.Service, 0, time.Time{}
+	}
+	return t
+}
+
+// uuidOf has the length of the identifiers that gates and sides generate.
+func uuidOf(kind, i int) string { return fmt.Sprintf("0190f3c2-%04x-7000-8000-%012x", kind, i) }
+
+func sideOf(host int) string { return uuidOf(4, host) }
+
+func serviceOf(host int) string { return fmt.Sprintf("service-%02d", host/instances) }
+
+func (f *fleet) services() int { return (len(f.hosts) + instances - 1) / instances }
+
+// hostFor spreads the running tasks evenly.
+func (f *fleet) hostFor(task int) int { return task % len(f.hosts) }
+
+// attempts lists what a host holds, as its heartbeats do.
+func (f *fleet) attempts(host int) []hvwire.AttemptState {
+	var list []hvwire.AttemptState
+	for i := host; i < len(f.running); i += len(f.hosts) {
+		list = append(list, stateOf(f.running[i].ID))
+	}
+	return list
+}
+
+func stateOf(task string) hvwire.AttemptState {
+	return hvwire.AttemptState{
+		Attempt: hv.Attempt{Task: task, Number: 1}, Shard: hvtask.ShardOf(task), Epoch: 1, State: hv.StateRunning, Share: 1000,
+	}
+}
+
+// heartbeat is what a side sends. The usage of its attempts is part of it.
+func heartbeat(host int, sequence uint64, attempts []hvwire.AttemptState) hvwire.Beat {
+	n := int64(len(attempts))
+	b := hvwire.Beat{
+		Incarnation: sideOf(host), Sequence: sequence, Running: 5, Waiting: 2, Attempts: attempts, Slowdown: 0.83, Version: 1,
+		Committed: hv.Resources{Processors: 3000 + 2000*n, Memory: 6*hv.GB + hv.Size(n)*6*hv.GB},
+	}
+	for _, a := range attempts {
+		b.Usage = append(b.Usage, hv.Usage{Attempt: a.Attempt, Used: hv.Resources{Processors: 1730, Memory: 5 * hv.GB}, Age: hv.Duration(12 * time.Second)})
+	}
+	return b
+}
+
+// shardOps returns the operations that bring one shard into its state, in
+// records of which each is valid after the one before.
+func (f *fleet) shardOps(shard int) []hvtask.Ops {
+	claim := []hvtask.Op{{Op: hvtask.OpClaim, Gate: gateName}}
+	var submits, places, runs, ends []hvtask.Op
+	add := func(t hv.Task, host int, ended bool) {
+		if hvtask.ShardOf(t.ID) != shard {
+			return
+		}
+		submits = append(submits, hvtask.Submit(t))
+		places = append(places, hvtask.Op{Op: hvtask.OpPlace, Task: t.ID, Number: 1, Host: f.hosts[host].Name, Side: sideOf(host)})
+		runs = append(runs, hvtask.Op{Op: hvtask.OpRun, Task: t.ID, Number: 1})
+		if ended {
+			ends = append(ends, hvtask.Op{Op: hvtask.OpEnd, Task: t.ID, Number: 1, State: hvtask.Done})
+		}
+	}
+	for i, t := range f.running {
+		add(t, f.hostFor(i), false)
+	}
+	for i, t := range f.ended {
+		t.Kind, t.Deadline = hv.Job, start.Add(6*time.Hour)
+		add(t, i%len(f.hosts), true)
+	}
+	var all []hvtask.Ops
+	for _, ops := range [][]hvtask.Op{claim, submits, places, runs, ends} {
+		all = append(all, hvtask.Ops{Epoch: 1, Owner: owner, Ops: ops})
+	}
+	return all
+}
+
+// keyMoves gives the key slots of each service to its sides in turn.
+func (f *fleet) keyMoves() []hvkey.Moves {
+	var all []hvkey.Moves
+	for s := range f.services() {
+		m := hvkey.Moves{Service: serviceOf(s * instances)}
+		sides := min(instances, len(f.hosts)-s*instances)
+		for slot := range hvkey.SlotCount {
+			m.Moves = append(m.Moves, hvkey.Move{Slot: slot, To: sideOf(s*instances + slot%sides)})
+		}
+		all = append(all, m)
+	}
+	return all
+}
+
+// recordOf returns a record as a writer appends it.
+func recordOf(kind string, sequence int, body any) hv.Record {
+	return hv.Record{ID: hvlog.FormatID(loader, int64(sequence)), Kind: kind, Body: encode(body)}
+}
+
+// states returns the state of every shard.
+func (f *fleet) states() []*hvtask.Shard {
+	var all []*hvtask.Shard
+	for shard := range hvtask.Shards {
+		s := hvtask.New(hvtask.DefaultLimits, violation)
+		for i, ops := range f.shardOps(shard) {
+			rec := recordOf(hvtask.KindOps, i+1, ops)
+			rec.Offset, rec.Time = hv.Offset(i+1), start
+			s.Apply(rec)
+		}
+		all = append(all, s)
+	}
+	return all
+}
+
+func violation(invariant int, message string) {
+	panic(fmt.Sprintf("invariant %d is violated: %s", invariant, message))
+}
