--- a/hvshard/owner_test.go
+++ b/hvshard/owner_test.go
@@ -34,7 +34,7 @@
 func (b *bench) RemoveHost(string)                {}
 func (b *bench) Release(hv.Task, string)          {}
 func (b *bench) Observe(hv.Sample)                {}
-func (b *bench) Place(hv.Task) (string, error) {
+func (b *bench) Place(hv.Task, ...string) (string, error) {
 	b.cursor++
 	return b.hosts[b.cursor%len(b.hosts)], nil
 }
