--- a/hvagent/fixture_test.go
+++ b/hvagent/fixture_test.go
@@ -53,6 +53,9 @@
 	keys     *hvwire.KeyGrant
 	reports  []hvwire.Report
 	left     bool
+	// forgot makes the gate answer the next heartbeat as one that was restarted.
+	forgot    bool
+	announced int
 	// refuse is the number of reports that are not acknowledged.
 	refuse   int
 	settings []byte
@@ -66,7 +69,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &fakeGate{address: l.Addr().String(), settings: quickSettings(t)}
+	g := &fakeGate{address: l.Addr().String(), settings: state(t, quick)}
 	mux := hvwire.Mux{}
 	hvwire.Handle(mux, hvwire.MethodAnnounce, g.serveAnnounce)
 	hvwire.Handle(mux, hvwire.MethodBeat, g.serveBeat)
@@ -95,13 +98,16 @@
 	return g
 }
 
-func quickSettings(t *testing.T) []byte {
+var quick = hvconf.Files{"10.json": json.RawMessage(`{
+	"limits": {"beat": "100ms"}, "zones": {"a": {"region": "r1"}, "b": {"region": "r2"}},
+	"gates": {"far": {"zone": "b", "address": "127.0.0.1:1"}}, "services": {"label": {"slots": 8, "connections": 64}}
+}`)}
+
+// state returns the answer to a side that asks for the settings.
+func state(t *testing.T, files hvconf.Files) []byte {
 	t.Helper()
 	book := hvconf.NewBook(func(_ int, m string) { t.Error(m) })
-	body, err := json.Marshal(hvconf.Publication{Files: hvconf.Files{"10.json": json.RawMessage(`{
-		"limits": {"beat": "100ms"}, "zones": {"a": {"region": "r1"}, "b": {"region": "r2"}},
-		"gates": {"far": {"zone": "b", "address": "127.0.0.1:1"}}, "services": {"label": {"slots": 8, "connections": 64}}
-	}`)}})
+	body, err := json.Marshal(hvconf.Publication{Files: files})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -109,23 +115,28 @@
 	if v, _ := book.Verdict(1); v.Reason != "" {
 		t.Fatal(v.Reason)
 	}
-	state, err := book.Snapshot()
+	snapshot, err := book.Snapshot()
 	if err != nil {
 		t.Fatal(err)
 	}
-	return state
+	return snapshot
 }
 
 func (g *fakeGate) serveAnnounce(_ context.Context, c *hvwire.Conn, m hvwire.Announce) (hvwire.AnnounceAck, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.announce, g.conn = m, c
+	g.announced++
 	return hvwire.AnnounceAck{Gate: "g", Version: 1}, nil
 }
 
 func (g *fakeGate) serveBeat(_ context.Context, _ *hvwire.Conn, b hvwire.Beat) (hvwire.BeatAck, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.forgot {
+		g.forgot = false
+		return hvwire.BeatAck{}, errorf("beat", hv.NotFound, "not announced")
+	}
 	g.beat = b
 	g.beats++
 	return hvwire.BeatAck{Version: 1, Renewals: g.renewals, Keys: g.keys}, nil
--- a/hvagent/leave.go
+++ b/hvagent/leave.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	// handoverTimeout bounds the wait for the handover of key slots.
+	// handoverTimeout bounds the wait for the handover of key slots and for the
+	// acknowledgement of reports, which hold the checkpoints of evicted tasks.
 	handoverTimeout = 5 * time.Second
 	// finishTimeout bounds a graceful stop. Requests end by their deadlines,
 	// which are at most 30 s.
@@ -56,19 +57,19 @@
 	wg.Wait()
 }
 
-// leave drains and returns when requests have ended and key slots have moved.
+// leave drains and returns when requests have ended, key slots have moved and
+// reports are acknowledged.
 func (a *Agent) leave(ctx context.Context) {
 	a.drain(ctx)
-	if a.service == nil {
-		return
-	}
 	start := time.Now()
-	select {
-	case <-a.service.slots.Drain():
-	case <-time.After(finishTimeout):
-		logError(a.logger, "msg", "requests are cut off", "kind", hv.Uncertain)
+	if a.service != nil {
+		select {
+		case <-a.service.slots.Drain():
+		case <-time.After(finishTimeout):
+			logError(a.logger, "msg", "requests are cut off")
+		}
 	}
-	for a.service.keys.owned() > 0 && len(a.gates.connected()) > 0 && time.Since(start) < handoverTimeout {
+	for !a.handedOver() && time.Since(start) < handoverTimeout {
 		time.Sleep(quiet / quietChecks)
 	}
 	for idle := 0; idle < quietChecks && time.Since(start) < finishTimeout; idle++ {
@@ -77,7 +78,19 @@
 		}
 		time.Sleep(quiet / quietChecks)
 	}
-	logInfo(a.logger, "msg", "drained", "slots", a.service.keys.owned())
+	logInfo(a.logger, "msg", "drained", "complete", a.handedOver())
+}
+
+// handedOver reports whether nothing that only this process knows is waiting
+// for a gate that is connected.
+func (a *Agent) handedOver() bool {
+	if len(a.gates.connected()) == 0 {
+		return true
+	}
+	if a.service != nil && a.service.keys.owned() > 0 {
+		return false
+	}
+	return a.tasks == nil || a.tasks.ledger.Load() == nil || len(a.tasks.ledger.Load().Reports(1)) == 0
 }
 
 // active counts the requests whose answers have not been written.
