--- a/hvprocess/process_test.go
+++ b/hvprocess/process_test.go
@@ -235,6 +235,11 @@
 	if args[0] == "http" {
 		return request(ts, args[1:])
 	}
-	b, err := exec.Command(programPath(ts, args[0]), args[1:]...).CombinedOutput()
+	cmd := exec.Command(programPath(ts, args[0]), args[1:]...)
+	cmd.Dir = ts.MkAbs(".")
+	for _, name := range []string{"PATH", "HOME", "HV_GATE", "HV_TOKEN"} {
+		cmd.Env = append(cmd.Env, name+"="+ts.Getenv(name))
+	}
+	b, err := cmd.CombinedOutput()
 	return string(b), err
 }
