--- a/docs/operators_test.go
+++ b/docs/operators_test.go
@@ -165,9 +165,9 @@
 // TestLocalTables fails when the local settings file of a daemon has other
 // fields than the page.
 func TestLocalTables(t *testing.T) {
-	for _, program := range []string{"hvgate", "hvside"} {
+	for program, dir := range map[string]string{"hvgate": "../cmd/hvgate", "hvside": "../hvagent"} {
 		var want []string
-		for _, f := range localFields(t, "../cmd/"+program) {
+		for _, f := range localFields(t, dir) {
 			want = append(want, "| `"+f+"` |")
 		}
 		compare(t, program, want, 1)
@@ -187,7 +187,7 @@
 		}
 		ast.Inspect(f, func(n ast.Node) bool {
 			spec, ok := n.(*ast.TypeSpec)
-			if !ok || spec.Name.Name != "config" {
+			if !ok || !strings.EqualFold(spec.Name.Name, "config") {
 				return true
 			}
 			for _, field := range spec.Type.(*ast.StructType).Fields.List {
