--- a/hvcontrol/control.go
+++ b/hvcontrol/control.go
@@ -90,6 +90,8 @@
 	c.peers = hvpeer.New(hvpeer.Deps{
 		Clock: deps.Clock, Logger: deps.Logger, Mux: deps.Mux, Self: c.self, Heard: c.heard,
 	})
+	// The other gates wait for the acknowledgement of a move of key slots.
+	c.keys.advanced = c.peers.BeatNow
 	c.peers.SetAddresses(conf.Gates)
 	c.register()
 	return c
--- a/hvcontrol/peers.go
+++ b/hvcontrol/peers.go
@@ -17,9 +17,9 @@
 	// missingAfter is the silence after which a gate counts as missing.
 	missingAfter = 3 * time.Second
 	// roundInterval is how often a gate that cannot reach the log confirms
-	// its views with the others. Two rounds fit into a lease even if one in
-	// two is lost.
-	roundInterval = 2 * time.Second
+	// its views with the others. Several rounds fit into a lease, so that some
+	// may be lost.
+	roundInterval = time.Second
 )
 
 // askAll asks all peers; there are none before New has returned.
--- a/hvcontrol/slots.go
+++ b/hvcontrol/slots.go
@@ -14,7 +14,13 @@
 
 const (
 	// assignInterval is how often the assignment of key slots is looked at.
-	assignInterval = time.Second
+	assignInterval = 250 * time.Millisecond
+	// keyLease is how long a side serves a key slot without confirmation. It
+	// is shorter than the lease of tasks, because a side that stops serving a
+	// slot loses nothing, while the slots of a lost side are not served until
+	// it has passed. It covers the 3 s after which an outage of the log is
+	// noticed, a majority round and a heartbeat.
+	keyLease = 6 * time.Second
 	// settleTime is how long the sides of a service must stay the same before
 	// their slots are assigned. Sides that start together then share them.
 	settleTime = 2 * time.Second
@@ -49,10 +55,12 @@
 		return nil
 	}
 	until, ok := c.view.RenewUntil(hvquorum.KeysStream, next)
-	if !ok {
+	limits := hvconf.Default().Limits
+	lease := until.Sub(c.Clock.Now()) - limits.Lease.Std() + keyLease
+	if !ok || lease <= 0 {
 		return nil
 	}
-	g := &hvwire.KeyGrant{Offset: hv.Offset(next), Lease: hv.Duration(until.Sub(c.Clock.Now()))}
+	g := &hvwire.KeyGrant{Offset: hv.Offset(next), Lease: hv.Duration(lease)}
 	for i, s := range c.table.Slots(side.Service) {
 		if s.Owner == side.Incarnation {
 			g.Slots = append(g.Slots, hvwire.SlotGrant{Slot: i, Since: s.Since, Wait: !c.settled(s)})
@@ -63,14 +71,13 @@
 
 // settled reports whether no earlier owner of a slot can serve it any more:
 // it had stopped, or a majority of the gates has known the move for the
-// lease duration and the clock margin.
+// lease of key slots and the clock margin.
 func (c *Control) settled(s hvkey.SlotState) bool {
 	if s.Clean {
 		return true
 	}
 	since, ok := c.view.Acknowledged(hvquorum.KeysStream, int64(s.Offset)+1)
-	limits := hvconf.Default().Limits
-	return ok && c.Clock.Now().Sub(since) >= limits.Lease.Std()+limits.Margin.Std()
+	return ok && c.Clock.Now().Sub(since) >= keyLease+hvconf.Default().Limits.Margin.Std()
 }
 
 // assignSlots gives the slots of lost and leaving sides to the others. The
@@ -114,7 +121,9 @@
 		case m.From != "" && alive && (stable || leaves(from)):
 			pair := [2]string{m.From, m.To}
 			handovers[pair] = append(handovers[pair], m.Slot)
-		case stable && !alive:
+		// Slots that never had an owner wait until the sides that start
+		// together are all there. Slots of a lost side do not wait.
+		case !alive && (stable || m.From != ""):
 			body.Moves = append(body.Moves, m)
 		}
 	}
--- a/hvcontrol/streams.go
+++ b/hvcontrol/streams.go
@@ -29,6 +29,8 @@
 	writer   *hvlog.Writer
 	snaps    *hvlog.Snapshots
 	view     *hvquorum.Tracker
+	// advanced is called when the stream has new records, or is nil.
+	advanced func()
 }
 
 func (c *Control) newStreams() {
@@ -78,6 +80,7 @@
 // track tells the tracker how recent the state of the stream is.
 func (s *stream) track(ctx context.Context) {
 	var head time.Time
+	var next hv.Offset
 	for {
 		changed := s.follower.Changed()
 		st := s.follower.Status()
@@ -91,6 +94,10 @@
 		case st.Live && head.IsZero():
 			s.view.LoadedFromPeer(s.name)
 		}
+		if st.Next > next && s.advanced != nil {
+			s.advanced()
+		}
+		next = st.Next
 		select {
 		case <-ctx.Done():
 			return
--- a/hvpeer/link.go
+++ b/hvpeer/link.go
@@ -14,6 +14,8 @@
 	addr   string
 	peers  *Peers
 	cancel context.CancelFunc
+	// now asks for a heartbeat before the next tick.
+	now chan struct{}
 	// name and conn are guarded by Peers.mu.
 	name string
 	conn *hvwire.Conn
@@ -56,6 +58,7 @@
 		case <-c.Done():
 			return nil
 		case <-tick.C:
+		case <-l.now:
 		}
 	}
 }
--- a/hvpeer/peers.go
+++ b/hvpeer/peers.go
@@ -83,7 +83,7 @@
 	}
 	for _, addr := range addrs {
 		if p.links[addr] == nil {
-			l := &link{addr: addr, peers: p}
+			l := &link{addr: addr, peers: p, now: make(chan struct{}, 1)}
 			p.links[addr] = l
 			p.start(l)
 		}
@@ -99,6 +99,18 @@
 	p.wg.Go(func() { l.run(ctx) })
 }
 
+// BeatNow sends a heartbeat to every peer without waiting for the next tick.
+func (p *Peers) BeatNow() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		select {
+		case l.now <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // Hear records a heartbeat that a peer sent. A gate that dials another is
 // known to it before the other has dialed back.
 func (p *Peers) Hear(peer hvwire.Peer) {
