--- a/Makefile
+++ b/Makefile
@@ -39,5 +39,9 @@
 slopes:
 	go run ./hvslope/hvslopecmd
 
+# Processor time, memory and bytes of a gate and a side.
+budget: build
+	sh scripts/budget.sh
+
 clean:
 	rm -rf bin
