Leave lists out of heartbeats that the other end holds

Cause: bytes of heartbeats are the largest breach in docs/CAPACITY.md. Every side sends every gate the whole list of its attempts each second, and the gate repeats the whole grant of key slots in every answer.

A side now names the attempts of its last acknowledged heartbeat by their sum (xxhash64 over all fields), and the grant that it holds by the sum of its slots. The gate puts the list of the last heartbeat in place before anything else sees the message, and leaves out slots whose sum the heartbeat named. The offset and the lease of a grant are sent every time.

Leases: the owners, the placer and the key memory get the same input as before, since a list is only put in place if its sum is the one that the sender computed at the send time of this heartbeat. Lease end times still count from that send time. A gate that holds another list or none (restart, silence, other connection) records nothing and renews nothing, so it neither takes the host for empty nor extends a lease; the side sends the whole list with the next heartbeat, 1 s later, within the 10 s lease and the 3 s of silence. Owners compare epochs on the restored list, so a host that knows a higher epoch is still not renewed. A grant whose slots or settle state (wait) changed has another sum and is sent whole. A side never infers from an answer that it did not get: what a gate holds is known only from its answer (held), which also keeps a side from sending sums to a gate that does not know them. What remains is a collision of 64 bits, between lists that no caller chooses.

Ruled out: compressing the stream with a window, which would need no change of meaning, as a flate writer for each of 790 connections does not fit into 128 MB; lists of changes with a sequence, which need state for each connection at both ends and a periodic whole list to heal.

A side sends whole lists until it uses hvwire.Lists.

Tests were seen failing without the mechanism: without the comparison of sums the gate takes [] for a list of one; with any named grant accepted the side takes old slots; with the held sum kept after an ignored heartbeat the side never sends the whole list; with an unknown list accepted the gate renews all 16 shards.

--- a/hvcontrol/sides.go
+++ b/hvcontrol/sides.go
@@ -32,10 +32,18 @@
 }
 
 func (c *Control) serveBeat(_ context.Context, conn *hvwire.Conn, b hvwire.Beat) (hvwire.BeatAck, error) {
+	ack := hvwire.BeatAck{Version: c.book.Current().Number}
+	last, _ := c.Members.Find(b.Incarnation)
+	b, ok := b.Complete(last.Beat.Attempts)
+	if !ok {
+		// Without the list nothing may be renewed, stopped or believed lost.
+		// The side sends the list next.
+		return ack, nil
+	}
 	if err := c.Members.Beat(b, conn); err != nil {
 		return hvwire.BeatAck{}, err
 	}
-	ack := hvwire.BeatAck{Version: c.book.Current().Number}
+	ack.Held = true
 	side, ok := c.Members.Find(b.Incarnation)
 	if !ok {
 		return ack, nil
@@ -45,7 +53,9 @@
 			ack.Renewals = append(ack.Renewals, *r)
 		}
 	}
-	ack.Keys = c.grant(side)
+	if ack.Keys = c.grant(side); ack.Keys != nil {
+		ack.Keys.Shorten(b)
+	}
 	c.setHost(side)
 	return ack, nil
 }
--- a/hvslope/fit_test.go
+++ b/hvslope/fit_test.go
@@ -1,8 +1,12 @@
 package hvslope
 
 import (
+	"encoding/json"
 	"math"
 	"testing"
+
+	"hibiscusvane.example/hibiscusvane/hvtask"
+	"hibiscusvane.example/hibiscusvane/hvwire"
 )
 
 // Guards against a wrong fit, on which every row of docs/CAPACITY.md rests.
@@ -24,18 +28,41 @@
 	}
 }
 
-// Guards against heartbeats that the fake gate does not answer like a real
-// one: every shard must be owned and every host's attempts accepted.
-func TestGateRenewsAllShards(t *testing.T) {
+// Guards against a gate that believes a host to hold nothing, or stops what it
+// holds, when the heartbeat leaves out unchanged lists.
+func TestGateTakesUnchangedLists(t *testing.T) {
+	t.Parallel()
 	g := newGate(newFleet(11))
 	defer g.close()
-	ack := g.beat(t.Context(), 0, 1)
-	if len(ack.Renewals) != 16 || ack.Keys == nil || len(ack.Keys.Slots) == 0 {
-		t.Fatalf("%d renewals and grant %v, want 16 and key slots", len(ack.Renewals), ack.Keys)
-	}
-	for _, r := range ack.Renewals {
-		if len(r.Stop) > 0 {
-			t.Fatalf("shard %d stops %v", r.Shard, r.Stop)
+	for sequence := range uint64(3) {
+		ack := g.beat(t.Context(), 0, 2+sequence)
+		if len(ack.Renewals) != hvtask.Shards || !ack.Held || ack.Keys == nil || len(ack.Keys.Slots) == 0 {
+			t.Fatalf("heartbeat %d: %d renewals and grant %v, want all shards and key slots", sequence, len(ack.Renewals), ack.Keys)
+		}
+		for _, r := range ack.Renewals {
+			if len(r.Stop) > 0 {
+				t.Fatalf("shard %d stops %v", r.Shard, r.Stop)
+			}
 		}
 	}
+	if b := g.next(0, 5, true); b.Same == 0 || b.Grant == 0 || b.Attempts != nil {
+		t.Fatalf("heartbeat %+v is not shortened", b)
+	}
+}
+
+// Guards against renewals for a list that the gate does not hold: after a
+// restart it must ignore the heartbeat and not take the host for empty.
+func TestGateIgnoresUnknownLists(t *testing.T) {
+	t.Parallel()
+	g := newGate(newFleet(11))
+	defer g.close()
+	b := heartbeat(0, 2, nil)
+	b.Same = 12345
+	var ack hvwire.BeatAck
+	if err := json.Unmarshal(g.call(t.Context(), 0, hvwire.MethodBeat, encode(b)), &ack); err != nil {
+		t.Fatal(err)
+	}
+	if ack.Held || len(ack.Renewals) > 0 || ack.Keys != nil {
+		t.Fatalf("answer %+v renews for a list that the gate does not hold", ack)
+	}
 }
--- a/hvslope/gate.go
+++ b/hvslope/gate.go
@@ -32,6 +32,7 @@
 	*fleet
 	mux   hvwire.Mux
 	conns []*hvwire.Conn
+	lists []hvwire.Lists
 	// far are the other ends of the connections, which nobody reads.
 	far  []net.Conn
 	stop context.CancelFunc
@@ -40,7 +41,7 @@
 
 func newGate(f *fleet) *gate {
 	clock := &manualClock{start}
-	g := &gate{fleet: f, mux: hvwire.Mux{}}
+	g := &gate{fleet: f, mux: hvwire.Mux{}, lists: make([]hvwire.Lists, len(f.hosts))}
 	members := hvmember.New(clock)
 	control := hvcontrol.New(
 		hvcontrol.Config{Name: gateName, Incarnation: owner, Region: region},
@@ -98,32 +99,37 @@
 	return encode(ans)
 }
 
+// beat sends a heartbeat with what the side knows of the gate's lists.
 func (g *gate) beat(ctx context.Context, host int, sequence uint64) hvwire.BeatAck {
+	sent := g.lists[host].Shorten(heartbeat(host, sequence, g.attempts(host)))
 	var ack hvwire.BeatAck
-	b := g.call(ctx, host, hvwire.MethodBeat, encode(heartbeat(host, sequence, g.attempts(host))))
-	if err := json.Unmarshal(b, &ack); err != nil {
+	if err := json.Unmarshal(g.call(ctx, host, hvwire.MethodBeat, encode(sent)), &ack); err != nil {
 		panic(err)
 	}
-	return ack
+	return g.lists[host].Complete(sent, ack)
 }
 
 // Heartbeat returns the cost of one heartbeat at a gate that owns all shards:
 // decoding, membership, renewals, key grant, placer and the encoded answer.
-func (f *fleet) Heartbeat() cost {
+// Usage goes with every heartbeat that has whole lists.
+func (f *fleet) Heartbeat(unchanged bool) cost {
 	g := newGate(f)
 	defer g.close()
 	ctx := context.Background()
-	sequence := uint64(1)
+	// The heartbeats before the measurement made the lists known.
+	sequence := uint64(2)
+	for h := range f.hosts {
+		g.beat(ctx, h, sequence)
+	}
 	// A small fleet sends several heartbeats, so that the clock resolves them.
 	rounds := max(1, 400/len(f.hosts))
-	var bodies [][]byte
 	var took, allocated []float64
 	for range repetitions {
-		bodies = bodies[:0]
+		var bodies [][]byte
 		for range rounds {
 			sequence++
 			for h := range f.hosts {
-				bodies = append(bodies, encode(heartbeat(h, sequence, f.attempts(h))))
+				bodies = append(bodies, encode(g.next(h, sequence, unchanged)))
 			}
 		}
 		c := once(func() {
@@ -137,6 +143,15 @@
 	return cost{median(took), median(allocated)}
 }
 
+func (g *gate) next(host int, sequence uint64, unchanged bool) hvwire.Beat {
+	b := heartbeat(host, sequence, g.attempts(host))
+	if unchanged {
+		b.Usage = nil
+		return g.lists[host].Shorten(b)
+	}
+	return b
+}
+
 // log holds the streams of the fleet.
 func (f *fleet) log(clock hv.Clock) *hvlogtest.Log {
 	l := hvlogtest.New(clock, 1)
--- a/hvslope/table.go
+++ b/hvslope/table.go
@@ -55,11 +55,13 @@
 type adder func(name, unit, per string, at func(int) float64, value float64)
 
 func sizeRows(f *fleet, add adder) {
-	d, h := f.Decision(), f.Heartbeat()
+	d, h, u := f.Decision(), f.Heartbeat(false), f.Heartbeat(true)
 	add("placement decision, time", "us", "host", hostsOf, d.nanoseconds/1e3)
 	add("placement decision, allocated", "B", "host", hostsOf, d.bytes)
-	add("heartbeat at a gate that owns all shards, time", "us", "host", hostsOf, h.nanoseconds/1e3)
-	add("heartbeat at a gate that owns all shards, allocated", "B", "host", hostsOf, h.bytes)
+	add("heartbeat with whole lists at a gate that owns all shards, time", "us", "host", hostsOf, h.nanoseconds/1e3)
+	add("heartbeat with whole lists at a gate that owns all shards, allocated", "B", "host", hostsOf, h.bytes)
+	add("heartbeat with unchanged lists, time", "us", "host", hostsOf, u.nanoseconds/1e3)
+	add("heartbeat with unchanged lists, allocated", "B", "host", hostsOf, u.bytes)
 	lifeRows(f, add)
 	record, copied := f.Publication()
 	add("publication with 63 teams, record", "B", "host", hostsOf, record)
@@ -146,27 +148,30 @@
 
 func printBeats(w io.Writer) {
 	fmt.Fprint(w, "\n| heartbeat | attempts | key slots | request B | answer B | sum B |\n|---|---|---|---|---|---|\n")
-	for _, usage := range []bool{false, true} {
-		var x, y []float64
-		for _, attempts := range []int{0, 8, 9} {
-			out, in := beatBytes(attempts, 0, usage)
-			x, y = append(x, float64(attempts)), append(y, float64(out+in))
-			for _, slots := range []int{0, 24, 256} {
-				out, in := beatBytes(attempts, slots, usage)
-				fmt.Fprintf(w, "| %s | %d | %d | %d | %d | %d |\n", with(usage), attempts, slots, out, in, out+in)
+	for _, unchanged := range []bool{false, true} {
+		for _, usage := range []bool{false, true} {
+			for _, attempts := range []int{0, 8, 9} {
+				for _, slots := range []int{0, 24, 256} {
+					out, in := beatBytes(attempts, slots, usage, unchanged)
+					fmt.Fprintf(w, "| %s, %s | %d | %d | %d | %d | %d |\n", lists(unchanged), with(usage), attempts, slots, out, in, out+in)
+				}
 			}
+			l := fitBeats([]int{0, 8, 9}, func(n int) (int, int) { return beatBytes(n, 0, usage, unchanged) })
+			fmt.Fprintf(w, "| %s, %s: slope | | | | | %s + %s per attempt |\n", lists(unchanged), with(usage), number(l.Fixed), number(l.Each))
 		}
-		l := Fit(x, y)
-		fmt.Fprintf(w, "| %s: slope | | | | | %s + %s per attempt |\n", with(usage), number(l.Fixed), number(l.Each))
+		l := fitBeats([]int{24, 256}, func(n int) (int, int) { return beatBytes(0, n, false, unchanged) })
+		fmt.Fprintf(w, "| %s, grant: slope | | | | | %s + %s per slot |\n", lists(unchanged), number(l.Fixed), number(l.Each))
 	}
+	fmt.Fprintf(w, "| between two gates | | | | | %d |\n", peerBytes())
+}
+
+func fitBeats(sizes []int, bytes func(int) (int, int)) Line {
 	var x, y []float64
-	for _, slots := range []int{24, 256} {
-		out, in := beatBytes(0, slots, false)
-		x, y = append(x, float64(slots)), append(y, float64(out+in))
+	for _, n := range sizes {
+		out, in := bytes(n)
+		x, y = append(x, float64(n)), append(y, float64(out+in))
 	}
-	l := Fit(x, y)
-	fmt.Fprintf(w, "| grant: slope | | | | | %s + %s per slot |\n", number(l.Fixed), number(l.Each))
-	fmt.Fprintf(w, "| between two gates | | | | | %d |\n", peerBytes())
+	return Fit(x, y)
 }
 
 func with(usage bool) string {
@@ -176,6 +181,13 @@
 	return "without usage"
 }
 
+func lists(unchanged bool) string {
+	if unchanged {
+		return "unchanged lists"
+	}
+	return "whole lists"
+}
+
 func printRequests(w io.Writer) {
 	fmt.Fprint(w, "\n| request between gate and side, bodies each way | bytes beyond the bodies |\n|---|---|\n")
 	var x, y []float64
--- a/hvslope/wire.go
+++ b/hvslope/wire.go
@@ -54,8 +54,9 @@
 }
 
 // beatBytes returns the bytes of a heartbeat with its answer. Usage reports go
-// with it if usage is set; slots is the number of granted key slots.
-func beatBytes(attempts, slots int, usage bool) (request, answer int) {
+// with it if usage is set; slots is the number of granted key slots. Unchanged
+// lists are left out as after an earlier heartbeat on the connection.
+func beatBytes(attempts, slots int, usage, unchanged bool) (request, answer int) {
 	var list []hvwire.AttemptState
 	for i := range attempts {
 		list = append(list, stateOf(taskOf(i).ID))
@@ -64,17 +65,32 @@
 	if !usage {
 		b.Usage = nil
 	}
-	ack := hvwire.BeatAck{Version: 12345}
+	ack := answerOf(slots)
+	if unchanged {
+		var lists hvwire.Lists
+		lists.Complete(b, ack)
+		b = lists.Shorten(b)
+		if ack.Keys != nil {
+			ack.Keys.Shorten(b)
+		}
+	}
+	return frames(hvwire.MethodBeat, b, ack)
+}
+
+// answerOf is the answer of a gate that owns its part of the shards.
+func answerOf(slots int) hvwire.BeatAck {
+	ack := hvwire.BeatAck{Version: 12345, Held: true}
 	for i := range hvtask.Shards / gateCount {
 		ack.Renewals = append(ack.Renewals, hvwire.Renewal{Shard: gateCount * i, Epoch: 12, Lease: hv.Duration(lease - 412*time.Millisecond)})
 	}
-	if slots > 0 {
-		ack.Keys = &hvwire.KeyGrant{Lease: hv.Duration(lease - 412*time.Millisecond), Offset: 4321}
-		for i := range slots {
-			ack.Keys.Slots = append(ack.Keys.Slots, hvwire.SlotGrant{Slot: i * hvkey.SlotCount / slots, Since: start.UnixMilli()})
-		}
+	if slots == 0 {
+		return ack
 	}
-	return frames(hvwire.MethodBeat, b, ack)
+	ack.Keys = &hvwire.KeyGrant{Lease: hv.Duration(lease - 412*time.Millisecond), Offset: 4321}
+	for i := range slots {
+		ack.Keys.Slots = append(ack.Keys.Slots, hvwire.SlotGrant{Slot: i * hvkey.SlotCount / slots, Since: start.UnixMilli()})
+	}
+	return ack
 }
 
 // requestBytes returns the bytes that the protocol adds to a request and its
--- /dev/null
+++ b/hvwire/lists_test.go
@@ -0,0 +1,108 @@
+package hvwire_test
+
+import (
+	"flag"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvwire"
+)
+
+// The seed and the number of checks are fixed so that every run is the same.
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "200", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// Guards against a gate that takes a shortened heartbeat for another list: it
+// would renew, stop or lose the wrong attempts. And against a side that takes
+// a short confirmation for other key slots than the gate has granted.
+func TestListsAreThoseOfTheSender(t *testing.T) {
+	t.Log("seed 1")
+	rapid.Check(t, func(t *rapid.T) {
+		var lists hvwire.Lists
+		var held []hvwire.AttemptState
+		for range rapid.IntRange(2, 30).Draw(t, "beats") {
+			switch rapid.IntRange(0, 9).Draw(t, "fault") {
+			case 0:
+				held = nil // the gate was restarted and the side does not know
+			case 1:
+				lists = hvwire.Lists{} // the connection was opened again
+			case 2:
+				held = drawAttempts(t) // another connection brought another list
+			}
+			full := hvwire.Beat{Attempts: drawAttempts(t)}
+			sent := lists.Shorten(full)
+			got, ok := sent.Complete(held)
+			ack := hvwire.BeatAck{}
+			grant := hvwire.KeyGrant{Slots: drawSlots(t), Offset: 7}
+			if ok {
+				if !slices.Equal(got.Attempts, full.Attempts) {
+					t.Fatalf("the gate takes %v, the side holds %v", got.Attempts, full.Attempts)
+				}
+				held = got.Attempts
+				sentGrant := grant
+				sentGrant.Shorten(got)
+				ack = hvwire.BeatAck{Held: true, Keys: &sentGrant}
+			}
+			if rapid.IntRange(0, 9).Draw(t, "lost") == 0 {
+				lists = hvwire.Lists{} // a lost answer ends the connection
+				continue
+			}
+			done := lists.Complete(sent, ack)
+			if ok && (done.Keys == nil || !slices.Equal(done.Keys.Slots, grant.Slots) || done.Keys.Offset != grant.Offset) {
+				t.Fatalf("the side takes %+v, the gate granted %+v", done.Keys, grant)
+			}
+			if !ok && lists.Shorten(full).Same != 0 {
+				t.Fatal("a heartbeat that was ignored must be followed by a full one")
+			}
+		}
+	})
+}
+
+// drawAttempts draws from few lists, so that consecutive ones are often equal.
+func drawAttempts(t *rapid.T) []hvwire.AttemptState {
+	var list []hvwire.AttemptState
+	for i := range rapid.IntRange(0, 2).Draw(t, "attempts") {
+		list = append(list, hvwire.AttemptState{
+			Attempt: hv.Attempt{Task: "task", Number: i + 1}, Epoch: rapid.Int64Range(1, 2).Draw(t, "epoch"), State: hv.StateRunning,
+		})
+	}
+	return list
+}
+
+func drawSlots(t *rapid.T) []hvwire.SlotGrant {
+	var list []hvwire.SlotGrant
+	for i := range rapid.IntRange(0, 2).Draw(t, "slots") {
+		list = append(list, hvwire.SlotGrant{Slot: i, Since: 1, Wait: rapid.Bool().Draw(t, "wait")})
+	}
+	return list
+}
+
+// Guards against lists that differ in one field but share a sum.
+func TestSumsTellListsApart(t *testing.T) {
+	base := hvwire.AttemptState{Attempt: hv.Attempt{Task: "a", Number: 1}, Shard: 2, Epoch: 3, State: hv.StateRunning, Share: 4}
+	seen := map[uint64]int{hvwire.SumAttempts([]hvwire.AttemptState{base}): -1}
+	for i, change := range []func(*hvwire.AttemptState){
+		func(a *hvwire.AttemptState) { a.Attempt.Task = "b" },
+		func(a *hvwire.AttemptState) { a.Attempt.Number++ },
+		func(a *hvwire.AttemptState) { a.Shard++ },
+		func(a *hvwire.AttemptState) { a.Epoch++ },
+		func(a *hvwire.AttemptState) { a.State = hv.StateDone },
+		func(a *hvwire.AttemptState) { a.Share++ },
+	} {
+		a := base
+		change(&a)
+		s := hvwire.SumAttempts([]hvwire.AttemptState{a})
+		if other, ok := seen[s]; ok {
+			t.Fatalf("change %d has the sum of %d", i, other)
+		}
+		seen[s] = i
+	}
+}
--- a/hvwire/messages.go
+++ b/hvwire/messages.go
@@ -54,7 +54,12 @@
 	Committed hv.Resources `json:"committed"`
 	// Attempts lists every attempt that the host holds.
 	Attempts []AttemptState `json:"attempts,omitempty"`
-	Usage    []hv.Usage     `json:"usage,omitempty"`
+	// Same stands for Attempts: it is the sum of a list that the gate said it
+	// holds. A gate that does not hold it ignores the heartbeat.
+	Same uint64 `json:"same,omitempty,string"`
+	// Grant is the sum of the key slots of the last grant on this connection.
+	Grant uint64     `json:"grant,omitempty,string"`
+	Usage []hv.Usage `json:"usage,omitempty"`
 	// Slowdown is the upstream's tail latency divided by its target.
 	Slowdown float64   `json:"slowdown,omitempty"`
 	Version  hv.Offset `json:"version"`
@@ -80,6 +85,9 @@
 	Renewals []Renewal `json:"renewals,omitempty"`
 	// Keys confirms the key slots that the side's incarnation owns.
 	Keys *KeyGrant `json:"keys,omitempty"`
+	// Held is set when the gate keeps the attempts of the heartbeat, so that
+	// the next one may name them by their sum.
+	Held bool `json:"held,omitempty"`
 }
 
 // Renewal extends the leases of all attempts of one shard on the host that
@@ -95,7 +103,9 @@
 
 // KeyGrant tells a side which key slots it serves.
 type KeyGrant struct {
-	Slots []SlotGrant `json:"slots"`
+	Slots []SlotGrant `json:"slots,omitempty"`
+	// Same stands for the slots whose sum the heartbeat gave.
+	Same  bool        `json:"same,omitempty"`
 	Lease hv.Duration `json:"lease"`
 	// Offset of the keys stream that the grant reflects.
 	Offset hv.Offset `json:"offset"`
