Name the held lists by their sums in the heartbeats of a side

A link forgets what the gate holds with every announcement, so the first heartbeat after a restart of the gate or a new connection is whole. The fake gate of the tests answers as the real one does, so that all tests of the side run with short heartbeats. TestGateThatLostTheListGetsIt was seen failing (20 s without the list) with a side that keeps the sum after an ignored heartbeat.

--- a/hvagent/beat.go
+++ b/hvagent/beat.go
@@ -23,6 +23,8 @@
 		return err
 	}
 	logInfo(l.logger, "msg", "announced", "name", ack.Gate, "version", ack.Version)
+	// A gate that asks for the announcement may hold no list.
+	l.lists = hvwire.Lists{}
 	l.agent.fetch(ctx, c, ack.Version)
 	return nil
 }
@@ -46,6 +48,7 @@
 	if l.agent.tasks != nil {
 		m.Usage, l.measured = l.agent.tasks.usageSince(l.measured)
 	}
+	m = l.lists.Shorten(m)
 	sent := l.agent.clock.Now()
 	l.note(m.Sequence, sent)
 	call, cancel := context.WithTimeout(ctx, callTimeout)
@@ -54,7 +57,7 @@
 	if err != nil {
 		return err
 	}
-	l.agent.acknowledged(ack, sent)
+	l.agent.acknowledged(l.lists.Complete(m, ack), sent)
 	l.agent.fetch(ctx, c, ack.Version)
 	return nil
 }
--- a/hvagent/fixture_test.go
+++ b/hvagent/fixture_test.go
@@ -49,6 +49,8 @@
 	announce hvwire.Announce
 	beat     hvwire.Beat
 	beats    int
+	// short counts the heartbeats that named a list by its sum.
+	short    int
 	renewals []hvwire.Renewal
 	keys     *hvwire.KeyGrant
 	reports  []hvwire.Report
@@ -137,9 +139,22 @@
 		g.forgot = false
 		return hvwire.BeatAck{}, errorf("beat", hv.NotFound, "not announced")
 	}
+	if b.Same != 0 {
+		g.short++
+	}
+	b, ok := b.Complete(g.beat.Attempts)
+	if !ok {
+		return hvwire.BeatAck{Version: 1}, nil
+	}
 	g.beat = b
 	g.beats++
-	return hvwire.BeatAck{Version: 1, Renewals: g.renewals, Keys: g.keys}, nil
+	ack := hvwire.BeatAck{Version: 1, Renewals: g.renewals, Held: true}
+	if g.keys != nil {
+		keys := *g.keys
+		keys.Shorten(b)
+		ack.Keys = &keys
+	}
+	return ack, nil
 }
 
 func (g *fakeGate) serveLeave(context.Context, *hvwire.Conn, hvwire.Leave) (hvwire.Ack, error) {
--- a/hvagent/gates_test.go
+++ b/hvagent/gates_test.go
@@ -128,3 +128,20 @@
 	owner.clock.pass(strandedAfter)
 	eventually(t, "the list of released slots", func() bool { return stranded() == len(slots) })
 }
+
+// Guards against a side that goes on to name a list that its gate has lost:
+// its leases would lapse.
+func TestGateThatLostTheListGetsIt(t *testing.T) {
+	f := newFixture(t, 1)
+	a, _ := f.start()
+	attempt := f.place(a, "hang")
+	g := f.gates[0]
+	for range 2 {
+		short := get(g, func(g *fakeGate) int { return g.short })
+		eventually(t, "a short heartbeat", func() bool { return get(g, func(g *fakeGate) int { return g.short }) > short })
+		g.set(func(g *fakeGate) { g.beat.Attempts = nil })
+		eventually(t, "the list", func() bool {
+			return get(g, func(g *fakeGate) bool { return len(g.beat.Attempts) == 1 && g.beat.Attempts[0].Attempt == attempt })
+		})
+	}
+}
--- a/hvagent/link.go
+++ b/hvagent/link.go
@@ -39,6 +39,8 @@
 	// measured is the time of the last usage report that was sent. Only the
 	// goroutine of the link uses it.
 	measured time.Time
+	// lists is what the gate holds; only the goroutine of the link uses it.
+	lists hvwire.Lists
 }
 
 func newLink(a *Agent, gate string, stop context.CancelFunc) *link {
--- a/hvwire/lists.go
+++ b/hvwire/lists.go
@@ -48,7 +48,8 @@
 }
 
 // Lists is what a side knows of the lists that a gate holds. It belongs to one
-// connection, on which one heartbeat at a time is outstanding.
+// connection and is not safe for concurrent use. A heartbeat whose answer is
+// lost changes nothing, because the gate compares the sums.
 type Lists struct {
 	// held is the sum of the attempts that the gate holds, or 0.
 	held  uint64
--- a/hvwire/lists_test.go
+++ b/hvwire/lists_test.go
@@ -52,7 +52,6 @@
 				ack = hvwire.BeatAck{Held: true, Keys: &sentGrant}
 			}
 			if rapid.IntRange(0, 9).Draw(t, "lost") == 0 {
-				lists = hvwire.Lists{} // a lost answer ends the connection
 				continue
 			}
 			done := lists.Complete(sent, ack)
