Wait longer at the head of streams that renew nothing, one heartbeat per pair of gates

Cause: a gate read 18 streams once a second and exchanged two heartbeats a second with each peer. Ruled out: latency of records, as a new record ends the wait.

--- a/hvcontrol/streams.go
+++ b/hvcontrol/streams.go
@@ -20,6 +20,19 @@
 // streams it keeps a region below 180 appends a second.
 const appendGap = 100 * time.Millisecond
 
+// How long a read waits at the head of a stream. A new record ends the wait, so
+// it costs no delay; each read costs about 450 bytes.
+const (
+	// keysWait keeps the view of the key slots, whose lease is short, confirmed,
+	// and notices an outage of the log.
+	keysWait = time.Second
+	// ownedWait leaves most of the lease of 10 s to the renewals of a shard.
+	ownedWait = 3 * time.Second
+	// idleWait is for streams from which this gate renews nothing. It is below
+	// the lease, as only a gate with a confirmed view can claim a shard.
+	idleWait = 8 * time.Second
+)
+
 // stream is one stream of the log with its reader and writer.
 type stream struct {
 	// name is the name without the region.
@@ -34,14 +47,21 @@
 }
 
 func (c *Control) newStreams() {
-	c.config = c.newStream(hvconf.Stream, hvconf.Stream, hvlog.KindKeep, c.book, c.first)
-	c.keys = c.newStream(hvquorum.KeysStream, c.conf.Region+"."+hvquorum.KeysStream, hvlog.KindKeep, c.table, c.first)
+	always := func(wait time.Duration) func() time.Duration { return func() time.Duration { return wait } }
+	c.config = c.newStream(hvconf.Stream, hvconf.Stream, hvlog.KindKeep, c.book, c.first, always(idleWait))
+	c.keys = c.newStream(hvquorum.KeysStream, c.conf.Region+"."+hvquorum.KeysStream, hvlog.KindKeep, c.table, c.first, always(keysWait))
 	for i := range hvtask.Shards {
 		state := hvtask.New(hvtask.DefaultLimits, c.Violations)
 		c.states = append(c.states, state)
 		name := hvshard.StreamName(i)
 		owns := func() bool { _, ok := c.owners[i].Owns(); return ok }
-		c.tasks = append(c.tasks, c.newStream(name, c.conf.Region+"."+name, hvlog.KindSnap, hvshard.NewApplier(state, c.view, i), owns))
+		wait := func() time.Duration {
+			if owns() {
+				return ownedWait
+			}
+			return idleWait
+		}
+		c.tasks = append(c.tasks, c.newStream(name, c.conf.Region+"."+name, hvlog.KindSnap, hvshard.NewApplier(state, c.view, i), owns, wait))
 	}
 }
 
@@ -52,10 +72,10 @@
 	return len(live) > 0 && live[0].Name == c.conf.Name
 }
 
-func (c *Control) newStream(name, full, snapshot string, applier hvlog.Applier, may func() bool) *stream {
+func (c *Control) newStream(name, full, snapshot string, applier hvlog.Applier, may func() bool, wait func() time.Duration) *stream {
 	logger := c.Logger
 	f := hvlog.NewFollower(hvlog.FollowerConfig{
-		Stream: full, Log: c.Log, Clock: c.Clock, Applier: applier, Jitter: rand.Float64, Logger: logger,
+		Stream: full, Log: c.Log, Clock: c.Clock, Applier: applier, Jitter: rand.Float64, Logger: logger, Wait: wait,
 		Fetch: func(ctx context.Context, after hv.Offset) ([]byte, error) { return c.fetch(ctx, name, after) },
 	})
 	w := hvlog.NewWriter(hvlog.WriterConfig{
--- a/hvlog/follower.go
+++ b/hvlog/follower.go
@@ -13,15 +13,17 @@
 const (
 	// readLimit is the number of records asked for in one read.
 	readLimit = 512
-	// readWait is how long a read waits at the head. It bounds the age of a
-	// confirmation of the head on an idle stream.
-	readWait = time.Second
-	// readTimeout ends a read whose answer does not come. It is below the lease
-	// of 10 s, so that a log that is merely slow still confirms leases.
-	readTimeout = readWait + 7*time.Second
-	// reachWindow is the time without a successful read after which the log
-	// counts as not reachable.
-	reachWindow = 3 * time.Second
+	// defaultWait is how long a read waits at the head unless the configuration
+	// says otherwise. It bounds the age of a confirmation of the head on an idle
+	// stream.
+	defaultWait = time.Second
+	// readExtra is what a read may take beyond its wait. With the longest wait
+	// it stays below the lease of 10 s, so that a log that is merely slow still
+	// confirms leases.
+	readExtra = 4 * time.Second
+	// reachExtra is the time without a successful read, beyond the wait, after
+	// which the log counts as not reachable.
+	reachExtra = 2 * time.Second
 )
 
 // Applier is the state that a stream describes. The follower calls it from one
@@ -51,6 +53,8 @@
 	// Jitter returns a random number in [0, 1).
 	Jitter func() float64
 	Logger kitlog.Logger
+	// Wait returns how long the next read waits at the head; nil means 1 s.
+	Wait func() time.Duration
 }
 
 // Status is what a follower knows about its stream.
@@ -87,6 +91,8 @@
 	lastOK  time.Time
 	failed  bool
 	changed chan struct{}
+	// wait is that of the last read.
+	wait time.Duration
 	// scan is the next offset to read and base the first readable one while
 	// the follower looks for a snapshot.
 	scan, base hv.Offset
@@ -131,7 +137,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.status
-	s.Reachable = !f.failed && !f.lastOK.IsZero() && f.cfg.Clock.Now().Sub(f.lastOK) <= reachWindow
+	s.Reachable = !f.failed && !f.lastOK.IsZero() && f.cfg.Clock.Now().Sub(f.lastOK) <= f.wait+reachExtra
 	return s
 }
 
@@ -157,8 +163,9 @@
 func (f *Follower) step(ctx context.Context) error {
 	cursor := f.cursor()
 	start := f.cfg.Clock.Now()
-	read, cancel := context.WithTimeout(ctx, readTimeout)
-	page, err := f.cfg.Log.Read(read, f.cfg.Stream, cursor, f.limit, readWait)
+	wait := f.nextWait()
+	read, cancel := context.WithTimeout(ctx, wait+readExtra)
+	page, err := f.cfg.Log.Read(read, f.cfg.Stream, cursor, f.limit, wait)
 	cancel()
 	expired := err != nil && hv.KindOf(err) == hv.Expired
 	if err != nil && !expired {
@@ -183,6 +190,17 @@
 	return nil
 }
 
+func (f *Follower) nextWait() time.Duration {
+	wait := defaultWait
+	if f.cfg.Wait != nil {
+		wait = f.cfg.Wait()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.wait = wait
+	return wait
+}
+
 // cursor returns the offset to read from.
 func (f *Follower) cursor() hv.Offset {
 	f.mu.Lock()
--- a/hvpeer/link.go
+++ b/hvpeer/link.go
@@ -48,9 +48,13 @@
 	defer l.setConn(nil, "")
 	tick := time.NewTicker(beatInterval)
 	defer tick.Stop()
-	for {
-		if err := l.beat(ctx, c); err != nil {
-			return err
+	for due := true; ; {
+		// The answer to a heartbeat tells both ends the same, so one of the
+		// two connections between two gates carries enough.
+		if due || !l.peers.heardLately(l.peer()) {
+			if err := l.beat(ctx, c); err != nil {
+				return err
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -58,7 +62,9 @@
 		case <-c.Done():
 			return nil
 		case <-tick.C:
+			due = false
 		case <-l.now:
+			due = true
 		}
 	}
 }
@@ -75,6 +81,13 @@
 	return nil
 }
 
+// peer returns the name of the peer, or an empty string before its first answer.
+func (l *link) peer() string {
+	l.peers.mu.Lock()
+	defer l.peers.mu.Unlock()
+	return l.name
+}
+
 func (l *link) setConn(c *hvwire.Conn, name string) {
 	l.peers.mu.Lock()
 	defer l.peers.mu.Unlock()
--- a/hvpeer/peers.go
+++ b/hvpeer/peers.go
@@ -125,6 +125,15 @@
 	}
 }
 
+// heardLately reports whether a peer sent a heartbeat or an answer within most
+// of the interval.
+func (p *Peers) heardLately(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.states[name]
+	return ok && p.deps.Clock.Now().Sub(s.Heard) < beatInterval*9/10
+}
+
 // States returns the last heartbeat of every peer that was heard, by name.
 func (p *Peers) States() []State {
 	p.mu.Lock()
