--- a/hvshard/batch.go
+++ b/hvshard/batch.go
@@ -110,10 +110,14 @@
 	return b
 }
 
-// Finish ends the append of a batch with its result.
+// Finish ends the append of a batch with its result. Only the first call for a
+// batch counts.
 func (o *Owner) Finish(b *Batch, now time.Time, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.flight != b {
+		return
+	}
 	o.flight = nil
 	for _, t := range b.tickets {
 		delete(o.pending, t.key)
--- a/hvshard/sim_test.go
+++ b/hvshard/sim_test.go
@@ -260,6 +260,9 @@
 	give := func(kind hv.ErrorKind) {
 		s.after(delay, func() {
 			g.receive(func() {
+				if g.flight[shard] != a {
+					return // it was read back after all
+				}
 				g.flight[shard] = nil
 				g.owners[shard].Finish(a.batch, s.now, errorf("append", kind, "injected"))
 			})
