--- a/hvshard/beat.go
+++ b/hvshard/beat.go
@@ -17,7 +17,12 @@
 	// paused on the way does not renew by an old time.
 	now := o.Clock.Now()
 	o.sync(now)
-	o.hosts[h.Name] = &host{side: b.Incarnation, rack: h.Rack, sequence: b.Sequence, received: now, leaving: b.Leaving}
+	last := o.hosts[h.Name]
+	if last == nil {
+		last = &host{}
+		o.hosts[h.Name] = last
+	}
+	last.side, last.rack, last.sequence, last.received, last.leaving = b.Incarnation, h.Rack, b.Sequence, now, b.Leaving
 	if o.epoch == 0 {
 		return nil
 	}
@@ -26,10 +31,7 @@
 	if !ok || !confirmed {
 		return nil
 	}
-	for _, e := range o.state.OnHost(h.Name) {
-		a := o.attemptOf(e, now)
-		a.until = latest(a.until, until)
-	}
+	last.until = latest(last.until, until)
 	return &hvwire.Renewal{Shard: o.config.Shard, Epoch: o.epoch, Lease: hv.Duration(until.Sub(now)), Stop: stops}
 }
 
@@ -49,7 +51,7 @@
 			stops = append(stops, s.Attempt)
 		}
 		if ok {
-			o.attemptOf(e, now).listed = now
+			o.attemptOf(&e, now).listed = now
 		}
 		if ok && e.Hold.Ran.IsZero() && s.State == hv.StateRunning {
 			o.emit(hvtask.Op{Op: hvtask.OpRun, Task: s.Attempt.Task, Number: s.Attempt.Number})
--- a/hvshard/owner.go
+++ b/hvshard/owner.go
@@ -60,7 +60,7 @@
 	// host last listed the attempt.
 	sent   time.Time
 	listed time.Time
-	// until is the latest end of a lease that this owner has permitted.
+	// until is the end of the first lease that this owner has permitted.
 	until time.Time
 	// evict is the reason of a requested eviction, asked at evictAt.
 	evict   string
@@ -78,6 +78,8 @@
 	sequence uint64
 	received time.Time
 	leaving  bool
+	// until is the latest end of the leases that this owner has renewed.
+	until time.Time
 }
 
 // wait says why a queued task is not placed and when it is tried again.
@@ -188,7 +190,7 @@
 }
 
 // attemptOf returns the owner's knowledge of the attempt that holds a host.
-func (o *Owner) attemptOf(e hvtask.Entry, now time.Time) *attempt {
+func (o *Owner) attemptOf(e *hvtask.Entry, now time.Time) *attempt {
 	a := o.attempts[e.Task.ID]
 	if a == nil || a.number != e.Hold.Number {
 		a = &attempt{number: e.Hold.Number, since: now}
--- a/hvshard/start.go
+++ b/hvshard/start.go
@@ -11,7 +11,7 @@
 // startPlaced sends a start for attempts that are recorded but not known to run.
 func (o *Owner) startPlaced(now time.Time) {
 	for _, e := range o.state.Placed() {
-		a := o.attemptOf(e, now)
+		a := o.attemptOf(&e, now)
 		if a.listed.IsZero() && now.Sub(a.sent) >= missingAfter {
 			o.start(e, a, now)
 		}
@@ -41,7 +41,7 @@
 }
 
 // stop asks the side to end the current attempt of a task.
-func (o *Owner) stop(e hvtask.Entry, checkpoint bool, reason string) {
+func (o *Owner) stop(e *hvtask.Entry, checkpoint bool, reason string) {
 	o.Hosts.Stop(e.Hold.Host, hvwire.Stop{
 		Attempt: e.Attempt(), Shard: o.config.Shard, Epoch: o.epoch, Checkpoint: checkpoint, Reason: reason,
 	})
@@ -50,9 +50,9 @@
 // Evict asks for the eviction of a running task with a checkpoint.
 func (o *Owner) Evict(task, reason string) error {
 	return o.withHold("evict", task, func(e hvtask.Entry, now time.Time) {
-		a := o.attemptOf(e, now)
+		a := o.attemptOf(&e, now)
 		a.evict, a.evictAt = reason, now
-		o.stop(e, true, reason)
+		o.stop(&e, true, reason)
 	})
 }
 
--- a/hvshard/sweep.go
+++ b/hvshard/sweep.go
@@ -14,18 +14,15 @@
 // periodic work.
 func (o *Owner) sweep(now time.Time) {
 	held := make(map[string]bool, len(o.attempts))
-	for _, name := range o.state.Hosts() {
-		silent := o.silent(name, now)
-		for _, e := range o.state.OnHost(name) {
-			held[e.Task.ID] = true
-			a := o.attemptOf(e, now)
-			if silent {
-				o.checkSilent(e, a, now)
-			} else {
-				o.checkHeard(e, a, now)
-			}
+	o.state.Holds(func(e *hvtask.Entry) {
+		held[e.Task.ID] = true
+		a := o.attemptOf(e, now)
+		if o.silent(e.Hold.Host, now) {
+			o.checkSilent(e, a, now)
+		} else {
+			o.checkHeard(e, a, now)
 		}
-	}
+	})
 	o.tidy(held, now)
 	if o.leaving {
 		return
@@ -35,7 +32,7 @@
 }
 
 // checkHeard handles an attempt on a host that sends heartbeats.
-func (o *Owner) checkHeard(e hvtask.Entry, a *attempt, now time.Time) {
+func (o *Owner) checkHeard(e *hvtask.Entry, a *attempt, now time.Time) {
 	switch {
 	case e.State.Terminal():
 		o.stop(e, false, "the task was "+string(e.State))
@@ -54,12 +51,15 @@
 
 // checkSilent handles an attempt on a host without heartbeats. It is lost only
 // when every lease that anyone may have given it has lapsed.
-func (o *Owner) checkSilent(e hvtask.Entry, a *attempt, now time.Time) {
+func (o *Owner) checkSilent(e *hvtask.Entry, a *attempt, now time.Time) {
 	own := e.Hold.Epoch == o.epoch
-	if own && a.sent.IsZero() && a.until.IsZero() && a.listed.IsZero() {
+	if own && a.sent.IsZero() && a.listed.IsZero() {
 		return // startPlaced takes it back
 	}
 	end := a.until
+	if h := o.hosts[e.Hold.Host]; h != nil {
+		end = latest(end, h.until)
+	}
 	if !own {
 		// An older owner may renew until a majority knows the new epoch.
 		since, ok := o.View.Acknowledged(o.stream, o.epoch)
--- a/hvtask/query.go
+++ b/hvtask/query.go
@@ -80,11 +80,17 @@
 	return entries(s.hosts[host])
 }
 
-// Hosts returns the names of the hosts that are held, sorted.
-func (s *Shard) Hosts() []string {
+// Holds calls f for all tasks that hold a host, by host and identifier. f must
+// not change the entries or call methods of the shard.
+func (s *Shard) Holds(f func(e *Entry)) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return sortedKeys(s.hosts)
+	for _, name := range sortedKeys(s.hosts) {
+		on := s.hosts[name]
+		for _, id := range sortedKeys(on) {
+			f(on[id])
+		}
+	}
 }
 
 // Used returns the sum of the needs of a team's tasks that hold a host.
