Renew leases only of shards that the host holds attempts of

Cause: an answer to a heartbeat listed every shard that the gate owns. The process tests now read the sources, as their results were taken from the cache after the programs had changed.

--- a/hvcontrol/sides.go
+++ b/hvcontrol/sides.go
@@ -48,8 +48,13 @@
 	if !ok {
 		return ack, nil
 	}
-	for _, o := range c.owners {
-		if r := o.Beat(side.Host, b); r != nil {
+	held := map[int]bool{}
+	for _, a := range b.Attempts {
+		held[a.Shard] = true
+	}
+	for i, o := range c.owners {
+		// A host that holds no attempt of a shard has no lease to extend.
+		if r := o.Beat(side.Host, b); r != nil && held[i] {
 			ack.Renewals = append(ack.Renewals, *r)
 		}
 	}
--- a/hvprocess/process_test.go
+++ b/hvprocess/process_test.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"io"
+	"io/fs"
 	"net"
 	"net/http"
 	"os"
@@ -49,6 +50,7 @@
 
 func build(t *testing.T) string {
 	t.Helper()
+	readSources(t)
 	dir := t.TempDir()
 	for _, p := range programs {
 		cmd := exec.Command("go", "build", "-o", filepath.Join(dir, p), "../cmd/"+p)
@@ -59,6 +61,22 @@
 	return dir
 }
 
+// readSources reads all source files. The cache of go test then sees them as
+// inputs of the test, which it cannot know from the build that the test runs.
+func readSources(t *testing.T) {
+	t.Helper()
+	err := filepath.WalkDir("..", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || filepath.Ext(path) != ".go" {
+			return err
+		}
+		_, err = os.ReadFile(path)
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
 type setKey struct{}
 
 type process struct {
--- a/hvwire/messages.go
+++ b/hvwire/messages.go
@@ -81,7 +81,8 @@
 // BeatAck answers Beat.
 type BeatAck struct {
 	Version hv.Offset `json:"version"`
-	// Renewals lists the shards that the gate owns with a confirmed view.
+	// Renewals lists the shards of the host's attempts that the gate owns with
+	// a confirmed view.
 	Renewals []Renewal `json:"renewals,omitempty"`
 	// Keys confirms the key slots that the side's incarnation owns.
 	Keys *KeyGrant `json:"keys,omitempty"`
