--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 MODULES := . $(addprefix ./cmd/,$(PROGRAMS))
 VERSION ?= $(shell git describe --tags --always --dirty 2>/dev/null || echo dev)
 
-.PHONY: all build test lint fmt demo measure slopes soak budget clean
+.PHONY: all build test lint fmt demo measure slopes soak budget direct clean
 
 all: build
 
@@ -43,5 +43,9 @@
 budget: build
 	sh scripts/budget.sh
 
+# Latency through gate and side against direct calls.
+direct: build
+	sh scripts/direct.sh
+
 clean:
 	rm -rf bin
--- a/cmd/hvfake/hvload/table.go
+++ b/cmd/hvfake/hvload/table.go
@@ -56,8 +56,7 @@
 	if len(r.times) == 0 {
 		return 0
 	}
-	slices.Sort(r.times)
-	return r.times[min(len(r.times)-1, int(q*float64(len(r.times))))]
+	return at(r.times, q)
 }
 
 // Table holds the rows in the order of their names.
--- a/cmd/hvfake/verbs.go
+++ b/cmd/hvfake/verbs.go
@@ -21,6 +21,7 @@
 	{"worker", "Run a platform worker with fake tasks", &workerCommand{}},
 	{"upstream", "Run an upstream that echoes requests", &upstreamCommand{}},
 	{"load", "Send requests and jobs to gates and print a table of their outcomes", &loadCommand{}},
+	{"compare", "Compare the latency of direct calls and of calls through a gate", &compareCommand{}},
 	{"overlaps", "Look for tasks that ran in two places at the same time", &overlapsCommand{}},
 	{"version", "Print the version", &versionCommand{}},
 }
