--- a/hvshard/faults_test.go
+++ b/hvshard/faults_test.go
@@ -103,7 +103,27 @@
 			}
 		}
 	}
-	s.advance(150 * time.Second)
+	// The quota lets the tasks of a team run only a few at a time.
+	for range 120 {
+		s.advance(10 * time.Second)
+		if s.settled() {
+			return
+		}
+	}
+}
+
+// settled reports whether all tasks that any gate knows have ended.
+func (s *sim) settled() bool {
+	for _, g := range s.gates {
+		for _, state := range g.states {
+			for _, e := range state.List("", 1000) {
+				if !e.State.Terminal() || e.Hold != nil {
+					return false
+				}
+			}
+		}
+	}
+	return true
 }
 
 // check verifies the end: every accepted task is terminal in every gate, no
@@ -152,7 +172,7 @@
 			},
 			"submitMore": func(t *rapid.T) {
 				for range rapid.IntRange(1, 8).Draw(t, "count") {
-					s.submit(hv.Task{Once: s.rng.IntN(3) == 0})
+					s.submit(hv.Task{Once: s.rng.IntN(3) == 0, Team: "team", Need: hv.Resources{Processors: int64(200 + s.rng.IntN(1000))}})
 				}
 			},
 			"watch":  func(*rapid.T) { s.submit(hv.Task{Kind: hv.Watcher}) },
--- a/hvshard/owner.go
+++ b/hvshard/owner.go
@@ -90,6 +90,8 @@
 	reason string
 	// misfit is when the task was first found to fit no host.
 	misfit time.Time
+	// quota is set while the task waits for its team's quota.
+	quota bool
 }
 
 // New returns the gate's part in a shard.
--- a/hvshard/place.go
+++ b/hvshard/place.go
@@ -102,7 +102,9 @@
 		used := o.state.Used(t.Team).Add(planned[t.Team]).Add(t.Need)
 		if share := o.state.Share(o.config.Shard, t.Team, limit); !used.Fits(share) {
 			o.ask(t.Team, missing(used, share))
-			return o.later(e, w, "the quota of team "+t.Team+" is in use", now)
+			op, ok := o.later(e, w, "the quota of team "+t.Team+" is in use", now)
+			w.quota = true
+			return op, ok
 		}
 	}
 	name, err := o.Placer.Place(t, e.Hosts...)
@@ -158,6 +160,6 @@
 		longest = maxRetryUrgent
 	}
 	w.delay = min(max(2*w.delay, firstRetry), longest)
-	w.next, w.reason, w.misfit = now.Add(w.delay), reason, time.Time{}
+	w.next, w.reason, w.misfit, w.quota = now.Add(w.delay), reason, time.Time{}, false
 	return hvtask.Op{}, false
 }
--- a/hvshard/quota.go
+++ b/hvshard/quota.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvtask"
@@ -17,9 +18,10 @@
 	return limit, ok
 }
 
-// ask records that this shard needs more of a team's quota.
+// ask records that this shard needs more of a team's quota. Balance corrects
+// the amount of an open request.
 func (o *Owner) ask(team string, amount hv.Resources) {
-	if a, ok := o.state.Asked(team); !ok || !amount.Fits(a.Amount) {
+	if _, ok := o.state.Asked(team); !ok {
 		o.emit(hvtask.Op{Op: hvtask.OpAsk, Team: team, Amount: &amount})
 	}
 }
@@ -31,14 +33,54 @@
 	if o.settings == nil || o.doubt || o.flight != nil {
 		return
 	}
+	waiting, planned := o.waitingForQuota(), o.planned()
 	for _, team := range slices.Sorted(maps.Keys(o.settings.Teams)) {
 		o.takeQuota(team)
-		if to := o.firstAsking(team); to == o.config.Shard {
-			o.withdrawAsk(team)
-		} else if to >= 0 {
-			o.giveQuota(team, to)
+		share := o.state.Share(o.config.Shard, team, o.settings.Teams[team])
+		used := o.state.Used(team).Add(planned[team])
+		reserved, short := o.reserve(waiting[team], share, used)
+		if a, ok := o.state.Asked(team); ok && a.Amount != short {
+			o.emit(hvtask.Op{Op: hvtask.OpAsk, Team: team, Amount: &short})
+		}
+		if to := o.firstAsking(team); to >= 0 && to != o.config.Shard {
+			o.giveQuota(team, to, missing(share, used.Add(reserved)))
+		}
+	}
+}
+
+// maxQuotaTasks bounds the tasks of a team that balance looks at.
+const maxQuotaTasks = 16
+
+// waitingForQuota returns the first tasks of each team that wait for quota.
+func (o *Owner) waitingForQuota() map[string][]hv.Task {
+	waiting := make(map[string][]hv.Task)
+	o.state.Queued(func(e *hvtask.Entry) bool {
+		team := e.Task.Team
+		if w := o.waits[e.Task.ID]; w != nil && w.quota && len(waiting[team]) < maxQuotaTasks {
+			waiting[team] = append(waiting[team], e.Task)
+		}
+		return true
+	})
+	return waiting
+}
+
+// reserve returns the need of the first task for which the share suffices now,
+// and what the first other one lacks. The former is tried at once, and its
+// quota is kept until then; otherwise two shards could pass the same quota to
+// each other for ever. A task that then waits for something else loses it.
+func (o *Owner) reserve(tasks []hv.Task, share, used hv.Resources) (reserved, short hv.Resources) {
+	found := false
+	for _, t := range tasks {
+		lacks := missing(used.Add(t.Need), share)
+		switch {
+		case lacks == (hv.Resources{}) && !found:
+			found, reserved = true, t.Need
+			o.waits[t.ID].next = time.Time{}
+		case lacks != (hv.Resources{}) && short == (hv.Resources{}):
+			short = lacks
 		}
 	}
+	return reserved, short
 }
 
 // takeQuota records what other shards have given to this one.
@@ -62,35 +104,20 @@
 	return first
 }
 
-// giveQuota gives unused quota to another shard, unless that has not yet taken
+// giveQuota gives idle quota to another shard, unless that has not yet taken
 // what it was given before.
-func (o *Owner) giveQuota(team string, to int) {
+func (o *Owner) giveQuota(team string, to int, idle hv.Resources) {
 	given := o.state.Given(team, to)
 	a, ok := o.States[to].Asked(team)
 	if !ok || o.States[to].Taken(team, o.config.Shard) != given {
 		return
 	}
-	used := o.state.Used(team).Add(o.planned()[team])
-	idle := missing(o.state.Share(o.config.Shard, team, o.settings.Teams[team]), used)
 	if amount := least(idle, a.Amount); amount != (hv.Resources{}) {
 		total := given.Add(amount)
 		o.emit(hvtask.Op{Op: hvtask.OpGive, Team: team, Shard: to, Amount: &total})
 	}
 }
 
-// withdrawAsk ends this shard's request when no queued task needs it.
-func (o *Owner) withdrawAsk(team string) {
-	needed := false
-	share, used := o.state.Share(o.config.Shard, team, o.settings.Teams[team]), o.state.Used(team)
-	o.state.Queued(func(e *hvtask.Entry) bool {
-		needed = e.Task.Team == team && !used.Add(e.Task.Need).Fits(share)
-		return !needed
-	})
-	if !needed {
-		o.emit(hvtask.Op{Op: hvtask.OpAsk, Team: team, Amount: &hv.Resources{}})
-	}
-}
-
 // missing returns by how much want exceeds have in each dimension.
 func missing(want, have hv.Resources) hv.Resources {
 	d := want.Sub(have)
--- a/hvshard/scenario_test.go
+++ b/hvshard/scenario_test.go
@@ -74,6 +74,19 @@
 	s.check()
 }
 
+// The owner is paused and wakes after its leases have lapsed. Guards against
+// renewals and records from its old view.
+func TestPausedOwner(t *testing.T) {
+	s, id, owner, _, _ := runningWatcher(t)
+	owner.paused = s.now.Add(30 * time.Second)
+	s.advance(60 * time.Second)
+	if _, owns := owner.owners[shardOf(id)].Owns(); owns || len(s.tasks[id].running) != 1 {
+		t.Fatalf("owns %t, %+v", owns, s.tasks[id])
+	}
+	s.heal()
+	s.check()
+}
+
 // Guards against a watcher that lapses because the log is down.
 func TestOutageKeepsWatchers(t *testing.T) {
 	s, id, _, _, _ := runningWatcher(t)
@@ -153,13 +166,6 @@
 // against quota that lies unused in a shard that does not need it.
 func TestQuota(t *testing.T) {
 	s := newSim(t, 1, 3, 3)
-	// The two shards of the simulation hold 2 of 16 parts of the quota.
-	limit := hv.Resources{Processors: 16000}
-	for _, g := range s.gates {
-		for _, o := range g.owners {
-			o.SetSettings(Settings{Teams: map[string]hv.Resources{"team": limit}})
-		}
-	}
 	s.advance(5 * time.Second)
 	for i := range 12 {
 		s.submit(hv.Task{Team: "team", Need: hv.Resources{Processors: int64(500 + 500*(i%4))}})
@@ -167,16 +173,10 @@
 	most := int64(0)
 	for range 600 {
 		s.advance(500 * time.Millisecond)
-		used := int64(0)
-		for _, h := range s.hosts {
-			for _, r := range h.runs {
-				used += r.task.Need.Processors
-			}
-		}
-		most = max(most, used)
+		most = max(most, s.used("team"))
 	}
-	if most != 2000 {
-		t.Fatalf("the team used up to %d of 2000", most)
+	if most != simQuota {
+		t.Fatalf("the team used up to %d of %d", most, simQuota)
 	}
 	s.check()
 }
--- a/hvshard/sim_test.go
+++ b/hvshard/sim_test.go
@@ -18,6 +18,8 @@
 	simLease  = 10 * time.Second
 	simMargin = 500 * time.Millisecond
 	simTick   = 50 * time.Millisecond
+	// simQuota is what the shards of the simulation hold of the quota of "team".
+	simQuota = 1000 * simShards
 )
 
 // failer is what the simulation needs of a test.
@@ -140,9 +142,25 @@
 		for _, g := range s.gates {
 			g.tick()
 		}
+		if used := s.used("team"); used > simQuota {
+			s.t.Fatalf("%s: the team uses %d of %d", s.at(), used, simQuota)
+		}
 	}
 }
 
+// used sums what the running tasks of a team need.
+func (s *sim) used(team string) int64 {
+	sum := int64(0)
+	for _, h := range s.hosts {
+		for _, r := range h.runs {
+			if r.task.Team == team {
+				sum += r.task.Need.Processors
+			}
+		}
+	}
+	return sum
+}
+
 // simGate is one gate process.
 type simGate struct {
 	s      *sim
@@ -186,6 +204,9 @@
 			Rand: rand.New(rand.NewPCG(uint64(s.starts), uint64(i))),
 		}))
 	}
+	for _, o := range g.owners {
+		o.SetSettings(Settings{Teams: map[string]hv.Resources{"team": {Processors: simQuota / simShards * hvtask.Shards}}})
+	}
 	return g
 }
 
