--- a/hvshard/owner_test.go
+++ b/hvshard/owner_test.go
@@ -1,11 +1,14 @@
 package hvshard
 
 import (
+	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvquorum"
 	"hibiscusvane.example/hibiscusvane/hvtask"
@@ -174,3 +177,68 @@
 		}
 	}
 }
+
+// Guards against decisions on sums that an uncertain record may still change:
+// it can carry a placement that the quota does not allow twice.
+func TestUncertainAppend(t *testing.T) {
+	b := newBench(t, "h")
+	b.step(jitter)
+	b.beat("h")
+	b.submit("a")
+	next := func() *Batch {
+		b.now = b.now.Add(flushEvery)
+		b.view.Read(StreamName(0), b.now)
+		return b.owner.Step(b.now)
+	}
+	placement := next()
+	if placement == nil || placement.Body.Ops[0].Op != hvtask.OpPlace {
+		t.Fatalf("%+v", placement)
+	}
+	b.owner.Finish(placement, b.now, errorf("append", hv.Uncertain, "no answer"))
+	settle := next()
+	if settle == nil || len(settle.Body.Ops) != 0 {
+		t.Fatalf("decided before the fate of the record is known: %+v", settle)
+	}
+	b.record(settle.Body)
+	b.owner.Finish(settle, b.now, nil)
+	b.now = b.now.Add(jitter)
+	b.beat("h")
+	if again := next(); again == nil || again.Body.Ops[0].Op != hvtask.OpPlace {
+		t.Fatalf("not placed again: %+v", again)
+	}
+}
+
+type blockingLog chan struct{}
+
+func (l blockingLog) Append(ctx context.Context, _ string, _ any) error {
+	close(l)
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// Guards against goroutines that outlive the context of an owner.
+func TestRunEnds(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	b := newBench(t, "h")
+	appending := make(blockingLog)
+	b.owner.Log = appending
+	ticket, err := b.owner.Add(hvtask.Cancel("a"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		b.owner.Run(ctx)
+	}()
+	<-appending
+	if ticket.Withdraw() {
+		t.Fatal("withdrawn although it may be in the log")
+	}
+	cancel()
+	<-ended
+	if err := <-ticket.Done(); err == nil {
+		t.Fatal("the append succeeded")
+	}
+}
--- a/hvshard/scenario_test.go
+++ b/hvshard/scenario_test.go
@@ -87,6 +87,24 @@
 	s.check()
 }
 
+// All gates reach the log and the hosts, but not each other. Guards against
+// gates that take a shard from each other every few seconds.
+func TestGatesApart(t *testing.T) {
+	s, id, _, _, _ := runningWatcher(t)
+	for _, g := range s.gates {
+		for _, other := range s.gates {
+			s.cutBoth(g.name, other.name, long)
+		}
+	}
+	s.advance(3 * time.Minute)
+	if epoch := s.gates[0].states[shardOf(id)].Owner().Epoch; epoch > 20 {
+		t.Fatalf("%d changes of the owner in 3 minutes", epoch)
+	}
+	if h := s.tasks[id]; h.starts != 1 || len(h.running) != 1 {
+		t.Fatalf("the watcher was disturbed: %+v", h)
+	}
+}
+
 // Guards against a watcher that lapses because the log is down.
 func TestOutageKeepsWatchers(t *testing.T) {
 	s, id, _, _, _ := runningWatcher(t)
