Bound the calls without an answer on a connection

jsonrpc2 keeps the entry of an abandoned call, with its parameters, until the peer answers or the connection ends, so a hung peer made memory grow. A connection now holds at most 512 such calls and 32 MiB of parameters and refuses further ones before they are sent, with kind Full. It ends when a call has been unanswered for 30 to 35 s and nothing was received meanwhile. The watch counts looks and not time, so that a pause of this process alone does not end its connections.

Ruled out: forgetting the entry at once, which the library does not offer.

Found on the way: a failed write left the connection open, so a peer that sends heartbeats but does not read stayed in use. A failed write ends it now.

Each part fails its test when it is taken out: without the bound the call after 512 abandoned ones is sent; without the watch the connection is open after 40 s; without the close after a failed write it is open after 3 s.

--- a/hvwire/codec.go
+++ b/hvwire/codec.go
@@ -66,6 +66,11 @@
 	}
 	n, err := c.Conn.Write(b)
 	sent.Add(int64(n))
+	if err != nil {
+		// The other end may have part of a message, and without this a peer
+		// that sends but does not read would stay connected.
+		_ = c.Close()
+	}
 	return n, err
 }
 
--- a/hvwire/conn.go
+++ b/hvwire/conn.go
@@ -58,11 +58,12 @@
 	rpc    *jsonrpc2.Conn
 	remote string
 	active atomic.Int64
+	calls  *calls
 }
 
 // NewConn starts to serve mux on a network connection.
 func NewConn(nc net.Conn, mux Mux) *Conn {
-	c := &Conn{remote: nc.RemoteAddr().String()}
+	c := &Conn{remote: nc.RemoteAddr().String(), calls: newCalls()}
 	ready := make(chan struct{})
 	handle := func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 		<-ready
@@ -70,8 +71,9 @@
 	}
 	stream := jsonrpc2.NewBufferedStream(&limitedConn{Conn: nc}, frameCodec{})
 	next := jsonrpc2.HandlerWithError(handle).SuppressErrClosed()
-	c.rpc = jsonrpc2.NewConn(context.Background(), stream, &asyncHandler{conn: c, next: next})
+	c.rpc = jsonrpc2.NewConn(context.Background(), stream, &asyncHandler{conn: c, next: next}, jsonrpc2.OnRecv(c.calls.received))
 	close(ready)
+	go c.watch()
 	return c
 }
 
@@ -124,20 +126,32 @@
 const dialTimeout = 2 * time.Second
 
 // Call sends a request and decodes its answer. An error of kind Unavailable
-// means that the request was not sent; Uncertain, that it may have been.
+// means that the request was not sent; Uncertain, that it may have been. Full
+// also means that the connection holds too many calls without an answer.
 func Call[Ans any](ctx context.Context, c *Conn, method string, req any) (Ans, error) {
 	var ans Ans
-	err := c.rpc.Call(ctx, method, req, &ans)
-	if err == nil {
-		return ans, nil
-	}
-	return ans, decodeError(method, err)
+	err := c.Call(ctx, method, req, &ans)
+	return ans, err
 }
 
 // Call sends a request and decodes its answer into ans. Errors are those of
 // the function Call.
 func (c *Conn) Call(ctx context.Context, method string, req, ans any) error {
-	if err := c.rpc.Call(ctx, method, req, ans); err != nil {
+	params, err := json.Marshal(req)
+	if err != nil {
+		return &Error{Op: method, Kind: hv.Invalid, Err: errors.Wrap(err, "encode")}
+	}
+	id, err := c.calls.begin(method, len(params))
+	if err != nil {
+		return err
+	}
+	sent, err := c.rpc.DispatchCall(ctx, method, json.RawMessage(params), jsonrpc2.PickID(jsonrpc2.ID{Num: id}))
+	if err != nil {
+		c.calls.end(id)
+		return decodeError(method, err)
+	}
+	// The call stays counted when ctx ends, because the library keeps it.
+	if err := sent.Wait(ctx, ans); err != nil {
 		return decodeError(method, err)
 	}
 	return nil
