Tell callers when a call was not sent

An error of kind Unavailable was documented as not sent, but a handler of the other end can answer the same kind after it ran the request. Errors now carry NotSent, which only the local end sets: for a closed connection, an ended context, a message that is too long or can't be encoded, and the bound on calls without an answer. The kind alone proves nothing.

hvdispatch uses it to end such a dispatch as not-run, which may be retried on another side, without settling, and to keep on settling while a connection takes no call. With the case taken out, a request to a side whose connection takes no call ends as unknown instead of done.

--- a/hvdispatch/attempt.go
+++ b/hvdispatch/attempt.go
@@ -12,7 +12,6 @@
 
 // attempt sends a request to one side and returns its outcome there.
 func (d *Dispatcher) attempt(ctx context.Context, p *pending, side *hvmember.Side, req hv.Request) hv.Answer {
-	// Nothing has been written up to here, which no error of a call proves.
 	if reason := d.gone(side); reason != "" {
 		return notRun(req, reason, defaultRetry)
 	}
@@ -28,9 +27,14 @@
 	if err == nil {
 		err = verify(req, ans)
 	}
-	if err == nil {
+	switch {
+	case err == nil:
 		d.deps.Pick.Observe(req.Service, side.Host.Name, took, classify(ans))
-	} else {
+	case hvwire.NotSent(err):
+		// The side can't have the request, so there is nothing to settle.
+		d.deps.Pick.Observe(req.Service, side.Host.Name, took, hv.Refused)
+		ans = notRun(req, err.Error(), defaultRetry)
+	default:
 		d.deps.Pick.Observe(req.Service, side.Host.Name, took, failure(ctx, err))
 		ans = d.settle(ctx, side, req, start, ans, err)
 	}
--- a/hvdispatch/dispatch_test.go
+++ b/hvdispatch/dispatch_test.go
@@ -160,6 +160,7 @@
 		none: hv.Done, refuse: hv.Done, late: hv.Unknown, slow: hv.NotRun, cut: hv.Done, foreign: hv.Done,
 		foreignRefusal: hv.Done, corrupt: hv.Done, lostBefore: hv.Done, lostInFlight: hv.Done, lostAnswer: hv.Done,
 		restart: hv.Unknown, errorAfterRun: hv.Done, lostAndNoSettle: hv.Unknown,
+		notSent: hv.Done,
 	}
 	for f := range faults {
 		t.Run(fmt.Sprint("fault", int(f)), func(t *testing.T) {
--- a/hvdispatch/fake_test.go
+++ b/hvdispatch/fake_test.go
@@ -32,6 +32,7 @@
 	restart               // the side process ends after the run and is replaced
 	errorAfterRun         // the side answers an error of kind Unavailable
 	lostAndNoSettle       // as lostInFlight, and settling fails too
+	notSent               // the connection takes no further call, settle included
 	faults
 )
 
@@ -150,6 +151,9 @@
 // errLost is what a call returns when its connection ends.
 var errLost = &hvwire.Error{Op: "run", Kind: hv.Uncertain, Err: errors.New("connection ended")}
 
+// errNotSent is what a call returns on a connection that takes no more calls.
+var errNotSent = &hvwire.Error{Op: "run", Kind: hv.Full, Err: errors.New("too many calls"), NotSent: true}
+
 func (c *fakeConn) Call(ctx context.Context, method string, req, ans any) error {
 	type result struct {
 		ans hv.Answer
@@ -192,6 +196,8 @@
 	switch f {
 	case refuse:
 		return hv.Answer{ID: req.ID, Outcome: hv.NotRun}, nil
+	case notSent:
+		return hv.Answer{}, errNotSent
 	case lostBefore:
 		c.lose(false)
 		return hv.Answer{}, errLost
@@ -257,8 +263,11 @@
 	default:
 	}
 	for _, f := range s.world.plan[m.ID] {
-		if f == lostAndNoSettle {
+		switch f {
+		case lostAndNoSettle:
 			return hv.Answer{}, errLost
+		case notSent:
+			return hv.Answer{}, errNotSent
 		}
 	}
 	switch ans, done := s.done[m.ID]; {
--- a/hvdispatch/settle.go
+++ b/hvdispatch/settle.go
@@ -68,7 +68,7 @@
 			if err == nil {
 				return ans, verify(req, ans)
 			}
-			if !ended(conn) {
+			if !ended(conn) && !hvwire.NotSent(err) {
 				return ans, err
 			}
 		}
--- a/hvwire/calls.go
+++ b/hvwire/calls.go
@@ -44,7 +44,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.sizes) >= maxCalls || c.bytes+size > maxCallBytes {
-		return 0, &Error{Op: method, Kind: hv.Full, Err: errors.Errorf("%d calls with %d bytes are unanswered on the connection", len(c.sizes), c.bytes)}
+		return 0, &Error{Op: method, Kind: hv.Full, Err: errors.Errorf("%d calls with %d bytes are unanswered on the connection", len(c.sizes), c.bytes), NotSent: true}
 	}
 	// The library takes 0 for an identifier that is not set.
 	c.last++
--- a/hvwire/calls_test.go
+++ b/hvwire/calls_test.go
@@ -71,8 +71,8 @@
 				t.Fatalf("call %d: %v, want kind %s", i, err, hv.Uncertain)
 			}
 		}
-		if err := abandon(c, Leave{}); hv.KindOf(err) != hv.Full {
-			t.Errorf("%v, want kind %s", err, hv.Full)
+		if err := abandon(c, Leave{}); hv.KindOf(err) != hv.Full || !NotSent(err) {
+			t.Errorf("%v, want kind %s and not sent", err, hv.Full)
 		}
 		if time.Sleep(2 * maxQuiet); !open(c) {
 			t.Error("the connection ended although the peer sends")
@@ -99,8 +99,8 @@
 			t.Fatal(err)
 		}
 	}
-	if err := client.Call(t.Context(), MethodRun, make([]byte, maxFrameBytes), nil); err == nil {
-		t.Error("a message over the limit was sent")
+	if err := client.Call(t.Context(), MethodRun, make([]byte, maxFrameBytes), nil); !NotSent(err) {
+		t.Errorf("message over the limit: %v, want it not sent", err)
 	}
 	if n, b := len(client.calls.sizes), client.calls.bytes; n != 0 || b != 0 {
 		t.Errorf("%d calls with %d bytes are still counted", n, b)
--- a/hvwire/codec.go
+++ b/hvwire/codec.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/binary"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"sync/atomic"
@@ -16,6 +17,13 @@
 // Unlike the codecs of the library it bounds the size of a message.
 type frameCodec struct{}
 
+// lengthError refuses a message before it is written or read.
+type lengthError struct{ length int }
+
+func (e *lengthError) Error() string {
+	return fmt.Sprintf("message of %d bytes is over the limit of %d", e.length, maxFrameBytes)
+}
+
 // WriteObject implements jsonrpc2.ObjectCodec.
 func (frameCodec) WriteObject(w io.Writer, obj any) error {
 	b, err := json.Marshal(obj)
@@ -23,7 +31,7 @@
 		return errors.Wrap(err, "encode message")
 	}
 	if len(b) > maxFrameBytes {
-		return errors.Errorf("message of %d bytes is over the limit of %d", len(b), maxFrameBytes)
+		return &lengthError{len(b)}
 	}
 	frame := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(b)), uint32(len(b)))
 	_, err = w.Write(append(frame, b...))
@@ -38,7 +46,7 @@
 	}
 	n := binary.BigEndian.Uint32(head[:])
 	if n > maxFrameBytes {
-		return errors.Errorf("message of %d bytes is over the limit of %d", n, maxFrameBytes)
+		return &lengthError{int(n)}
 	}
 	b := make([]byte, n)
 	if _, err := io.ReadFull(r, b); err != nil {
--- a/hvwire/conn.go
+++ b/hvwire/conn.go
@@ -25,6 +25,9 @@
 	Op   string
 	Kind hv.ErrorKind
 	Err  error
+	// NotSent is true if nothing was sent. Only the local end sets it; an error
+	// of the other end can have any kind but never this mark.
+	NotSent bool
 }
 
 func (e *Error) Error() string { return fmt.Sprintf("wire %s: %v", e.Op, e.Err) }
@@ -35,6 +38,13 @@
 // ErrorKind returns the kind of the error.
 func (e *Error) ErrorKind() hv.ErrorKind { return e.Kind }
 
+// NotSent reports whether a call failed before anything was sent, so that the
+// other end can't have received it.
+func NotSent(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.NotSent
+}
+
 // Handler answers one method.
 type Handler func(ctx context.Context, c *Conn, params json.RawMessage) (any, error)
 
@@ -118,16 +128,16 @@
 	d := net.Dialer{Timeout: dialTimeout}
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil, &Error{Op: "dial", Kind: hv.Unavailable, Err: err}
+		return nil, &Error{Op: "dial", Kind: hv.Unavailable, Err: err, NotSent: true}
 	}
 	return NewConn(nc, mux), nil
 }
 
 const dialTimeout = 2 * time.Second
 
-// Call sends a request and decodes its answer. An error of kind Unavailable
-// means that the request was not sent; Uncertain, that it may have been. Full
-// also means that the connection holds too many calls without an answer.
+// Call sends a request and decodes its answer. Whether the request may have
+// been received is told by NotSent and not by the kind of the error, which the
+// other end may have chosen.
 func Call[Ans any](ctx context.Context, c *Conn, method string, req any) (Ans, error) {
 	var ans Ans
 	err := c.Call(ctx, method, req, &ans)
@@ -139,7 +149,10 @@
 func (c *Conn) Call(ctx context.Context, method string, req, ans any) error {
 	params, err := json.Marshal(req)
 	if err != nil {
-		return &Error{Op: method, Kind: hv.Invalid, Err: errors.Wrap(err, "encode")}
+		return &Error{Op: method, Kind: hv.Invalid, Err: errors.Wrap(err, "encode"), NotSent: true}
+	}
+	if err := c.ready(ctx, method); err != nil {
+		return err
 	}
 	id, err := c.calls.begin(method, len(params))
 	if err != nil {
@@ -157,6 +170,19 @@
 	return nil
 }
 
+// ready returns an error if there is no point in sending.
+func (c *Conn) ready(ctx context.Context, method string) error {
+	if err := ctx.Err(); err != nil {
+		return &Error{Op: method, Kind: hv.Expired, Err: err, NotSent: true}
+	}
+	select {
+	case <-c.Done():
+		return &Error{Op: method, Kind: hv.Unavailable, Err: jsonrpc2.ErrClosed, NotSent: true}
+	default:
+		return nil
+	}
+}
+
 // Remote returns the address of the other end.
 func (c *Conn) Remote() string { return c.remote }
 
@@ -180,7 +206,10 @@
 
 func decodeError(method string, err error) error {
 	var remote *jsonrpc2.Error
+	var long *lengthError
 	switch {
+	case errors.As(err, &long):
+		return &Error{Op: method, Kind: hv.Invalid, Err: err, NotSent: true}
 	case errors.Is(err, jsonrpc2.ErrClosed):
 		// The library also returns ErrClosed when the connection ends while
 		// the answer is outstanding, so the request may have been received.
--- a/hvwire/conn_test.go
+++ b/hvwire/conn_test.go
@@ -35,6 +35,30 @@
 	}
 }
 
+// Guards against a request that ran and is taken for one that was not sent,
+// because the other end answered an error that looks like a local one.
+func TestOnlyTheLocalEndReportsNotSent(t *testing.T) {
+	mux := Mux{}
+	for _, kind := range []hv.ErrorKind{hv.Unavailable, hv.Full} {
+		Handle(mux, MethodRun, func(context.Context, *Conn, Leave) (Ack, error) {
+			return Ack{}, &Error{Op: "run", Kind: kind, Err: context.Canceled, NotSent: true}
+		})
+		client, _ := pair(t, mux)
+		if err := client.Call(t.Context(), MethodRun, Leave{}, nil); hv.KindOf(err) != kind || NotSent(err) {
+			t.Errorf("error of the other end: %v, want kind %s and no mark", err, kind)
+		}
+		ended, cancel := context.WithCancel(t.Context())
+		cancel()
+		if err := client.Call(ended, MethodRun, Leave{}, nil); !NotSent(err) {
+			t.Errorf("call after the end of its context: %v, want it not sent", err)
+		}
+		client.Close()
+		if err := client.Call(t.Context(), MethodRun, Leave{}, nil); hv.KindOf(err) != hv.Unavailable || !NotSent(err) {
+			t.Errorf("call on a closed connection: %v, want kind %s and not sent", err, hv.Unavailable)
+		}
+	}
+}
+
 // Guards against a lost connection being reported as certain: the request may
 // have been received.
 func TestCallIsUncertainWhenConnectionEnds(t *testing.T) {
