--- a/hvadmit/machine_test.go
+++ b/hvadmit/machine_test.go
@@ -25,6 +25,7 @@
 	clock   *fakeClock
 	admit   *Admitter
 	limit   int
+	set     Settings
 	queued  []*ticket
 	running []*ticket
 	// entered counts tickets, ended those with a final verdict or release.
@@ -47,14 +48,15 @@
 func TestAdmitterMachine(t *testing.T) {
 	t.Logf("seed 5")
 	rapid.Check(t, func(t *rapid.T) {
-		m := &machine{clock: &fakeClock{now: time.Unix(1000, 0)}, limit: 4}
-		m.admit = New(m.clock, machineSettings(), func(n int, msg string) { t.Fatalf("invariant %d: %s", n, msg) })
+		m := &machine{clock: &fakeClock{now: time.Unix(1000, 0)}, limit: 4, set: machineSettings()}
+		m.admit = New(m.clock, m.set, func(n int, msg string) { t.Fatalf("invariant %d: %s", n, msg) })
 		m.admit.SetLimit("labels", m.limit)
 		t.Repeat(map[string]func(*rapid.T){
 			"enter":   m.enter,
 			"finish":  m.finish,
 			"abandon": m.abandon,
 			"limit":   m.setLimit,
+			"set":     m.change,
 			"pass": func(t *rapid.T) {
 				m.clock.now = m.clock.now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond)
 			},
@@ -116,6 +118,54 @@
 	m.collect(t)
 }
 
+// change replaces the settings while requests wait and run.
+func (m *machine) change(t *rapid.T) {
+	set := machineSettings()
+	for _, name := range hv.Classes {
+		c := set.Classes[name]
+		c.Weight = rapid.IntRange(1, 20).Draw(t, "weight")
+		c.Floor = rapid.IntRange(0, whole/3).Draw(t, "floor")
+		c.Queue = rapid.IntRange(1, 6).Draw(t, "queue")
+		set.Classes[name] = c
+	}
+	set.Callers = map[string]Caller{"c": {Weight: rapid.IntRange(1, 9).Draw(t, "caller weight"), Floor: 300}}
+	if err := set.Check(); err != nil {
+		t.Fatal(err)
+	}
+	m.set = set
+	m.admit.Set(set)
+	m.collect(t)
+	m.checkFlows(t)
+}
+
+// checkFlows fails if the flows are not where the settings put them.
+func (m *machine) checkFlows(t *rapid.T) {
+	s := m.admit.services["labels"]
+	if s == nil {
+		return
+	}
+	for _, c := range s.classes {
+		sum, longest := 0, 0.0
+		for _, f := range c.flows {
+			if f.queue.Len() == 0 {
+				continue
+			}
+			conf := m.set.caller(f.name)
+			sum += conf.Weight
+			longest = max(longest, float64(f.queue.Len())/float64(conf.Weight))
+			if below := f.running < s.slots(conf.Floor); below != (f.poor != absent) || below != (f.rich == absent) {
+				t.Fatalf("%s of %s: below its floor %v, but its places are %d and %d", f.name, c.name, below, f.poor, f.rich)
+			}
+		}
+		if sum != c.weights {
+			t.Fatalf("%s: the flows that wait weigh %d, the class has %d", c.name, sum, c.weights)
+		}
+		if sum > 0 && c.longest.first().length(0) != longest {
+			t.Fatalf("%s: the longest queue is not first", c.name)
+		}
+	}
+}
+
 // collect moves tickets by their verdicts and checks the floors of the classes
 // at every start.
 func (m *machine) collect(t *rapid.T) {
@@ -154,8 +204,7 @@
 // checkFloors fails if a class went above its floor while another one that
 // waits is below its own.
 func (m *machine) checkFloors(t *rapid.T, started *ticket) {
-	set := machineSettings()
-	floor := func(name hv.Class) float64 { return float64(m.limit*set.Classes[name].Floor) / whole }
+	floor := func(name hv.Class) float64 { return float64(m.limit*m.set.Classes[name].Floor) / whole }
 	own := started.flow.class.name
 	if float64(m.count(m.running, own)) < floor(own)+1 {
 		return
--- /dev/null
+++ b/hvhttp/leak_test.go
@@ -0,0 +1,10 @@
+package hvhttp_test
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// Guards against goroutines that outlive their context.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
