Let simulations enter the admitter without blocking

Enter queues a request and reports its admission through a callback, so that a simulation under an injected clock can use the real admitter. The tests of the package use the same callback in place of a look at every waiting request after each event, and run in parallel. No bound of a test changed.

--- a/hvadmit/admit.go
+++ b/hvadmit/admit.go
@@ -99,7 +99,7 @@
 
 // Admit implements hibiscusvane.Admitter.
 func (a *Admitter) Admit(ctx context.Context, req hv.Request) (func(), time.Duration, error) {
-	t, v := a.enter(req)
+	t, v := a.enter(req, nil)
 	if t == nil {
 		return nil, v.retry, v.err
 	}
@@ -119,7 +119,7 @@
 }
 
 // enter queues a request or refuses it.
-func (a *Admitter) enter(req hv.Request) (*ticket, verdict) {
+func (a *Admitter) enter(req hv.Request, notify func(error)) (*ticket, verdict) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.flat {
@@ -144,7 +144,7 @@
 	if v := c.refuse(f, left); v.err != nil {
 		return nil, v
 	}
-	t := newTicket(s, f, now.Add(left))
+	t := newTicket(s, f, now.Add(left), notify)
 	c.push(t)
 	s.dispatch(now)
 	return t, verdict{}
--- a/hvadmit/flow.go
+++ b/hvadmit/flow.go
@@ -52,14 +52,23 @@
 	charged float64
 	place   *list.Element
 	verdict chan verdict
+	// notify is called at the verdict if it is not nil.
+	notify func(err error)
 }
 
-func newTicket(s *service, f *flow, deadline time.Time) *ticket {
-	return &ticket{service: s, flow: f, deadline: deadline, verdict: make(chan verdict, 1)}
+func newTicket(s *service, f *flow, deadline time.Time, notify func(error)) *ticket {
+	return &ticket{service: s, flow: f, deadline: deadline, verdict: make(chan verdict, 1), notify: notify}
+}
+
+func (t *ticket) conclude(v verdict) {
+	t.verdict <- v
+	if t.notify != nil {
+		t.notify(v.err)
+	}
 }
 
 // refuse ends a ticket that waits.
 func (t *ticket) refuse(kind hv.ErrorKind, retry time.Duration, reason string) {
 	t.state = ended
-	t.verdict <- verdict{err: errorf("wait", kind, "%s", reason), retry: retry}
+	t.conclude(verdict{err: errorf("wait", kind, "%s", reason), retry: retry})
 }
--- a/hvadmit/machine_test.go
+++ b/hvadmit/machine_test.go
@@ -76,7 +76,7 @@
 	tk, v := m.admit.enter(hv.Request{
 		Service: "labels", Caller: caller, Class: rapid.SampledFrom(hv.Classes).Draw(t, "class"),
 		Left: hv.Duration(time.Duration(rapid.IntRange(1, 2000).Draw(t, "left")) * time.Millisecond),
-	})
+	}, nil)
 	if tk == nil {
 		if v.err == nil || v.retry <= 0 {
 			t.Fatalf("refused without an error or retry time: %+v", v)
--- a/hvadmit/service.go
+++ b/hvadmit/service.go
@@ -104,7 +104,7 @@
 	c.running++
 	s.running++
 	c.remove(t)
-	t.verdict <- verdict{}
+	t.conclude(verdict{})
 }
 
 // finish gives the slot of a ticket back.
--- a/hvadmit/sim_test.go
+++ b/hvadmit/sim_test.go
@@ -34,8 +34,8 @@
 
 type event struct {
 	at     time.Time
-	stream int     // an arrival, if end is nil
-	end    *ticket // the end of a request
+	stream int      // an arrival, if end is nil
+	end    *waiting // the end of a request
 }
 
 type events []event
@@ -54,6 +54,7 @@
 	ticket  *ticket
 	stream  int
 	arrived time.Time
+	err     error
 }
 
 // sim runs streams against an admitter in virtual time.
@@ -63,8 +64,7 @@
 	admit   *Admitter
 	streams []stream
 	queue   events
-	waiting []waiting
-	arrived map[*ticket]waiting
+	decided []*waiting        // admitted or refused since the last step
 	took    [][]time.Duration // time in the system per stream
 	busy    []time.Duration   // slot time per stream
 	offered []int
@@ -74,7 +74,7 @@
 	warm            time.Time
 }
 
-// simSettings keep queues short, so that a run takes little time.
+// simSettings keep queues short, so that they are full soon.
 func simSettings() Settings {
 	set := DefaultSettings()
 	for name, c := range set.Classes {
@@ -92,8 +92,8 @@
 	}
 	s := &sim{
 		clock: &fakeClock{now: time.Unix(1000, 0)}, random: rand.New(rand.NewPCG(simSeed, simSeed)),
-		streams: streams, arrived: map[*ticket]waiting{},
-		took: make([][]time.Duration, len(streams)), busy: make([]time.Duration, len(streams)), offered: make([]int, len(streams)),
+		streams: streams,
+		took:    make([][]time.Duration, len(streams)), busy: make([]time.Duration, len(streams)), offered: make([]int, len(streams)),
 	}
 	s.admit = build(s.clock, set, func(n int, m string) { t.Errorf("invariant %d: %s", n, m) })
 	s.admit.SetLimit("labels", simSlots)
@@ -121,49 +121,42 @@
 }
 
 func (s *sim) step(e event) {
-	if e.end != nil {
-		w := s.arrived[e.end]
-		delete(s.arrived, e.end)
+	defer s.collect()
+	if w := e.end; w != nil {
 		s.took[w.stream] = append(s.took[w.stream], s.clock.now.Sub(w.arrived))
-		s.admit.leave(e.end)
-		s.waiting = s.collect(s.waiting)
+		s.admit.leave(w.ticket)
 		return
 	}
 	st := s.streams[e.stream]
 	s.schedule(e.stream)
 	s.offered[e.stream]++
 	req := hv.Request{Service: "labels", Class: st.class, Caller: st.caller, Left: hv.Duration(simLeft)}
-	if t, _ := s.admit.enter(req); t != nil {
-		s.queued += s.late(waiting{arrived: s.clock.now})
-		// An arrival can only start itself.
-		s.waiting = append(s.waiting, s.collect([]waiting{{t, e.stream, s.clock.now}})...)
+	w := &waiting{stream: e.stream, arrived: s.clock.now}
+	w.ticket, _ = s.admit.enter(req, func(err error) {
+		w.err = err
+		s.decided = append(s.decided, w)
+	})
+	if w.ticket != nil {
+		s.queued += s.late(w)
 	}
 }
 
-// collect starts what the admitter has admitted, drops what it refused and
-// returns the rest.
-func (s *sim) collect(list []waiting) []waiting {
-	kept := list[:0]
-	for _, w := range list {
-		select {
-		case v := <-w.ticket.verdict:
-			if v.err != nil {
-				s.expired += s.late(w)
-			} else {
-				took := time.Duration(s.random.ExpFloat64() * float64(simTook) * s.streams[w.stream].factor)
-				s.arrived[w.ticket] = w
-				s.busy[w.stream] += took
-				heap.Push(&s.queue, event{at: s.clock.now.Add(took), end: w.ticket})
-			}
-		default:
-			kept = append(kept, w)
+// collect starts what the admitter has admitted and counts what it refused.
+func (s *sim) collect() {
+	for _, w := range s.decided {
+		if w.err != nil {
+			s.expired += s.late(w)
+			continue
 		}
+		took := time.Duration(s.random.ExpFloat64() * float64(simTook) * s.streams[w.stream].factor)
+		s.busy[w.stream] += took
+		heap.Push(&s.queue, event{at: s.clock.now.Add(took), end: w})
 	}
-	return kept
+	s.decided = s.decided[:0]
 }
 
 // late is 1 for a request that arrived after the warm-up.
-func (s *sim) late(w waiting) int {
+func (s *sim) late(w *waiting) int {
 	if w.arrived.Before(s.warm) {
 		return 0
 	}
@@ -195,6 +188,7 @@
 
 // Guards against a flood of the least urgent work that delays urgent work.
 func TestBatchFloodLeavesUrgentLatency(t *testing.T) {
+	t.Parallel()
 	urgent, flood := stream{hv.Urgent, "weights", 0.2, 1}, stream{hv.Batch, "sheets", 10, 1}
 	alone := simulate(t, New, simSettings(), []stream{urgent}).p99(0)
 	s := simulate(t, New, simSettings(), []stream{urgent, flood})
@@ -215,6 +209,7 @@
 
 // Guards against urgent floods that starve the other classes.
 func TestUrgentFloodLeavesFloors(t *testing.T) {
+	t.Parallel()
 	streams := []stream{{hv.Urgent, "weights", 10, 1}, {hv.Standard, "reports", 0.4, 1}, {hv.Batch, "sheets", 0.4, 1}}
 	s := simulate(t, New, simSettings(), streams)
 	for i, floor := range []float64{0.3, 0.2, 0.1} {
@@ -230,6 +225,7 @@
 
 // Guards against one caller that floods its own class.
 func TestCallerFloodLeavesFloors(t *testing.T) {
+	t.Parallel()
 	set := simSettings()
 	set.Callers = map[string]Caller{
 		"flood":  {Weight: 10},
@@ -250,6 +246,7 @@
 
 // Guards against shares by count, which favour callers with long requests.
 func TestManyCallersShareEqually(t *testing.T) {
+	t.Parallel()
 	var streams []stream
 	for i := range 10 {
 		streams = append(streams, stream{hv.Standard, fmt.Sprint("c", i), 0.5, 1 + float64(i%2)*3})
@@ -264,6 +261,7 @@
 
 // Guards against floors that hide a lost weight.
 func TestClassesShareByWeight(t *testing.T) {
+	t.Parallel()
 	set := simSettings()
 	for i, name := range hv.Classes {
 		c := set.Classes[name]
@@ -283,6 +281,7 @@
 // Guards against requests that wait in vain because they are refused only
 // when their deadline has passed.
 func TestHopelessRequestsAreRefusedEarly(t *testing.T) {
+	t.Parallel()
 	s := simulate(t, New, DefaultSettings(), []stream{{hv.Urgent, "weights", 3, 5}})
 	if part := float64(s.expired) / float64(s.queued); part > 0.1 {
 		t.Errorf("%.3f of the queued requests expired in the queue, want at most 0.1", part)
