Measure the request path against its baselines

Eleven situations of the request path run the real hvadmit, hvroute and hvretry and the limit rule of hvdispatch under an injected clock: floods of batch, of urgent work and of one caller; an upstream that is slow, fails fast, hangs or answers wrong; the gate's own zone slower; eight gates of which one has a third of the traffic, settled and from the start; and everything failing. The baseline is first come first served without shares, round robin, and retries without a budget. hvdispatch exports its limit rule as Limit.

make measure prints them; -case path: prints only these.

--- a/hvdispatch/limits.go
+++ b/hvdispatch/limits.go
@@ -70,9 +70,6 @@
 	l.known = now
 }
 
-// limit is the gate's part of the slots, or what the other gates leave of
-// them by the last heartbeats, whichever is more. So a gate that gets all
-// requests can use all slots, and gates that are all busy share them.
 func (l *Limits) limit(service string) int {
 	slots, load, own := 0, 0, 0
 	for _, s := range l.fleet.Usable(service) {
@@ -80,8 +77,15 @@
 		load += s.Beat.Running + s.Beat.Waiting
 		own += l.flight.get(s.Host.Name)
 	}
-	gates := max(l.gates(), 1)
-	if gates == 1 {
+	return Limit(slots, l.gates(), load, own)
+}
+
+// Limit is one gate's part of the slots, or what the other gates leave of them
+// by the last heartbeats, whichever is more. So a gate that gets all requests
+// can use all slots, and gates that are all busy share them. Load counts the
+// requests at the upstreams and own those of this gate in flight.
+func Limit(slots, gates, load, own int) int {
+	if gates <= 1 {
 		return slots
 	}
 	return max((slots+gates-1)/gates, slots-max(0, load-own))
--- a/hvmeasure/table.go
+++ b/hvmeasure/table.go
@@ -61,7 +61,7 @@
 			missed += printCase(w, c, d, seeds)
 		}
 	}
-	return missed
+	return missed + printPaths(w, match, seeds)
 }
 
 func printCase(w io.Writer, c Case, d Deployment, seeds int) int {
