Estimate the requests of other gates from heartbeats

The router took the greater of its own requests at an upstream and the load of the last heartbeat. That load is up to 1 s old and includes the requests of the same gate, so under a flood every upstream looked full while slots became free, and several gates overloaded the upstream that had looked idle.

--- a/hvroute/eject.go
+++ b/hvroute/eject.go
@@ -93,7 +93,7 @@
 func (p *pool) due(now time.Time, targets []hv.Target) int {
 	for i, t := range targets {
 		h := p.host(t.Host, now)
-		if !h.until.IsZero() && !h.out(now) && queue(t) == 0 {
+		if !h.until.IsZero() && !h.out(now) && p.queue(now, t) == 0 {
 			return i
 		}
 	}
--- a/hvroute/router.go
+++ b/hvroute/router.go
@@ -108,7 +108,7 @@
 	if other := r.two(now, p, targets, far); r.less(now, p, targets, other, best) {
 		best = other
 	}
-	if best < 0 || queue(targets[best]) == 0 {
+	if best < 0 || p.queue(now, targets[best]) == 0 {
 		return best
 	}
 	// Both choices have a queue, so any free slot elsewhere is worth a scan.
--- a/hvroute/router_test.go
+++ b/hvroute/router_test.go
@@ -164,6 +164,41 @@
 	}
 }
 
+// Guards against heartbeats that hide free slots: their load is up to 1 s old
+// and includes the requests of this gate.
+func TestStaleLoadDoesNotHideFreeSlots(t *testing.T) {
+	f := newFleet(t, 11, router)
+	random := rand.New(rand.NewPCG(seed, seed))
+	var running []int
+	const picks, slots = 5000, 11 * 8
+	over := 0
+	for n := range picks + slots {
+		// A request every 0.5 ms on 88 slots takes 44 ms on average.
+		f.clock.now = f.clock.now.Add(500 * time.Microsecond)
+		if n%2000 == 0 {
+			for i := range f.targets {
+				f.targets[i].Load = f.targets[i].Outstanding
+			}
+		}
+		if len(running) == slots {
+			at := random.IntN(slots)
+			i := running[at]
+			running = append(running[:at], running[at+1:]...)
+			f.targets[i].Outstanding--
+			f.pick.Observe("labels", f.targets[i].Host, 44*time.Millisecond, hv.Succeeded)
+		}
+		i := f.pick.Pick("labels", f.targets)
+		if f.targets[i].Outstanding >= 8 {
+			over++
+		}
+		f.targets[i].Outstanding++
+		running = append(running, i)
+	}
+	if over > picks/20 {
+		t.Errorf("%d of %d requests went to an upstream without a free slot, want at most %d", over, picks, picks/20)
+	}
+}
+
 func ExampleRouter_Pick() {
 	r := hvroute.New("north", &clock{now: time.Unix(0, 0)}, rand.New(rand.NewPCG(1, 1)))
 	targets := []hv.Target{{Host: "a", Zone: "south", Slots: 8}, {Host: "b", Zone: "north", Slots: 8}}
--- a/hvroute/score.go
+++ b/hvroute/score.go
@@ -41,6 +41,10 @@
 	failing float64
 	refused time.Time
 	seen    time.Time
+	// others is the smoothed number of requests that other gates have there.
+	// watched is when it was last updated, zero before the first time.
+	others  float64
+	watched time.Time
 	record
 }
 
@@ -52,7 +56,7 @@
 	if t.Zone != r.zone {
 		took = max(took, 2*Hop)
 	}
-	wait := float64(took) * float64(queue(t)) / float64(max(t.Slots, 1))
+	wait := float64(took) * p.queue(now, t) / float64(max(t.Slots, 1))
 	if now.Sub(h.refused) < refusedFor {
 		wait += float64(took)
 	}
@@ -63,9 +67,23 @@
 	return total
 }
 
-// queue is the number of requests that wait ahead of a new one.
-func queue(t hv.Target) int {
-	return max(0, max(t.Outstanding, t.Load)+1-t.Slots)
+// queue is the expected number of requests that wait ahead of a new one.
+func (p *pool) queue(now time.Time, t hv.Target) float64 {
+	others := max(0, p.host(t.Host, now).others)
+	return max(0, float64(t.Outstanding)+others+1-float64(max(t.Slots, 1)))
+}
+
+// watch follows the load of other gates. The load of a heartbeat is older than
+// most requests, and it includes those of this gate. Taken as it is, it hides
+// slots that this gate has seen become free, and gates that all see the same
+// idle upstream would overload it until the next heartbeat.
+func (h *host) watch(now time.Time, t hv.Target) {
+	others := float64(t.Load - t.Outstanding)
+	if h.watched.IsZero() {
+		h.others = others
+	}
+	h.others += (others - h.others) * (1 - math.Exp(-float64(now.Sub(h.watched))/float64(smoothing)))
+	h.seen, h.watched = now, now
 }
 
 func (p *pool) host(name string, now time.Time) *host {
@@ -131,7 +149,7 @@
 // prune forgets hosts that have left for good.
 func (p *pool) prune(now time.Time, targets []hv.Target) {
 	for _, t := range targets {
-		p.host(t.Host, now).seen = now
+		p.host(t.Host, now).watch(now, t)
 	}
 	if len(p.hosts) <= len(targets)+spareHosts {
 		return
