Refuse requests without a stack trace

Each refusal of the admitter took a stack trace through pkg/errors, which was most of its cost and is paid ten times per request that runs during a flood at ten times the capacity.

--- /dev/null
+++ b/hvadmit/bench_test.go
@@ -0,0 +1,24 @@
+package hvadmit
+
+import (
+	"testing"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// BenchmarkRefuse shows what a flood costs for each request that is refused.
+func BenchmarkRefuse(b *testing.B) {
+	a := New(&fakeClock{now: time.Unix(1000, 0)}, simSettings(), func(n int, m string) { b.Errorf("invariant %d: %s", n, m) })
+	a.SetLimit("labels", 1)
+	req := hv.Request{Service: "labels", Class: hv.Batch, Caller: "sheets", Left: hv.Duration(simLeft)}
+	for range 100 {
+		a.enter(req, nil)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if t, _ := a.enter(req, nil); t != nil {
+			b.Fatal("the request was not refused")
+		}
+	}
+}
--- a/hvadmit/settings.go
+++ b/hvadmit/settings.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"time"
 
-	"github.com/pkg/errors"
-
 	hv "hibiscusvane.example/hibiscusvane"
 )
 
@@ -24,8 +22,10 @@
 // ErrorKind returns the kind of the error.
 func (e *Error) ErrorKind() hv.ErrorKind { return e.Kind }
 
+// errorf adds no stack trace: refusals are the hot path of a flood, and a trace
+// costs more than the rest of a refusal.
 func errorf(op string, kind hv.ErrorKind, format string, args ...any) error {
-	return &Error{Op: op, Kind: kind, Err: errors.Errorf(format, args...)}
+	return &Error{Op: op, Kind: kind, Err: fmt.Errorf(format, args...)}
 }
 
 // Class holds the settings of one request class.
