--- a/hvwire/conn.go
+++ b/hvwire/conn.go
@@ -25,6 +25,9 @@
 	Op   string
 	Kind hv.ErrorKind
 	Err  error
+	// NotSent is true if nothing was sent. Only the local end sets it; an error
+	// of the other end can have any kind but never this mark.
+	NotSent bool
 }
 
 func (e *Error) Error() string { return fmt.Sprintf("wire %s: %v", e.Op, e.Err) }
@@ -35,6 +38,13 @@
 // ErrorKind returns the kind of the error.
 func (e *Error) ErrorKind() hv.ErrorKind { return e.Kind }
 
+// NotSent reports whether a call failed before anything was sent, so that the
+// other end can't have received it.
+func NotSent(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.NotSent
+}
+
 // Handler answers one method.
 type Handler func(ctx context.Context, c *Conn, params json.RawMessage) (any, error)
 
@@ -58,11 +68,12 @@
 	rpc    *jsonrpc2.Conn
 	remote string
 	active atomic.Int64
+	calls  *calls
 }
 
 // NewConn starts to serve mux on a network connection.
 func NewConn(nc net.Conn, mux Mux) *Conn {
-	c := &Conn{remote: nc.RemoteAddr().String()}
+	c := &Conn{remote: nc.RemoteAddr().String(), calls: newCalls()}
 	ready := make(chan struct{})
 	handle := func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
 		<-ready
@@ -70,8 +81,9 @@
 	}
 	stream := jsonrpc2.NewBufferedStream(&limitedConn{Conn: nc}, frameCodec{})
 	next := jsonrpc2.HandlerWithError(handle).SuppressErrClosed()
-	c.rpc = jsonrpc2.NewConn(context.Background(), stream, &asyncHandler{conn: c, next: next})
+	c.rpc = jsonrpc2.NewConn(context.Background(), stream, &asyncHandler{conn: c, next: next}, jsonrpc2.OnRecv(c.calls.received))
 	close(ready)
+	go c.watch()
 	return c
 }
 
@@ -116,33 +128,61 @@
 	d := net.Dialer{Timeout: dialTimeout}
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil, &Error{Op: "dial", Kind: hv.Unavailable, Err: err}
+		return nil, &Error{Op: "dial", Kind: hv.Unavailable, Err: err, NotSent: true}
 	}
 	return NewConn(nc, mux), nil
 }
 
 const dialTimeout = 2 * time.Second
 
-// Call sends a request and decodes its answer. An error of kind Unavailable
-// means that the request was not sent; Uncertain, that it may have been.
+// Call sends a request and decodes its answer. Whether the request may have
+// been received is told by NotSent and not by the kind of the error, which the
+// other end may have chosen.
 func Call[Ans any](ctx context.Context, c *Conn, method string, req any) (Ans, error) {
 	var ans Ans
-	err := c.rpc.Call(ctx, method, req, &ans)
-	if err == nil {
-		return ans, nil
-	}
-	return ans, decodeError(method, err)
+	err := c.Call(ctx, method, req, &ans)
+	return ans, err
 }
 
 // Call sends a request and decodes its answer into ans. Errors are those of
 // the function Call.
 func (c *Conn) Call(ctx context.Context, method string, req, ans any) error {
-	if err := c.rpc.Call(ctx, method, req, ans); err != nil {
+	params, err := json.Marshal(req)
+	if err != nil {
+		return &Error{Op: method, Kind: hv.Invalid, Err: errors.Wrap(err, "encode"), NotSent: true}
+	}
+	if err := c.ready(ctx, method); err != nil {
+		return err
+	}
+	id, err := c.calls.begin(method, len(params))
+	if err != nil {
+		return err
+	}
+	sent, err := c.rpc.DispatchCall(ctx, method, json.RawMessage(params), jsonrpc2.PickID(jsonrpc2.ID{Num: id}))
+	if err != nil {
+		c.calls.end(id)
+		return decodeError(method, err)
+	}
+	// The call stays counted when ctx ends, because the library keeps it.
+	if err := sent.Wait(ctx, ans); err != nil {
 		return decodeError(method, err)
 	}
 	return nil
 }
 
+// ready returns an error if there is no point in sending.
+func (c *Conn) ready(ctx context.Context, method string) error {
+	if err := ctx.Err(); err != nil {
+		return &Error{Op: method, Kind: hv.Expired, Err: err, NotSent: true}
+	}
+	select {
+	case <-c.Done():
+		return &Error{Op: method, Kind: hv.Unavailable, Err: jsonrpc2.ErrClosed, NotSent: true}
+	default:
+		return nil
+	}
+}
+
 // Remote returns the address of the other end.
 func (c *Conn) Remote() string { return c.remote }
 
@@ -166,7 +206,10 @@
 
 func decodeError(method string, err error) error {
 	var remote *jsonrpc2.Error
+	var long *lengthError
 	switch {
+	case errors.As(err, &long):
+		return &Error{Op: method, Kind: hv.Invalid, Err: err, NotSent: true}
 	case errors.Is(err, jsonrpc2.ErrClosed):
 		// The library also returns ErrClosed when the connection ends while
 		// the answer is outstanding, so the request may have been received.
