--- a/hvslope/gate.go
+++ b/hvslope/gate.go
@@ -111,42 +111,49 @@
 
 // Heartbeat returns the cost of one heartbeat at a gate that owns all shards:
 // decoding, membership, renewals, key grant, placer and the encoded answer.
-// Usage goes with every heartbeat that has whole lists.
-func (f *fleet) Heartbeat(unchanged bool) cost {
+// Usage, which goes with every fifth heartbeat, is left out. The two forms
+// alternate, so that the load of the machine falls on both alike.
+func (f *fleet) Heartbeat() (whole, unchanged cost) {
 	g := newGate(f)
 	defer g.close()
-	ctx := context.Background()
-	// The heartbeats before the measurement made the lists known.
-	sequence := uint64(2)
+	// The heartbeats before the measurement make the lists known.
 	for h := range f.hosts {
-		g.beat(ctx, h, sequence)
+		g.beat(context.Background(), h, 2)
 	}
-	// A small fleet sends several heartbeats, so that the clock resolves them.
-	rounds := max(1, 400/len(f.hosts))
-	var took, allocated []float64
-	for range repetitions {
-		var bodies [][]byte
-		for range rounds {
-			sequence++
-			for h := range f.hosts {
-				bodies = append(bodies, encode(g.next(h, sequence, unchanged)))
-			}
+	var times, bytes [2][]float64
+	for i := range 2 * repetitions {
+		form := i % 2
+		c := g.round(uint64(3+i), form == 1)
+		times[form], bytes[form] = append(times[form], c.nanoseconds), append(bytes[form], c.bytes)
+	}
+	return cost{median(times[0]), median(bytes[0])}, cost{median(times[1]), median(bytes[1])}
+}
+
+// leastBeats is the number of heartbeats of a round of a small fleet, which is
+// enough for the clock to resolve.
+const leastBeats = 400
+
+// round returns the cost of one of the heartbeats of all hosts.
+func (g *gate) round(number uint64, unchanged bool) cost {
+	var bodies [][]byte
+	for i := uint64(0); len(bodies) < leastBeats; i++ {
+		for h := range g.hosts {
+			bodies = append(bodies, encode(g.next(h, number*leastBeats+i, unchanged)))
 		}
-		c := once(func() {
-			for i, b := range bodies {
-				g.call(ctx, i%len(f.hosts), hvwire.MethodBeat, b)
-			}
-		})
-		took = append(took, c.nanoseconds/float64(len(bodies)))
-		allocated = append(allocated, c.bytes/float64(len(bodies)))
 	}
-	return cost{median(took), median(allocated)}
+	c := once(func() {
+		for i, b := range bodies {
+			g.call(context.Background(), i%len(g.hosts), hvwire.MethodBeat, b)
+		}
+	})
+	n := float64(len(bodies))
+	return cost{c.nanoseconds / n, c.bytes / n}
 }
 
 func (g *gate) next(host int, sequence uint64, unchanged bool) hvwire.Beat {
 	b := heartbeat(host, sequence, g.attempts(host))
+	b.Usage = nil
 	if unchanged {
-		b.Usage = nil
 		return g.lists[host].Shorten(b)
 	}
 	return b
--- a/hvslope/table.go
+++ b/hvslope/table.go
@@ -55,7 +55,8 @@
 type adder func(name, unit, per string, at func(int) float64, value float64)
 
 func sizeRows(f *fleet, add adder) {
-	d, h, u := f.Decision(), f.Heartbeat(false), f.Heartbeat(true)
+	d := f.Decision()
+	h, u := f.Heartbeat()
 	add("placement decision, time", "us", "host", hostsOf, d.nanoseconds/1e3)
 	add("placement decision, allocated", "B", "host", hostsOf, d.bytes)
 	add("heartbeat with whole lists at a gate that owns all shards, time", "us", "host", hostsOf, h.nanoseconds/1e3)
