Add a TCP relay with cuts in one direction to hvfake

Tests of network faults between gates and sides need connections that stay open while bytes are held back in one direction or in both, which signals and closed ports don't produce.

--- a/cmd/hvfake/verbs.go
+++ b/cmd/hvfake/verbs.go
@@ -20,6 +20,7 @@
 	{"log", "Run a log service in memory", &logCommand{}},
 	{"worker", "Run a platform worker with fake tasks", &workerCommand{}},
 	{"upstream", "Run an upstream that echoes requests", &upstreamCommand{}},
+	{"relay", "Forward TCP connections, with directions that can be cut", &relayCommand{}},
 	{"load", "Send requests and jobs to gates and print a table of their outcomes", &loadCommand{}},
 	{"overlaps", "Look for tasks that ran in two places at the same time", &overlapsCommand{}},
 	{"version", "Print the version", &versionCommand{}},
