--- a/cmd/hvfake/hvload/load.go
+++ b/cmd/hvfake/hvload/load.go
@@ -27,7 +27,9 @@
 	// Every is the time between two requests of a class.
 	Every    time.Duration
 	Deadline time.Duration
-	Jobs     int
+	// Tries bounds how often a caller sends one request; 0 stands for 6.
+	Tries int
+	Jobs  int
 	// JobTime is how long a job runs.
 	JobTime time.Duration
 	// JobWait is how long to wait for the end of the jobs.
@@ -54,6 +56,9 @@
 // New returns a loader.
 func New(conf Config) *Loader {
 	transport := &http.Transport{MaxIdleConnsPerHost: maxConnections, MaxConnsPerHost: maxConnections}
+	if conf.Tries == 0 {
+		conf.Tries = defaultTries
+	}
 	return &Loader{conf: conf, client: &http.Client{Transport: transport}, rows: map[string]*Row{}}
 }
 
--- a/cmd/hvfake/hvload/request.go
+++ b/cmd/hvfake/hvload/request.go
@@ -13,9 +13,8 @@
 )
 
 const (
-	// maxTries bounds how often a caller sends one request.
-	maxTries   = 6
-	retryPause = 300 * time.Millisecond
+	defaultTries = 6
+	retryPause   = 300 * time.Millisecond
 )
 
 // sendOne sends one non-idempotent request under a key of its own and repeats
@@ -24,7 +23,7 @@
 	key := uuid.Must(uuid.NewV7()).String()
 	start := time.Now()
 	outcome := hv.Outcome("")
-	for try := range maxTries {
+	for try := range l.conf.Tries {
 		gate := l.conf.Gates[(number+try)%len(l.conf.Gates)]
 		got, ok := l.call(ctx, gate, c, key)
 		if ok && (outcome != hv.Unknown || got == hv.Done) {
@@ -34,7 +33,7 @@
 		if !ok && outcome == "" {
 			outcome = hv.Unknown
 		}
-		if outcome == hv.Done || ctx.Err() != nil {
+		if outcome == hv.Done || ctx.Err() != nil || try+1 == l.conf.Tries {
 			break
 		}
 		time.Sleep(retryPause)
--- a/cmd/hvfake/overlaps.go
+++ b/cmd/hvfake/overlaps.go
@@ -11,7 +11,7 @@
 )
 
 type overlapsCommand struct {
-	Workers []string `long:"worker" required:"true" description:"Base URL of a stand-in worker (repeatable)"`
+	Workers []string `long:"worker" env:"HV_FAKE_WORKERS" env-delim:"," required:"true" description:"Base URL of a stand-in worker (repeatable)"`
 }
 
 // Execute implements flags.Commander.
