Add process scripts for outages, races, keys, stops, freezes and cuts

Each script guards against one failure and ends with counts of doubled, overlapping and falsely reported work. until prints how long it took. jobs.txtar looks up the side and the gate that hold the job before it freezes or kills them; before, the frozen side held it only by chance.

--- a/hvprocess/fleet_test.go
+++ b/hvprocess/fleet_test.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
@@ -17,7 +19,9 @@
 
 // cmdFleet starts a log service, gates, and hosts with worker, upstream and
 // side, and publishes settings: fleet GATES HOSTS [EXTRA.json]. The extra file
-// becomes a second settings file. Addresses are in the variables LOG, GATE1,
+// becomes a second settings file. If the variable RELAY is set, sides and other
+// gates reach the first gate through a relay, whose control address it then
+// holds. Addresses are in the variables LOG, GATE1,
 // UP1, WORK1 and so on; processes are log, gate1, up1, work1, side1 and so on.
 func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
 	gates, err := strconv.Atoi(args[0])
@@ -27,12 +31,31 @@
 	address(ts, "LOG")
 	cmdSpawn(ts, false, []string{"log", "hvfake", "log", "--listen", ts.Getenv("LOG")})
 	internal := startGates(ts, gates)
+	ts.Setenv(fakeGates, urls(ts, "GATE", gates))
 	for i := 1; i <= hosts; i++ {
 		startHost(ts, i, internal)
 	}
+	ts.Setenv(fakeUpstreams, urls(ts, "UP", hosts))
+	ts.Setenv(fakeWorkers, urls(ts, "WORK", hosts))
+	ts.Setenv("HOSTS", strconv.Itoa(hosts))
 	cmdPublish(ts, false, append([]string{"1", "0"}, args[2:]...))
 }
 
+// Variables from which hvfake reads the base URLs of the fleet.
+const (
+	fakeGates     = "HV_FAKE_GATES"
+	fakeUpstreams = "HV_FAKE_UPSTREAMS"
+	fakeWorkers   = "HV_FAKE_WORKERS"
+)
+
+func urls(ts *testscript.TestScript, name string, n int) string {
+	var list []string
+	for i := 1; i <= n; i++ {
+		list = append(list, "http://"+ts.Getenv(fmt.Sprintf("%s%d", name, i)))
+	}
+	return strings.Join(list, ",")
+}
+
 func address(ts *testscript.TestScript, name string) string {
 	cmdPorts(ts, false, []string{name})
 	return ts.Getenv(name)
@@ -44,11 +67,15 @@
 		address(ts, fmt.Sprintf("GATE%d", i))
 		internal = append(internal, address(ts, fmt.Sprintf("INTERNAL%d", i)))
 	}
+	listen := slices.Clone(internal)
+	if ts.Getenv("RELAY") != "" {
+		internal[0] = startRelay(ts, internal[0])
+	}
 	for i := 1; i <= n; i++ {
 		name := fmt.Sprintf("gate%d", i)
 		writeJSON(ts, name+".json", map[string]any{
 			"name": name, "region": "r1", "zone": zone(i), "listen": ts.Getenv(fmt.Sprintf("GATE%d", i)),
-			"internal": internal[i-1], "log": "http://" + ts.Getenv("LOG"), "gates": internal, "token": operatorToken,
+			"internal": listen[i-1], "log": "http://" + ts.Getenv("LOG"), "gates": internal, "token": operatorToken,
 		})
 		cmdSpawn(ts, false, []string{name, "hvgate", "--config", name + ".json"})
 	}
@@ -58,6 +85,13 @@
 	return internal
 }
 
+// startRelay puts a relay in front of the internal address of the first gate.
+func startRelay(ts *testscript.TestScript, to string) string {
+	listen, control := address(ts, "INTERNAL1"), address(ts, "RELAY")
+	cmdSpawn(ts, false, []string{"relay", "hvfake", "relay", "--listen", listen, "--to", to, "--control", control})
+	return listen
+}
+
 func startHost(ts *testscript.TestScript, i int, gates []string) {
 	work, up, side := address(ts, fmt.Sprintf("WORK%d", i)), address(ts, fmt.Sprintf("UP%d", i)), address(ts, fmt.Sprintf("SIDE%d", i))
 	cmdSpawn(ts, false, []string{fmt.Sprintf("work%d", i), "hvfake", "worker", "--listen", work, "--cores", "4", "--memory", "8GB", "--lag", "2s"})
@@ -79,6 +113,24 @@
 // cmdPublish publishes the settings of the fleet through a gate, on a base:
 // publish GATE BASE [EXTRA.json].
 func cmdPublish(ts *testscript.TestScript, _ bool, args []string) {
+	base, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	writePublication(ts, "publication.json", base, "test", args[2:])
+	url := "http://" + ts.Getenv("GATE"+args[0]) + "/admin/publish"
+	cmdUntil(ts, false, []string{
+		"10s", `^(200|409)$`, "http", "POST", url, "-H", "Authorization: Bearer " + operatorToken, "@publication.json",
+	})
+}
+
+// cmdPublication writes a publication of the fleet's settings to a file:
+// publication FILE BASE AUTHOR [EXTRA.json].
+func cmdPublication(ts *testscript.TestScript, _ bool, args []string) {
+	base, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	writePublication(ts, args[0], base, args[2], args[3:])
+}
+
+func writePublication(ts *testscript.TestScript, name string, base int, author string, extra []string) {
 	zones, gates := map[string]any{}, map[string]any{}
 	n, err := strconv.Atoi(ts.Getenv("GATES"))
 	ts.Check(err)
@@ -94,16 +146,10 @@
 		"zones": zones, "gates": gates, "callers": map[string]any{"shop": map[string]any{"token": callerToken}},
 		"services": map[string]any{"label": map[string]any{"slots": 8, "connections": 64}},
 	}}
-	if len(args) > 2 {
-		files["20-extra.json"] = json.RawMessage(ts.ReadFile(args[2]))
+	if len(extra) > 0 {
+		files["20-extra.json"] = json.RawMessage(ts.ReadFile(extra[0]))
 	}
-	base, err := strconv.Atoi(args[1])
-	ts.Check(err)
-	writeJSON(ts, "publication.json", map[string]any{"base": base, "author": "test", "files": files})
-	url := "http://" + ts.Getenv("GATE"+args[0]) + "/admin/publish"
-	cmdUntil(ts, false, []string{
-		"10s", `^(200|409)$`, "http", "POST", url, "-H", "Authorization: Bearer " + operatorToken, "@publication.json",
-	})
+	writeJSON(ts, name, map[string]any{"base": base, "author": author, "files": files})
 }
 
 func writeJSON(ts *testscript.TestScript, name string, v any) {
--- /dev/null
+++ b/hvprocess/look_test.go
@@ -0,0 +1,114 @@
+package hvprocess
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/google/uuid"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// cmdRace sends requests at the same time and writes their answers to stdout:
+// race HTTP-ARGS -- HTTP-ARGS.
+func cmdRace(ts *testscript.TestScript, _ bool, args []string) {
+	var calls [][]string
+	for len(args) > 0 {
+		n := slices.Index(args, "--")
+		if n < 0 {
+			n = len(args)
+		}
+		calls = append(calls, args[:n])
+		args = args[min(n+1, len(args)):]
+	}
+	answers, errs := make([]string, len(calls)), make([]error, len(calls))
+	var wg sync.WaitGroup
+	for i, c := range calls {
+		wg.Go(func() { answers[i], errs[i] = request(ts, c) })
+	}
+	wg.Wait()
+	for i := range calls {
+		ts.Check(errs[i])
+		_, err := io.WriteString(ts.Stdout(), answers[i])
+		ts.Check(err)
+	}
+}
+
+// cmdKey sets each variable to a new idempotency key.
+func cmdKey(ts *testscript.TestScript, _ bool, names []string) {
+	for _, n := range names {
+		ts.Setenv(n, uuid.Must(uuid.NewV7()).String())
+	}
+}
+
+// cmdRan fails unless the upstreams together ran a key once: ran KEY. It sets
+// the variable RAN to the number of the host that ran it.
+func cmdRan(ts *testscript.TestScript, _ bool, args []string) {
+	total := 0
+	for i := 1; i <= count(ts, "HOSTS"); i++ {
+		var runs map[string]int
+		get(ts, fmt.Sprintf("http://%s/runs", ts.Getenv(fmt.Sprintf("UP%d", i))), "", &runs)
+		if n := runs[args[0]]; n > 0 {
+			total += n
+			ts.Setenv("RAN", strconv.Itoa(i))
+		}
+	}
+	if total != 1 {
+		ts.Fatalf("key %s ran %d times, want once", args[0], total)
+	}
+}
+
+// cmdWhere looks up a task that runs: where TASK. It sets OWNER to the number
+// of the gate that owns its shard, OTHER to that of another gate, HOST to that
+// of its host, and OWNERHTTP, OTHERHTTP and WORKER to addresses.
+func cmdWhere(ts *testscript.TestScript, _ bool, args []string) {
+	gate := "http://" + ts.Getenv("GATE1")
+	var task struct {
+		Owner string `json:"owner"`
+	}
+	get(ts, gate+"/admin/explain/"+args[0], operatorToken, &task)
+	var job struct {
+		State string `json:"state"`
+		Host  string `json:"host"`
+	}
+	get(ts, gate+"/v1/jobs/"+args[0], callerToken, &job)
+	if job.State != "running" {
+		ts.Fatalf("task %s is %s, want running", args[0], job.State)
+	}
+	owner := strings.TrimPrefix(task.Owner, "gate")
+	other := "1"
+	if owner == "1" {
+		other = "2"
+	}
+	ts.Setenv("OWNER", owner)
+	ts.Setenv("OTHER", other)
+	ts.Setenv("OWNERHTTP", ts.Getenv("GATE"+owner))
+	ts.Setenv("OTHERHTTP", ts.Getenv("GATE"+other))
+	ts.Setenv("HOST", strings.TrimPrefix(job.Host, "host"))
+	ts.Setenv("WORKER", ts.Getenv("WORK"+ts.Getenv("HOST")))
+}
+
+func count(ts *testscript.TestScript, name string) int {
+	n, err := strconv.Atoi(ts.Getenv(name))
+	ts.Check(err)
+	return n
+}
+
+func get(ts *testscript.TestScript, url, token string, v any) {
+	r, err := http.NewRequest(http.MethodGet, url, nil)
+	ts.Check(err)
+	r.Header.Set("Authorization", "Bearer "+token)
+	client := http.Client{Timeout: requestTimeout}
+	res, err := client.Do(r)
+	ts.Check(err)
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		ts.Fatalf("GET %s: status %d", url, res.StatusCode)
+	}
+	ts.Check(json.NewDecoder(res.Body).Decode(v))
+}
--- a/hvprocess/process_test.go
+++ b/hvprocess/process_test.go
@@ -22,11 +22,18 @@
 
 var programs = []string{"hvgate", "hvside", "hvctl", "hvfake"}
 
+// maxScripts bounds the scripts that run at a time, and with them the number of
+// processes: a script starts 16 at most.
+const maxScripts = 7
+
 func TestScripts(t *testing.T) {
 	bin := build(t)
+	slots := make(chan struct{}, maxScripts)
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Setup: func(e *testscript.Env) error {
+			slots <- struct{}{}
+			e.Defer(func() { <-slots })
 			e.Setenv("PATH", bin+string(os.PathListSeparator)+e.Getenv("PATH"))
 			set := &processSet{byName: map[string]*process{}}
 			e.Values[setKey{}] = set
@@ -34,15 +41,20 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"ports":   cmdPorts,
-			"expand":  cmdExpand,
-			"fleet":   cmdFleet,
-			"publish": cmdPublish,
-			"spawn":   cmdSpawn,
-			"signal":  cmdSignal,
-			"exited":  cmdExited,
-			"http":    cmdHTTP,
-			"until":   cmdUntil,
+			"ports":       cmdPorts,
+			"expand":      cmdExpand,
+			"fleet":       cmdFleet,
+			"publish":     cmdPublish,
+			"publication": cmdPublication,
+			"spawn":       cmdSpawn,
+			"signal":      cmdSignal,
+			"exited":      cmdExited,
+			"http":        cmdHTTP,
+			"until":       cmdUntil,
+			"race":        cmdRace,
+			"key":         cmdKey,
+			"ran":         cmdRan,
+			"where":       cmdWhere,
 		},
 	})
 }
@@ -114,7 +126,7 @@
 		ts.Fatalf("usage: spawn NAME PROGRAM ARGS...")
 	}
 	path := programPath(ts, args[1])
-	out, err := os.Create(ts.MkAbs(args[0] + ".log"))
+	out, err := os.OpenFile(ts.MkAbs(args[0]+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	ts.Check(err)
 	p := &process{cmd: exec.Command(path, args[2:]...), done: make(chan struct{})}
 	p.cmd.Dir = ts.MkAbs(".")
@@ -220,13 +232,16 @@
 	pattern, err := regexp.Compile("(?m)" + args[1])
 	ts.Check(err)
 	var out string
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(pollInterval) {
+	start := time.Now()
+	for time.Since(start) < limit {
 		out, err = output(ts, args[2:])
 		if err == nil && pattern.MatchString(out) {
+			ts.Logf("[matched after %s]", time.Since(start).Round(time.Millisecond))
 			_, err = io.WriteString(ts.Stdout(), out)
 			ts.Check(err)
 			return
 		}
+		time.Sleep(pollInterval)
 	}
 	ts.Fatalf("no match for %s within %s; last output (error %v):\n%s", args[1], limit, err, out)
 }
@@ -237,7 +252,7 @@
 	}
 	cmd := exec.Command(programPath(ts, args[0]), args[1:]...)
 	cmd.Dir = ts.MkAbs(".")
-	for _, name := range []string{"PATH", "HOME", "HV_GATE", "HV_TOKEN"} {
+	for _, name := range []string{"PATH", "HOME", "HV_GATE", "HV_TOKEN", fakeGates, fakeUpstreams, fakeWorkers} {
 		cmd.Env = append(cmd.Env, name+"="+ts.Getenv(name))
 	}
 	b, err := cmd.CombinedOutput()
