--- a/hvprocess/process_test.go
+++ b/hvprocess/process_test.go
@@ -54,6 +54,7 @@
 			"race":        cmdRace,
 			"key":         cmdKey,
 			"ran":         cmdRan,
+			"sound":       cmdSound,
 			"where":       cmdWhere,
 		},
 	})
