--- a/hvcontrol/streams.go
+++ b/hvcontrol/streams.go
@@ -82,7 +82,7 @@
 		Name: c.conf.Incarnation, Stream: full, Log: c.Log, Clock: c.Clock, Follower: f, Gap: appendGap,
 		Jitter: rand.Float64, Logger: logger,
 	})
-	retention := hvconf.Default().Limits.Retention.Std()
+	retention := func() time.Duration { return c.book.Current().Settings.Limits.Retention.Std() }
 	return &stream{
 		name: name, full: full, follower: f, writer: w, view: c.view,
 		snaps: hvlog.NewSnapshots(w, hvlog.NewSchedule(retention, rand.Float64), snapshot, may, logger),
--- a/hvlog/schedule.go
+++ b/hvlog/schedule.go
@@ -21,22 +21,30 @@
 	snapshotTimeout = 30 * time.Second
 	// snapshotChecks is the number of checks in the longest time between snapshots.
 	snapshotChecks = 64
+	// snapshotPause bounds the time between checks. It is below the longest time
+	// between snapshots for the shortest retention time of 1 min, so that a
+	// shorter retention is in force before records expire.
+	snapshotPause = 10 * time.Second
 )
 
 // Schedule tells when the next snapshot of a stream is due.
 type Schedule struct {
-	age     time.Duration
+	retention func() time.Duration
+	// keep is the part of a threshold that remains after the spread.
+	keep    float64
 	records int
 }
 
 // NewSchedule returns a schedule for records that are kept for a retention
-// time. Every process has its own random thresholds.
-func NewSchedule(retention time.Duration, jitter func() float64) Schedule {
+// time, which may change. Every process has its own random thresholds.
+func NewSchedule(retention func() time.Duration, jitter func() float64) Schedule {
 	keep := 1 - snapshotSpread*jitter()
-	return Schedule{
-		age:     time.Duration(float64(retention/snapshotShare) * keep),
-		records: int(snapshotRecords * keep),
-	}
+	return Schedule{retention: retention, keep: keep, records: int(snapshotRecords * keep)}
+}
+
+// age is the longest time between two snapshots.
+func (s Schedule) age() time.Duration {
+	return time.Duration(float64(s.retention()/snapshotShare) * s.keep)
 }
 
 // Due reports whether a snapshot is due. The age counts from the record's time
@@ -46,7 +54,7 @@
 	if !st.Live || st.Next == FirstOffset {
 		return false
 	}
-	return st.Records >= s.records || now.Sub(st.Snapshot) >= s.age || now.Sub(st.Read) >= s.age
+	return st.Records >= s.records || now.Sub(st.Snapshot) >= s.age() || now.Sub(st.Read) >= s.age()
 }
 
 // Snapshots writes the snapshots of one stream.
@@ -66,9 +74,8 @@
 
 // Run checks the schedule until ctx ends.
 func (s *Snapshots) Run(ctx context.Context) {
-	every := max(min(s.schedule.age/snapshotChecks, time.Minute), 10*time.Millisecond)
 	for ctx.Err() == nil {
-		pause(ctx, every)
+		pause(ctx, max(min(s.schedule.age()/snapshotChecks, snapshotPause), 10*time.Millisecond))
 		f := s.writer.cfg.Follower
 		if !s.may() || !s.schedule.Due(s.writer.cfg.Clock.Now(), f.Status()) {
 			continue
--- a/hvlog/writer_test.go
+++ b/hvlog/writer_test.go
@@ -163,7 +163,8 @@
 // stream without one on an idle or a busy day.
 func TestSnapshotSchedule(t *testing.T) {
 	bubble(t, func(t *testing.T, log *hvlogtest.Log) {
-		const retention = time.Hour
+		const hour = time.Hour
+		retention := func() time.Duration { return hour }
 		for i := range 3 {
 			p := start(log, fmt.Sprintf("p%d", i), nil)
 			defer p.stop()
@@ -171,7 +172,7 @@
 			s := hvlog.NewSchedule(retention, func() float64 { return float64(i) / 3 })
 			go hvlog.NewSnapshots(p.writer, s, hvlog.KindSnap, func() bool { return true }, kitlog.NewNopLogger()).Run(t.Context())
 		}
-		time.Sleep(retention)
+		time.Sleep(hour)
 		snaps := 0
 		for _, rec := range log.Records(stream) {
 			if rec.Kind == hvlog.KindSnap {
