--- a/hvprocess/look_test.go
+++ b/hvprocess/look_test.go
@@ -9,9 +9,15 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/rogpeppe/go-internal/testscript"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvlog"
+	"hibiscusvane.example/hibiscusvane/hvshard"
+	"hibiscusvane.example/hibiscusvane/hvtask"
 )
 
 // cmdRace sends requests at the same time and writes their answers to stdout:
@@ -93,6 +99,31 @@
 	ts.Setenv("WORKER", ts.Getenv("WORK"+ts.Getenv("HOST")))
 }
 
+// cmdSnapped waits until the last record of each stream is a snapshot:
+// snapped DURATION.
+func cmdSnapped(ts *testscript.TestScript, _ bool, args []string) {
+	limit, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	streams := []string{"config", "r1.keys"}
+	for i := range hvtask.Shards {
+		streams = append(streams, "r1."+hvshard.StreamName(i))
+	}
+	start := time.Now()
+	for len(streams) > 0 {
+		var page hv.Page
+		get(ts, fmt.Sprintf("http://%s/streams/%s?from=1&max=10000&wait=0", ts.Getenv("LOG"), streams[0]), "", &page)
+		if n := len(page.Records); n > 0 && (page.Records[n-1].Kind == hvlog.KindSnap || page.Records[n-1].Kind == hvlog.KindKeep) {
+			streams = streams[1:]
+			continue
+		}
+		if time.Since(start) > limit {
+			ts.Fatalf("%d streams have no snapshot after %s, such as %s", len(streams), limit, streams[0])
+		}
+		time.Sleep(pollInterval)
+	}
+	ts.Logf("[snapshots after %s]", time.Since(start).Round(time.Millisecond))
+}
+
 func count(ts *testscript.TestScript, name string) int {
 	n, err := strconv.Atoi(ts.Getenv(name))
 	ts.Check(err)
--- a/hvprocess/process_test.go
+++ b/hvprocess/process_test.go
@@ -56,6 +56,7 @@
 			"ran":         cmdRan,
 			"sound":       cmdSound,
 			"where":       cmdWhere,
+			"snapped":     cmdSnapped,
 		},
 	})
 }
