Assert that a draining upstream takes no request

Invariant 7 had no assertion. It stands where a request is taken. Without the check for draining in refuse, TestSlots fails at the assertion.

--- a/hvslot/slots.go
+++ b/hvslot/slots.go
@@ -89,12 +89,24 @@
 	if err := s.refuse(t); err != nil {
 		return nil, err
 	}
-	s.active[t.id] = t
-	s.queue(t)
+	if err := s.admit(t); err != nil {
+		return nil, err
+	}
 	s.dispatch()
 	return t, nil
 }
 
+// admit is the only place where a request is taken.
+func (s *Slots) admit(t *Ticket) error {
+	if s.draining {
+		s.violations(7, fmt.Sprintf("request %s is taken by a draining upstream", t.id))
+		return errorf("enter", hv.Unavailable, "the upstream is draining")
+	}
+	s.active[t.id] = t
+	s.queue(t)
+	return nil
+}
+
 func rank(c hv.Class) int {
 	if i := slices.Index(hv.Classes, c); i >= 0 {
 		return i
