Assert that a stop cuts off no request, and wait for the longest deadline

Invariant 8 had no assertion in side and gate. A side waited 35 s for requests in flight, but deadlines reach one minute, so a stop cut off the longer ones. The time for the handover of key slots and reports counted from the start of the stop; requests that took longer than 5 s left none of it. It now counts from the end of the requests. The bounds follow from hvhttp.MaxDeadline.

--- a/cmd/hvgate/gate.go
+++ b/cmd/hvgate/gate.go
@@ -145,6 +145,9 @@
 	wg.Go(func() { limits.Run(background) })
 	wg.Go(func() { g.control.Run(ctx) })
 	err = hvhttp.Serve(ctx, public, g.handler())
+	if ctx.Err() != nil && err != nil {
+		g.violation(8, "the stop cuts off requests: "+err.Error())
+	}
 	stop()
 	internal.Close()
 	wg.Wait()
--- a/hvagent/leave.go
+++ b/hvagent/leave.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
 	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvhttp"
 	"hibiscusvane.example/hibiscusvane/hvwire"
 )
 
@@ -13,9 +15,9 @@
 	// handoverTimeout bounds the wait for the handover of key slots and for the
 	// acknowledgement of reports, which hold the checkpoints of evicted tasks.
 	handoverTimeout = 5 * time.Second
-	// finishTimeout bounds a graceful stop. Requests end by their deadlines,
-	// which are at most 30 s.
-	finishTimeout = 35 * time.Second
+	// finishTimeout bounds the wait for requests in flight, which end by their
+	// deadlines.
+	finishTimeout = hvhttp.MaxDeadline + handoverTimeout
 	// quiet is how long no request may be open before the connections are
 	// closed. It covers requests that gates sent before they took the leave.
 	quiet       = 200 * time.Millisecond
@@ -66,10 +68,12 @@
 		select {
 		case <-a.service.slots.Drain():
 		case <-time.After(finishTimeout):
-			logError(a.logger, "msg", "requests are cut off")
+			run, wait := a.service.slots.Load()
+			a.violation(8, fmt.Sprintf("the stop cuts off %d running and %d waiting requests", run, wait))
 		}
 	}
-	for !a.handedOver() && time.Since(start) < handoverTimeout {
+	// The handover has its own time, however long the requests took.
+	for ended := time.Now(); !a.handedOver() && time.Since(ended) < handoverTimeout; {
 		time.Sleep(quiet / quietChecks)
 	}
 	for idle := 0; idle < quietChecks && time.Since(start) < finishTimeout; idle++ {
