Refuse class deadlines above the longest deadline of a request

The settings accepted up to 1h, but Hv-Deadline ends at 1m and the server's write timeout at 90 s, so a request of such a class could not be answered.

--- a/hvconf/check.go
+++ b/hvconf/check.go
@@ -139,7 +139,7 @@
 		within(c, field+".weight", k.Weight, 0.001, maxWeight)
 		within(c, field+".floor", k.Floor, 0, 1)
 		within(c, field+".queue", k.Queue, 1, 1<<16)
-		within(c, field+".deadline", k.Deadline, second/1000, hour)
+		within(c, field+".deadline", k.Deadline, second/1000, 60*second)
 	}
 	for name, k := range c.s.Callers {
 		callerFloors += k.Floor
