Follow the renewals that go only to shards with attempts

The test of the gate compares the renewed shards with those of the host's attempts; before, it required all 16, which the gate no longer sends. The answers in the tables have the expected number of renewals.

--- a/hvslope/wire.go
+++ b/hvslope/wire.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"math"
 	"net"
 	"sync/atomic"
 	"time"
@@ -65,7 +66,7 @@
 	if !usage {
 		b.Usage = nil
 	}
-	ack := answerOf(slots)
+	ack := answerOf(attempts, slots)
 	if unchanged {
 		var lists hvwire.Lists
 		lists.Complete(b, ack)
@@ -77,10 +78,17 @@
 	return frames(hvwire.MethodBeat, b, ack)
 }
 
+// renewals is the expected number of the shards of one gate that hold any of a
+// number of attempts, rounded.
+func renewals(attempts int) int {
+	none := math.Pow(1-1/float64(hvtask.Shards), float64(attempts))
+	return int(math.Round(hvtask.Shards / gateCount * (1 - none)))
+}
+
 // answerOf is the answer of a gate that owns its part of the shards.
-func answerOf(slots int) hvwire.BeatAck {
+func answerOf(attempts, slots int) hvwire.BeatAck {
 	ack := hvwire.BeatAck{Version: 12345, Held: true}
-	for i := range hvtask.Shards / gateCount {
+	for i := range renewals(attempts) {
 		ack.Renewals = append(ack.Renewals, hvwire.Renewal{Shard: gateCount * i, Epoch: 12, Lease: hv.Duration(lease - 412*time.Millisecond)})
 	}
 	if slots == 0 {
