Log calls to hosts that were not sent

A host that is full answers kind Full, which is not logged. A connection with too many unanswered calls gives the same kind without having sent anything.

--- a/hvcontrol/hosts.go
+++ b/hvcontrol/hosts.go
@@ -81,7 +81,7 @@
 	defer cancel()
 	// The answer that counts comes as a report or with a heartbeat.
 	var ack struct{}
-	if err := side.Conn.Call(ctx, m.method, m.body, &ack); err != nil && hv.KindOf(err) != hv.Full {
+	if err := side.Conn.Call(ctx, m.method, m.body, &ack); err != nil && (hvwire.NotSent(err) || hv.KindOf(err) != hv.Full) {
 		_ = h.control.Logger.Log("msg", "call to host failed", "host", m.host, "method", m.method, "err", err)
 	}
 }
