Read a stream without waiting when a process starts

Since the waits at the head are up to 8 s, a gate on an empty stream learnt only after the first of them that the stream is empty, and took no publication until then. Ruled out: restarts on streams with records, which answer at once.

The new unit test fails without the change.

--- a/hvlog/follower.go
+++ b/hvlog/follower.go
@@ -197,6 +197,11 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.lastOK.IsZero() {
+		// A process that starts must not wait for a record to learn that the
+		// stream is empty.
+		wait = 0
+	}
 	f.wait = wait
 	return wait
 }
--- a/hvlog/follower_test.go
+++ b/hvlog/follower_test.go
@@ -138,6 +138,19 @@
 	synctest.Test(t, func(t *testing.T) { f(t, hvlogtest.New(hv.SystemClock{}, 1)) })
 }
 
+// Guards against a process that starts on an empty stream and takes nothing
+// before its first wait at the head has ended.
+func TestEmptyStreamIsLiveAtOnce(t *testing.T) {
+	bubble(t, func(t *testing.T, log *hvlogtest.Log) {
+		a := start(log, "a", nil)
+		defer a.stop()
+		time.Sleep(500 * time.Millisecond)
+		if !a.follower.Status().Live {
+			t.Error("not live after half of the wait at the head")
+		}
+	})
+}
+
 // Guards against a new reader that accepts records whose validity depends on
 // expired ones.
 func TestNothingBeforeSnapshot(t *testing.T) {
