--- a/hvagent/requests_test.go
+++ b/hvagent/requests_test.go
@@ -90,12 +90,14 @@
 // Guards against a stop that cuts off a request in flight or takes a new one.
 func TestStopFinishesRequests(t *testing.T) {
 	f := newFixture(t, 1)
-	entered, release := make(chan struct{}), make(chan struct{})
+	entered, held := make(chan struct{}), make(chan struct{})
+	release := sync.OnceFunc(func() { close(held) })
 	f.serve(func(w http.ResponseWriter, _ *http.Request) {
 		close(entered)
-		<-release
+		<-held
 		_, _ = w.Write([]byte("done"))
 	})
+	t.Cleanup(release)
 	f.gates[0].grantAll(f.clock.Now())
 	_, stop := f.start()
 	g := f.gates[0]
@@ -115,7 +117,10 @@
 	if err := g.call(hvwire.MethodRun, request("r2", ""), &refused); err != nil || refused.Outcome != hv.NotRun {
 		t.Errorf("a new request: %+v, error %v", refused, err)
 	}
-	close(release)
+	// The request lasts longer than the pause before the connections close.
+	g.nextBeats(t)
+	g.nextBeats(t)
+	release()
 	if ans := <-first; ans.Outcome != hv.Done || string(ans.Body) != "done" {
 		t.Errorf("the request in flight: %+v", ans)
 	}
