--- a/cmd/hvfake/hvrelay/relay.go
+++ b/cmd/hvfake/hvrelay/relay.go
@@ -1,5 +1,6 @@
 // Package hvrelay forwards TCP connections and can cut each direction, as a
-// faulty network does: bytes are held back while the connections stay open.
+// faulty network does: bytes are held back while the connections stay open, and
+// new connections reach the other end only when no direction is cut.
 package hvrelay
 
 import (
@@ -89,6 +90,10 @@
 // forward copies both directions until one of them ends.
 func (r *Relay) forward(c net.Conn) {
 	defer c.Close()
+	// A handshake needs both directions.
+	if !r.wait(nil, func(f Faults) bool { return f.There || f.Back }) {
+		return
+	}
 	to, err := net.DialTimeout("tcp", r.to, dialTimeout)
 	if err != nil {
 		return
--- a/hvprocess/process_test.go
+++ b/hvprocess/process_test.go
@@ -25,7 +25,7 @@
 
 // maxScripts bounds the scripts that run at a time, and with them the number of
 // processes: a script starts 16 at most.
-const maxScripts = 7
+const maxScripts = 8
 
 func TestScripts(t *testing.T) {
 	bin := build(t)
