--- a/cmd/hvfake/hvstream/http.go
+++ b/cmd/hvfake/hvstream/http.go
@@ -21,7 +21,7 @@
 	mux.HandleFunc("GET /streams/{name}", s.withFaults(s.serveRead))
 	mux.HandleFunc("PUT /faults", s.serveFaults)
 	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) {
-		writeJSON(w, http.StatusOK, map[string]int64{"appends": s.Appends()})
+		writeJSON(w, http.StatusOK, map[string]int64{"appends": s.Appends(), "lost": s.Lost()})
 	})
 	return mux
 }
--- a/cmd/hvfake/hvstream/store.go
+++ b/cmd/hvfake/hvstream/store.go
@@ -36,6 +36,7 @@
 	streams map[string]*stream
 	faults  Faults
 	appends int64
+	lost    int64
 }
 
 // New returns an empty store.
@@ -67,6 +68,13 @@
 	return s.appends
 }
 
+// Lost returns the number of appends whose answer was dropped so far.
+func (s *Store) Lost() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost
+}
+
 // Append adds a record. Lost reports that the answer must not reach the
 // writer.
 func (s *Store) Append(name string, rec hv.Record) (off hv.Offset, lost bool) {
@@ -82,6 +90,7 @@
 	st.grown = make(chan struct{})
 	if s.faults.Lose > 0 {
 		s.faults.Lose--
+		s.lost++
 		lost = true
 	}
 	return rec.Offset, lost
