Give process scripts ports that no connection and no other script takes

A port that was free when a script asked for it could be taken before the process listened on it, by another script or by an outgoing connection. The scripts now also fail if a process could not listen.

--- a/hvprocess/process_test.go
+++ b/hvprocess/process_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -135,13 +136,37 @@
 
 func processes(ts *testscript.TestScript) *processSet { return ts.Value(setKey{}).(*processSet) }
 
+const (
+	// firstPort to firstPort+ports is below the range from which systems take
+	// the ports of outgoing connections. A port from that range could be taken
+	// by a connection of another script before the process listens on it.
+	firstPort = 12000
+	ports     = 20000
+	// portsEach is the distance between the first ports of two test processes.
+	portsEach = 400
+)
+
+// lastPort counts up, so that no two scripts get the same port.
+var lastPort atomic.Int64
+
+func init() { lastPort.Store(int64(os.Getpid()) * portsEach) }
+
 func cmdPorts(ts *testscript.TestScript, _ bool, names []string) {
 	for _, n := range names {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		ts.Setenv(n, l.Addr().String())
-		defer l.Close()
+		ts.Setenv(n, freeAddress(ts))
+	}
+}
+
+func freeAddress(ts *testscript.TestScript) string {
+	for range ports {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+lastPort.Add(1)%ports)
+		if l, err := net.Listen("tcp", addr); err == nil {
+			ts.Check(l.Close())
+			return addr
+		}
 	}
+	ts.Fatalf("no port is free")
+	return ""
 }
 
 func cmdExpand(ts *testscript.TestScript, _ bool, files []string) {
--- a/hvprocess/sound_test.go
+++ b/hvprocess/sound_test.go
@@ -9,7 +9,7 @@
 )
 
 // faults are texts that no daemon may have logged.
-var faults = []string{"invariant violated", "panic: ", "fatal error: ", "requests are cut off"}
+var faults = []string{"invariant violated", "panic: ", "fatal error: ", "requests are cut off", "address already in use"}
 
 // cmdSound fails if a process has logged that an invariant was violated, has
 // panicked or has cut off requests.
