Read without waiting after a failed read

Reads at the head wait up to 8 s. The first read after an outage waited too, and until it ended the stream counted as unreachable, so publications and submissions were refused for up to 8 s after the log service was back. TestReturnIsNoticed fails without the change.

--- a/hvlog/follower.go
+++ b/hvlog/follower.go
@@ -197,9 +197,10 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.lastOK.IsZero() {
+	if f.failed || f.lastOK.IsZero() {
 		// A process that starts must not wait for a record to learn that the
-		// stream is empty.
+		// stream is empty, nor one after an outage to learn that it has ended:
+		// publications are refused until then.
 		wait = 0
 	}
 	f.wait = wait
--- a/hvlog/follower_test.go
+++ b/hvlog/follower_test.go
@@ -270,6 +270,32 @@
 	})
 }
 
+// Guards against a reader that learns of the end of an outage only when its read
+// at the head of a quiet stream ends. Publications are refused until then.
+func TestReturnIsNoticed(t *testing.T) {
+	bubble(t, func(t *testing.T, log *hvlogtest.Log) {
+		f := hvlog.NewFollower(hvlog.FollowerConfig{
+			Stream: stream, Log: log, Clock: hv.SystemClock{}, Applier: &tally{counts: map[string]int{}},
+			Jitter: func() float64 { return 0.5 }, Logger: kitlog.NewNopLogger(),
+			Wait: func() time.Duration { return 8 * time.Second },
+		})
+		go f.Run(t.Context())
+		for range 2 {
+			log.Set(hvlogtest.Faults{Down: true})
+			time.Sleep(20 * time.Second)
+			if f.Status().Reachable {
+				t.Error("reachable during the outage")
+			}
+			log.Set(hvlogtest.Faults{})
+			// One second is the longest pause between two tries.
+			time.Sleep(time.Second + time.Millisecond)
+			if st := f.Status(); !st.Reachable || !st.Live {
+				t.Errorf("%+v after the outage, want live and reachable", st)
+			}
+		}
+	})
+}
+
 // Guards against a new process that stays without state while the log is down,
 // and against confirming the head from a peer's state.
 func TestPeerStateDuringOutage(t *testing.T) {
