Give shards to gates that hear the sides, and spread them again after restarts

Cause of the known red script: a gate cut off from all sides, but not from the log and its peers, kept its shards, and their watchers lapsed. The same release hands a shard back when another gate has been its desired owner for 30 s; after a rolling restart all shards stayed on one gate. One acknowledgement of two gates now counts only after a later read of the settings, which could name a third gate.

--- a/hvcontrol/peers.go
+++ b/hvcontrol/peers.go
@@ -36,6 +36,7 @@
 		Name: c.conf.Name, Incarnation: c.conf.Incarnation, Version: c.book.Current().Number,
 		Reachable: c.view.Reachable(), Keys: -1,
 	}
+	p.Blind = len(c.Members.Alive()) == 0
 	c.mu.Lock()
 	p.Leaving = c.leaving
 	c.mu.Unlock()
--- a/hvcontrol/sides.go
+++ b/hvcontrol/sides.go
@@ -45,7 +45,8 @@
 	}
 	ack.Held = true
 	side, ok := c.Members.Find(b.Incarnation)
-	if !ok {
+	if !ok || side.Beat.Sequence != b.Sequence {
+		// A late heartbeat says what the host held earlier.
 		return ack, nil
 	}
 	held := map[int]bool{}
--- a/hvquorum/peers.go
+++ b/hvquorum/peers.go
@@ -10,10 +10,14 @@
 // KeysStream is the name of the stream of the key-slot table.
 const KeysStream = "keys"
 
+// SettingsStream is the name of the stream that holds the list of gates.
+const SettingsStream = "config"
+
 // peer is another gate as its heartbeats describe it.
 type peer struct {
 	incarnation string
 	leaving     bool
+	blind       bool
 	seen        time.Time
 	acks        map[string]ack
 }
@@ -29,6 +33,8 @@
 	Name        string
 	Incarnation string
 	Leaving     bool
+	// Blind gates hear no side.
+	Blind bool
 }
 
 // Hear notes a heartbeat of another gate. Stream maps the index of a shard to
@@ -46,7 +52,7 @@
 		p = &peer{incarnation: m.Incarnation, acks: make(map[string]ack)}
 		t.peers[m.Name] = p
 	}
-	p.leaving, p.seen = m.Leaving, now
+	p.leaving, p.blind, p.seen = m.Leaving, m.Blind, now
 	for shard, epoch := range m.Epochs {
 		name := stream(shard)
 		p.hear(name, epoch, now)
@@ -66,6 +72,12 @@
 
 // Acknowledged reports since when this gate knows that a majority of the gates
 // knows an epoch of a stream.
+//
+// Of two gates one is enough, as every round of the other needs its answer;
+// otherwise the loss of one gate would keep tasks from being placed again until
+// it returns. A read of the settings after the acknowledgement must have shown
+// that there are still two, because in a list of three the other two gates are
+// a majority.
 func (t *Tracker) Acknowledged(name string, epoch int64) (time.Time, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -75,23 +87,14 @@
 			times = append(times, since)
 		}
 	}
-	if len(times) < t.blocking() {
-		return time.Time{}, false
-	}
 	slices.SortFunc(times, time.Time.Compare)
-	return times[t.blocking()-1], true
-}
-
-// blocking is the number of gates without which no majority can be formed. It
-// is a majority, which also intersects with the majorities of the lists before
-// and after a change of one gate. With two gates one is enough: every round of
-// the other one needs its answer, and otherwise the loss of one gate would
-// keep tasks from being placed again until it returns.
-func (t *Tracker) blocking() int {
-	if len(t.gates) == 2 {
-		return 1
+	if len(times) == 1 && len(t.gates) == 2 {
+		return times[0], t.stream(SettingsStream).read.After(times[0])
+	}
+	if len(times) < t.majority() {
+		return time.Time{}, false
 	}
-	return t.majority()
+	return times[t.majority()-1], true
 }
 
 func (t *Tracker) acked(gate, name string, epoch int64) (time.Time, bool) {
@@ -114,7 +117,7 @@
 	live := []Peer{{Name: t.config.Gate, Incarnation: t.config.Incarnation}}
 	for name, p := range t.peers {
 		if now.Sub(p.seen) < within {
-			live = append(live, Peer{Name: name, Incarnation: p.incarnation, Leaving: p.leaving})
+			live = append(live, Peer{Name: name, Incarnation: p.incarnation, Leaving: p.leaving, Blind: p.blind})
 		}
 	}
 	slices.SortFunc(live, func(a, b Peer) int {
--- a/hvquorum/tracker_test.go
+++ b/hvquorum/tracker_test.go
@@ -132,3 +132,26 @@
 		t.Fatal("a restarted gate still counts")
 	}
 }
+
+// Guards against the loss of one of two gates that blocks the other for ever,
+// and against counting one gate of two when a list of three is in force.
+func TestAcknowledgedByOneOfTwo(t *testing.T) {
+	c := &fakeClock{now: time.Unix(1000, 0)}
+	a := trackers(c)["a"]
+	a.SetGates([]string{"a", "b"})
+	a.Learn("s", 2)
+	since := c.now
+	a.Read(SettingsStream, c.now)
+	if _, ok := a.Acknowledged("s", 2); ok {
+		t.Fatal("the settings were read before the acknowledgement, so there may be a third gate")
+	}
+	c.add(time.Second)
+	a.Read(SettingsStream, c.now)
+	if got, ok := a.Acknowledged("s", 2); !ok || !got.Equal(since) {
+		t.Fatalf("since %s, %t", got, ok)
+	}
+	a.SetGates([]string{"a", "b", "c"})
+	if _, ok := a.Acknowledged("s", 2); ok {
+		t.Fatal("one gate of three is no majority")
+	}
+}
--- a/hvshard/batch.go
+++ b/hvshard/batch.go
@@ -99,7 +99,7 @@
 		b.Body.Ops = append(b.Body.Ops, t.op)
 	}
 	// Behind a release nothing of the owner is valid, so it comes last.
-	if o.leaving && o.epoch != 0 && len(o.waiting) == 0 {
+	if o.epoch != 0 && len(o.waiting) == 0 && (o.leaving || o.yields(now)) {
 		b.Body.Ops = append(b.Body.Ops, hvtask.Op{Op: hvtask.OpRelease})
 	}
 	// An empty record settles the fate of an uncertain one before it.
--- a/hvshard/claim.go
+++ b/hvshard/claim.go
@@ -37,8 +37,10 @@
 	if o.missing.IsZero() {
 		o.missing = now
 	}
-	if current.Released {
-		// A gate releases because it leaves, which its heartbeat may not say yet.
+	live = o.candidates(live, now)
+	if current.Released && now.Sub(o.missing) < 2*missingAfter {
+		// A gate releases because it leaves or another is preferred, which the
+		// heartbeats may not say yet.
 		live = slices.DeleteFunc(live, func(p hvquorum.Peer) bool { return p.Incarnation == current.Incarnation })
 	}
 	// A gate that is not the desired owner steps in when those before it do
@@ -50,6 +52,49 @@
 	return current.Epoch + 1, true
 }
 
+// candidates leaves out gates that hear no side while others do. Such a gate
+// could renew no lease.
+func (o *Owner) candidates(live []hvquorum.Peer, now time.Time) []hvquorum.Peer {
+	for i := range live {
+		if live[i].Name == o.config.Gate {
+			live[i].Blind = o.blind(now)
+		}
+	}
+	blind := func(p hvquorum.Peer) bool { return p.Blind }
+	if sighted := slices.DeleteFunc(slices.Clone(live), blind); len(sighted) > 0 {
+		return sighted
+	}
+	return live
+}
+
+func (o *Owner) blind(now time.Time) bool {
+	for name := range o.hosts {
+		if !o.silent(name, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// yields reports whether another gate should own the shard: this one hears no
+// side, or another has been the desired owner for long.
+func (o *Owner) yields(now time.Time) bool {
+	order := rendezvous(o.stream, o.candidates(o.View.Live(missingAfter), now))
+	if len(order) == 0 || order[0] == o.config.Gate {
+		o.outranked = time.Time{}
+		return false
+	}
+	if o.outranked.IsZero() {
+		o.outranked = now
+	}
+	patience := blindFor
+	if slices.Contains(order, o.config.Gate) {
+		// Shards go back one after another, not all at once.
+		patience = handBackAfter + time.Duration(o.config.Shard)*time.Second
+	}
+	return now.Sub(o.outranked) >= patience
+}
+
 // rendezvous orders the gates that can own a stream by preference. Every gate
 // computes the same order, and the loss of a gate moves only its own shards.
 func rendezvous(stream string, live []hvquorum.Peer) []string {
--- a/hvshard/config.go
+++ b/hvshard/config.go
@@ -59,6 +59,14 @@
 	maxFailures = 10
 	// maxLosses bounds the wait after lost shards to 48 s.
 	maxLosses = 4
+	// blindFor is how long an owner may hear no side before it gives its shard
+	// to a gate that does. With the claim it is below the lease, so that the
+	// new owner renews before the leases lapse.
+	blindFor = 2 * time.Second
+	// handBackAfter is how long another gate must have been the desired owner
+	// before the shard goes to it, so that a gate that restarts again and again
+	// does not move shards each time.
+	handBackAfter = 30 * time.Second
 	// evictFor is how long a request for an eviction is repeated.
 	evictFor = 10 * time.Second
 )
--- a/hvshard/owner.go
+++ b/hvshard/owner.go
@@ -27,6 +27,8 @@
 	seen    int64
 	changed time.Time
 	missing time.Time
+	// outranked is since when another gate is the desired owner.
+	outranked time.Time
 	// losses counts takeovers by gates that this one does not hear.
 	losses int
 
--- a/hvshard/scenario_test.go
+++ b/hvshard/scenario_test.go
@@ -198,3 +198,40 @@
 	}
 	s.check()
 }
+
+// The owner reaches the log and the other gates, but no host. Guards against a
+// gate that keeps a shard whose leases it cannot renew.
+func TestBlindOwnerYields(t *testing.T) {
+	s, id, owner, _, _ := runningWatcher(t)
+	for _, h := range s.hosts {
+		s.cutBoth(owner.name, h.name, long)
+	}
+	s.advance(simLease)
+	if next := s.owner(shardOf(id)); next == nil || next == owner {
+		t.Fatal("no other gate took the shard before the leases lapsed")
+	}
+	s.advance(time.Minute)
+	if h := s.tasks[id]; h.starts != 1 || len(h.running) != 1 {
+		t.Fatalf("the watcher was disturbed: %+v", h)
+	}
+}
+
+// Guards against shards that stay together on one gate after the others have
+// been restarted one by one.
+func TestShardsGoBack(t *testing.T) {
+	s, id, owner, others, _ := runningWatcher(t)
+	for _, g := range others {
+		s.cutBoth(owner.name, g.name, 20*time.Second)
+	}
+	s.advance(25 * time.Second)
+	if next := s.owner(shardOf(id)); next == owner {
+		t.Fatal("the gate that the others did not hear kept the shard")
+	}
+	s.advance(2 * time.Minute)
+	if next := s.owner(shardOf(id)); next != owner {
+		t.Fatal("the shard did not go back to its desired owner")
+	}
+	if h := s.tasks[id]; h.starts != 1 || len(h.running) != 1 {
+		t.Fatalf("the watcher was disturbed: %+v", h)
+	}
+}
--- a/hvshard/sim_test.go
+++ b/hvshard/sim_test.go
@@ -327,7 +327,10 @@
 // beatPeers sends heartbeats to the other gates and begins majority rounds
 // while the log is not reached.
 func (g *simGate) beatPeers() {
-	m := hvwire.Peer{Name: g.name, Incarnation: g.inc, Keys: -1}
+	first := g.owners[0]
+	first.mu.Lock()
+	m := hvwire.Peer{Name: g.name, Incarnation: g.inc, Keys: -1, Blind: first.blind(first.Clock.Now())}
+	first.mu.Unlock()
 	for i := range simShards {
 		epoch, ok := g.view.Epoch(StreamName(i))
 		if !ok {
--- a/hvwire/messages.go
+++ b/hvwire/messages.go
@@ -240,6 +240,8 @@
 	Reachable bool `json:"reachable"`
 	// Leaving gates take no further shards.
 	Leaving bool `json:"leaving,omitempty"`
+	// Blind gates hear no side, so they can renew no lease.
+	Blind bool `json:"blind,omitempty"`
 	// Epochs holds the highest epoch known for each shard, or nothing while
 	// the shard streams are not loaded.
 	Epochs []int64 `json:"epochs,omitempty"`
