--- a/hvprocess/process_test.go
+++ b/hvprocess/process_test.go
@@ -217,7 +217,8 @@
 	ts.Check(processes(ts).get(ts, args[1]).cmd.Process.Signal(sig))
 }
 
-// exitTimeout is above the time that a daemon takes to drain.
+// exitTimeout is above the time that a daemon takes to drain requests with the
+// deadlines of the scripts.
 const exitTimeout = 40 * time.Second
 
 func cmdExited(ts *testscript.TestScript, _ bool, args []string) {
