Take a host out of placement that came and went between two refreshes

The refresh removed only hosts that an earlier refresh had seen alive. A host that died before stayed in the placer for good, and a task for which it looked best waited with "host host2 is not heard".

--- a/hvcontrol/control.go
+++ b/hvcontrol/control.go
@@ -71,13 +71,15 @@
 	mu       sync.Mutex
 	leaving  bool
 	draining map[string]bool
+	// placeable holds the hosts that the placer knows.
+	placeable map[string]bool
 	// changed is when the set of sides of a service last changed.
 	changed map[string]sideSet
 }
 
 // New returns the control plane and adds its methods to the mux.
 func New(conf Config, deps Deps) *Control {
-	c := &Control{conf: conf, Deps: deps, draining: map[string]bool{}, changed: map[string]sideSet{}}
+	c := &Control{conf: conf, Deps: deps, draining: map[string]bool{}, placeable: map[string]bool{}, changed: map[string]sideSet{}}
 	limits := hvconf.Default().Limits
 	c.view = hvquorum.New(hvquorum.Config{
 		Gate: conf.Name, Incarnation: conf.Incarnation, Lease: limits.Lease.Std(), Margin: limits.Margin.Std(),
--- a/hvcontrol/sides.go
+++ b/hvcontrol/sides.go
@@ -104,6 +104,9 @@
 			}
 		}
 	}
+	c.mu.Lock()
+	c.placeable[side.Host.Name] = true
+	c.mu.Unlock()
 	c.Placer.SetHost(view)
 	if side.Service != "" && side.Beat.Slowdown > 0 {
 		c.Placer.Observe(hv.Sample{Host: side.Host.Name, Service: side.Service, Slowdown: side.Beat.Slowdown, Time: now})
@@ -127,19 +130,21 @@
 	return c.draining[host]
 }
 
-// refreshHosts takes hosts out of the placer that are no longer alive.
+// refreshHosts takes hosts out of the placer that are no longer alive. It goes
+// by the hosts that the placer was told of, as a host can come and go between
+// two looks at the members.
 func (c *Control) refreshHosts(ctx context.Context) {
-	known := map[string]bool{}
 	every(ctx, refreshInterval, func() {
 		alive := map[string]bool{}
 		for _, s := range c.Members.Alive() {
 			alive[s.Host.Name] = true
-			known[s.Host.Name] = true
 		}
-		for name := range known {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for name := range c.placeable {
 			if !alive[name] {
 				c.Placer.RemoveHost(name)
-				delete(known, name)
+				delete(c.placeable, name)
 			}
 		}
 	})
