Remove settings without effect

limits.lease, margin, absence, body, keys, recall, skew and grace and services.zones were checked and published, but nothing read them. The lease and its margin are now constants: a change of them that reaches one process before another would let a lease outlast what its owner assumes. The interval of heartbeats is at most 1 s, as a side is missing after 3 s. The cases of the tests now use the fields that remain; each kind of mistake keeps its case.

--- a/hvagent/keys.go
+++ b/hvagent/keys.go
@@ -39,10 +39,9 @@
 }
 
 func newKeys(a *Agent) *keys {
-	limits := a.book.Current().Settings.Limits
 	return &keys{
 		clock:       a.clock,
-		memory:      hvkey.New(hvkey.Config{Keys: limits.Keys}, a.clock, a.violation),
+		memory:      hvkey.New(hvkey.Config{}, a.clock, a.violation),
 		incarnation: a.incarnation, logger: a.logs.part("keys"),
 		granted: map[int]int64{}, released: map[int]int64{},
 	}
--- a/hvconf/check.go
+++ b/hvconf/check.go
@@ -57,19 +57,11 @@
 
 func (c *checker) limits() {
 	l := c.s.Limits
-	within(c, "limits.lease", l.Lease, 2*second, 5*minute)
-	// Two lost heartbeats must not end a lease.
-	within(c, "limits.beat", l.Beat, second/10, l.Lease/3)
-	within(c, "limits.margin", l.Margin, second/20, l.Lease/2)
-	within(c, "limits.absence", l.Absence, 2*l.Beat, l.Lease)
+	// A side that is silent for 3 s is missing, so two heartbeats may be lost.
+	within(c, "limits.beat", l.Beat, second/10, second)
 	within(c, "limits.retention", l.Retention, minute, 365*24*hour)
 	// A message between two processes holds 1 MB in base64.
-	within(c, "limits.body", l.Body, hv.KB, hv.MB)
 	within(c, "limits.answer", l.Answer, hv.KB, hv.MB)
-	within(c, "limits.keys", l.Keys, 1, 1<<20)
-	within(c, "limits.recall", l.Recall, minute, 24*hour)
-	within(c, "limits.skew", l.Skew, 0, minute)
-	within(c, "limits.grace", l.Grace, 0, 24*hour)
 }
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
@@ -188,10 +180,6 @@
 		within(c, field+".slots", s.Slots, 1, 1024)
 		within(c, field+".connections", s.Connections, s.Slots, 1<<16)
 		within(c, field+".target", s.Target, second/1000, minute)
-		for i, z := range s.Zones {
-			_, ok := c.s.Zones[z]
-			c.refer(fmt.Sprintf("%s.zones[%d]", field, i), "zones", z, ok)
-		}
 	}
 	for name, t := range c.s.Teams {
 		if err := t.Quota.Check(); err != nil {
--- a/hvconf/check_test.go
+++ b/hvconf/check_test.go
@@ -33,17 +33,17 @@
 func TestCheckNamesFileFieldAndExpectation(t *testing.T) {
 	for body, want := range map[string]string{
 		`{"limit":{}}`:                                 `x.json: limit: unknown field; want one of admin, callers, `,
-		`{"limits":{"lease":10}}`:                      `x.json: limits.lease: want a duration such as "250ms", got 10`,
-		`{"limits":{"lease":"1s"}}`:                    `x.json: limits.lease: want 2s to 5m0s, got 1s`,
-		`{"limits":{"beat":"4s"}}`:                     `x.json: limits.beat: want 100ms to 3.333333333s, got 4s`,
-		`{"limits":{"body":"5MB"}}`:                    `x.json: limits.body: want 1KB to 1MB, got 5MB`,
-		`{"limits":{"body":"5"}}`:                      `x.json: limits.body: want a size such as "60GB", got "5"`,
+		`{"limits":{"beat":10}}`:                       `x.json: limits.beat: want a duration such as "250ms", got 10`,
+		`{"limits":{"retention":"1s"}}`:                `x.json: limits.retention: want 1m0s to 8760h0m0s, got 1s`,
+		`{"limits":{"beat":"4s"}}`:                     `x.json: limits.beat: want 100ms to 1s, got 4s`,
+		`{"limits":{"answer":"5MB"}}`:                  `x.json: limits.answer: want 1KB to 1MB, got 5MB`,
+		`{"limits":{"answer":"5"}}`:                    `x.json: limits.answer: want a size such as "60GB", got "5"`,
 		`{"limits":[]}`:                                `x.json: limits: want an object, got a list`,
-		`{"limits":{"keys":1.5}}`:                      `x.json: limits.keys: want a whole number, got 1.5`,
+		`{"services":{"s":{"slots":1.5}}}`:             `x.json: services.s.slots: want a whole number, got 1.5`,
 		`{"limits":{"keys":1,"keys":2}}`:               `x.json: limits.keys: want one value, got a second one`,
 		`{"services":{"s":{"guard":"yes"}}}`:           `x.json: services.s.guard: want true or false, got "yes"`,
-		`{"services":{"s":{"zones":["a","z"]}}}`:       `x.json: services.s.zones[1]: want a name from zones, got "z"`,
-		`{"services":{"s":{"zones":"a"}}}`:             `x.json: services.s.zones: want a list, got "a"`,
+		`{"limits":{"lease":"10s"}}`:                   `x.json: limits.lease: unknown field`,
+		`{"services":[]}`:                              `x.json: services: want an object`,
 		`{"services":{"s":{"slots":9999}}}`:            `x.json: services.s.slots: want 1 to 1024, got 9999`,
 		`{"services":{"s":{"connections":2}}}`:         `x.json: services.s.connections: want 4 to 65536, got 2`,
 		`{"services":{"S 1":{}}}`:                      `x.json: services.S 1: want a name of 1 to 63 small letters`,
@@ -78,18 +78,18 @@
 
 // Guards against a merge that depends on anything but the order of the names.
 func TestMerge(t *testing.T) {
-	files := with(base(), "30-a.json", `{"services":{"s":{"target":"50ms"},"u":{"slots":2}},"limits":{"lease":"20s"}}`)
-	files = with(files, "40-b.json", `{"services":{"u":null,"s":{"zones":["b"]}},"limits":{"lease":null}}`)
+	files := with(base(), "30-a.json", `{"services":{"s":{"target":"50ms"},"u":{"slots":2}},"limits":{"beat":"500ms"}}`)
+	files = with(files, "40-b.json", `{"services":{"u":null,"s":{"connections":32}},"limits":{"beat":null}}`)
 	s, err := hvconf.Check(files)
 	if err != nil {
 		t.Fatal(err)
 	}
 	got := s.Services["s"]
-	if len(s.Services) != 1 || got.Slots != 4 || got.Connections != 64 || !got.Guard || got.Target.Std() != 50*time.Millisecond || got.Zones[0] != "b" {
+	if len(s.Services) != 1 || got.Slots != 4 || got.Connections != 32 || !got.Guard || got.Target.Std() != 50*time.Millisecond {
 		t.Errorf("services %+v", s.Services)
 	}
-	if s.Limits.Lease.Std() != 10*time.Second {
-		t.Errorf("a deleted field has %v, want the default", s.Limits.Lease.Std())
+	if s.Limits.Beat.Std() != time.Second {
+		t.Errorf("a deleted field has %v, want the default", s.Limits.Beat.Std())
 	}
 }
 
@@ -97,7 +97,7 @@
 // that is shown.
 func TestDiff(t *testing.T) {
 	from, _ := hvconf.Check(base())
-	to, err := hvconf.Check(with(base(), "x.json", `{"services":{"s":null,"u":{}},"callers":{"c":{"token":"fedcba9876543210"}},"limits":{"lease":"12s"}}`))
+	to, err := hvconf.Check(with(base(), "x.json", `{"services":{"s":null,"u":{}},"callers":{"c":{"token":"fedcba9876543210"}},"limits":{"beat":"500ms"}}`))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -106,7 +106,7 @@
 		lines = append(lines, c.String())
 	}
 	want := `~ callers.c.token: (hidden) -> (hidden)
-~ limits.lease: "10s" -> "12s"
+~ limits.beat: "1s" -> "500ms"
 - services.s.connections: 64
 - services.s.guard: true
 - services.s.slots: 4
--- a/hvconf/example_test.go
+++ b/hvconf/example_test.go
@@ -9,11 +9,11 @@
 
 func ExampleCheck() {
 	_, err := hvconf.Check(hvconf.Files{
-		"10-limits.json": json.RawMessage(`{"limits": {"lease": 10, "beat": "1s"}}`),
+		"10-limits.json": json.RawMessage(`{"limits": {"beat": 10}}`),
 		"20-policy.json": json.RawMessage(`{"policy": {"favour": "latency"}}`),
 	})
 	fmt.Println(err)
 	// Output:
-	// settings check: 10-limits.json: limits.lease: want a duration such as "250ms", got 10
+	// settings check: 10-limits.json: limits.beat: want a duration such as "250ms", got 10
 	// 20-policy.json: policy.favour: unknown field; want one of prefer
 }
--- a/hvconf/settings.go
+++ b/hvconf/settings.go
@@ -27,26 +27,12 @@
 
 // Limits are bounds and times that hold for all processes.
 type Limits struct {
-	// Lease is how long an attempt or a key slot lasts without renewal.
-	Lease hv.Duration `json:"lease"`
-	// Beat is the time between two heartbeats.
+	// Beat is the time between two heartbeats of a side.
 	Beat hv.Duration `json:"beat"`
-	// Margin bounds the drift between two clocks within a lease.
-	Margin hv.Duration `json:"margin"`
-	// Absence is the time without heartbeats after which a process is missing.
-	Absence hv.Duration `json:"absence"`
 	// Retention is how long the log service keeps records.
 	Retention hv.Duration `json:"retention"`
-	// Body and Answer bound the bodies of requests and answers.
-	Body   hv.Size `json:"body"`
+	// Answer bounds the bodies of answers.
 	Answer hv.Size `json:"answer"`
-	// Keys and Recall bound the idempotency keys that a side remembers.
-	Keys   int         `json:"keys"`
-	Recall hv.Duration `json:"recall"`
-	// Skew bounds the error of the creation time in a key.
-	Skew hv.Duration `json:"skew"`
-	// Grace is how long a task that fits no host stays queued.
-	Grace hv.Duration `json:"grace"`
 }
 
 // Zone is an availability zone.
@@ -94,8 +80,6 @@
 	// Target is the tail latency that a guard protects.
 	Target hv.Duration `json:"target"`
 	Guard  bool        `json:"guard"`
-	// Zones limits the service to some zones; empty means all.
-	Zones []string `json:"zones,omitempty"`
 }
 
 // Job is a batch task.
@@ -162,11 +146,7 @@
 func Default() *Settings {
 	return &Settings{
 		Limits: Limits{
-			Lease: duration(10 * time.Second), Beat: duration(time.Second), Margin: duration(500 * time.Millisecond),
-			Absence: duration(3 * time.Second), Retention: duration(24 * time.Hour),
-			Body: hv.MB, Answer: hv.MB,
-			Keys: 65536, Recall: duration(10 * time.Minute), Skew: duration(2 * time.Second),
-			Grace: duration(10 * time.Minute),
+			Beat: duration(time.Second), Retention: duration(24 * time.Hour), Answer: hv.MB,
 		},
 		Classes: maps.Clone(defaultClasses),
 		Policy:  Policy{Prefer: PreferThroughput},
--- a/hvcontrol/control.go
+++ b/hvcontrol/control.go
@@ -80,15 +80,14 @@
 // New returns the control plane and adds its methods to the mux.
 func New(conf Config, deps Deps) *Control {
 	c := &Control{conf: conf, Deps: deps, draining: map[string]bool{}, placeable: map[string]bool{}, changed: map[string]sideSet{}}
-	limits := hvconf.Default().Limits
 	c.view = hvquorum.New(hvquorum.Config{
-		Gate: conf.Name, Incarnation: conf.Incarnation, Lease: limits.Lease.Std(), Margin: limits.Margin.Std(),
+		Gate: conf.Name, Incarnation: conf.Incarnation, Lease: hv.Lease, Margin: hv.Margin,
 	}, deps.Clock, []string{conf.Name})
 	c.book = hvconf.NewBook(deps.Violations)
 	c.table = hvkey.NewTable(deps.Violations)
 	c.hosts = newHosts(c)
 	c.newStreams()
-	c.newOwners(limits)
+	c.newOwners()
 	c.peers = hvpeer.New(hvpeer.Deps{
 		Clock: deps.Clock, Logger: deps.Logger, Mux: deps.Mux, Self: c.self, Heard: c.heard,
 	})
@@ -99,12 +98,12 @@
 	return c
 }
 
-func (c *Control) newOwners(limits hvconf.Limits) {
+func (c *Control) newOwners() {
 	for i := range hvtask.Shards {
 		c.owners = append(c.owners, hvshard.New(
 			hvshard.Config{
 				Gate: c.conf.Name, Incarnation: c.conf.Incarnation, Shard: i,
-				Lease: limits.Lease.Std(), Margin: limits.Margin.Std(),
+				Lease: hv.Lease, Margin: hv.Margin,
 			},
 			hvshard.Deps{
 				Clock: c.Clock, States: c.states, View: c.view, Log: c.tasks[i], Placer: c.Placer, Health: c.Health,
--- a/hvcontrol/slots.go
+++ b/hvcontrol/slots.go
@@ -5,7 +5,6 @@
 	"time"
 
 	hv "hibiscusvane.example/hibiscusvane"
-	"hibiscusvane.example/hibiscusvane/hvconf"
 	"hibiscusvane.example/hibiscusvane/hvkey"
 	"hibiscusvane.example/hibiscusvane/hvmember"
 	"hibiscusvane.example/hibiscusvane/hvquorum"
@@ -55,8 +54,7 @@
 		return nil
 	}
 	until, ok := c.view.RenewUntil(hvquorum.KeysStream, next)
-	limits := hvconf.Default().Limits
-	lease := until.Sub(c.Clock.Now()) - limits.Lease.Std() + keyLease
+	lease := until.Sub(c.Clock.Now()) - hv.Lease + keyLease
 	if !ok || lease <= 0 {
 		return nil
 	}
@@ -77,7 +75,7 @@
 		return true
 	}
 	since, ok := c.view.Acknowledged(hvquorum.KeysStream, int64(s.Offset)+1)
-	return ok && c.Clock.Now().Sub(since) >= keyLease+hvconf.Default().Limits.Margin.Std()
+	return ok && c.Clock.Now().Sub(since) >= keyLease+hv.Margin
 }
 
 // assignSlots gives the slots of lost and leaving sides to the others. The
