Refuse late jobs, wait for hosts that are not read yet, keep usage at the side

- A job whose deadline has passed was accepted and run; now the field is named.
- A side that had not read its worker announced a host without room, and tasks waited as too large for the fleet; such a host is not used yet.
With no host heard at all, no task counts as impossible.
- No gate read the usage in heartbeats, so sides no longer send it.
- An outage logs one line for the appends of a stream; there were 41 in 20 s.

--- a/hvagent/beat.go
+++ b/hvagent/beat.go
@@ -45,9 +45,6 @@
 // beat sends one heartbeat and applies its answer.
 func (l *link) beat(ctx context.Context, c *hvwire.Conn) error {
 	m := l.agent.heartbeat()
-	if l.agent.tasks != nil {
-		m.Usage, l.measured = l.agent.tasks.usageSince(l.measured)
-	}
 	m = l.lists.Shorten(m)
 	sent := l.agent.clock.Now()
 	l.note(m.Sequence, sent)
--- a/hvagent/link.go
+++ b/hvagent/link.go
@@ -36,9 +36,6 @@
 	announced time.Time
 	sent      map[uint64]time.Time
 	order     []uint64
-	// measured is the time of the last usage report that was sent. Only the
-	// goroutine of the link uses it.
-	measured time.Time
 	// lists is what the gate holds; only the goroutine of the link uses it.
 	lists hvwire.Lists
 }
--- a/hvagent/tasks.go
+++ b/hvagent/tasks.go
@@ -36,8 +36,6 @@
 	// renewed is the lease end that the worker knows.
 	renewed     map[hv.Attempt]time.Time
 	checkpoints map[hv.Attempt]string
-	usage       []hv.Usage
-	measured    time.Time
 	draining    bool
 }
 
@@ -157,16 +155,6 @@
 	}
 }
 
-// usageSince returns the last usage report if it came after a time.
-func (t *tasks) usageSince(at time.Time) ([]hv.Usage, time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !t.measured.After(at) {
-		return nil, at
-	}
-	return t.usage, t.measured
-}
-
 // stateHeld is the state of an attempt that starts or stops. The owner of its
 // shard must not take it for one that has started.
 const stateHeld = "held"
--- a/hvagent/usage.go
+++ b/hvagent/usage.go
@@ -12,7 +12,4 @@
 		return
 	}
 	t.ledger.Load().Observe(usage)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.usage, t.measured = usage, t.clock.Now()
 }
--- a/hvcontrol/jobs.go
+++ b/hvcontrol/jobs.go
@@ -24,7 +24,7 @@
 func (c *Control) Submit(ctx context.Context, caller string, t hv.Task) (hvhttp.Job, error) {
 	if t.Team != "" {
 		if _, ok := c.book.Current().Settings.Teams[t.Team]; !ok {
-			return hvhttp.Job{}, errorf("submit", hv.Invalid, "team: %q does not exist", t.Team)
+			return hvhttp.Job{}, hvhttp.Invalid("team", "%q does not exist", t.Team)
 		}
 	}
 	t.Labels = maps.Clone(t.Labels)
@@ -36,6 +36,9 @@
 	if job, known, err := c.known(shard, t); known {
 		return job, err
 	}
+	if t.Kind == hv.Job && t.Deadline.Before(c.Clock.Now()) {
+		return hvhttp.Job{}, hvhttp.Invalid("deadline", "%s has passed", t.Deadline.UTC().Format(time.RFC3339))
+	}
 	if err := c.add(ctx, shard, hvtask.Submit(t)); err != nil {
 		return hvhttp.Job{}, err
 	}
--- a/hvcontrol/sides.go
+++ b/hvcontrol/sides.go
@@ -83,6 +83,11 @@
 
 // setHost tells the placer what is free on a host.
 func (c *Control) setHost(side hvmember.Side) {
+	if side.Host.Capacity == (hv.Resources{}) {
+		// The side has not read its worker yet. A host without room would make
+		// tasks look too large for the fleet.
+		return
+	}
 	now := c.Clock.Now()
 	view := hv.HostView{
 		Host: side.Host, Committed: side.Beat.Committed, Programs: map[string]int{}, Groups: map[string]int{},
--- a/hvhttp/errors.go
+++ b/hvhttp/errors.go
@@ -30,6 +30,10 @@
 // ErrorKind returns the kind of the error.
 func (e *Error) ErrorKind() hv.ErrorKind { return e.Kind }
 
+// Invalid returns an error that names the field at fault, for the parts that
+// check more than the form of a request.
+func Invalid(field, format string, args ...any) error { return invalid(field, format, args...) }
+
 func invalid(field, format string, args ...any) error {
 	return &Error{Op: "check", Kind: hv.Invalid, Field: field, Err: errors.Errorf(format, args...)}
 }
--- a/hvlog/deliver.go
+++ b/hvlog/deliver.go
@@ -45,12 +45,14 @@
 func (w *Writer) try(ctx context.Context, d *delivery, tries int) bool {
 	w.last = w.cfg.Clock.Now()
 	err := w.append(ctx, d)
-	w.down.Store(err != nil)
+	wasDown := w.down.Swap(err != nil)
 	if err == nil {
 		d.uncertain = true
 		return w.readBack(ctx, d)
 	}
-	_ = w.cfg.Logger.Log("stream", w.cfg.Stream, "id", d.rec.ID, "msg", "append failed", "err", err)
+	if !wasDown {
+		_ = w.cfg.Logger.Log("stream", w.cfg.Stream, "id", d.rec.ID, "msg", "append failed", "err", err)
+	}
 	switch kind := hv.KindOf(err); {
 	case kind == hv.Invalid && !d.uncertain:
 		endAll(d.batch, err)
--- a/hvshard/place.go
+++ b/hvshard/place.go
@@ -109,6 +109,8 @@
 	}
 	name, err := o.Placer.Place(t, e.Hosts...)
 	switch {
+	case err != nil && o.blind(now):
+		return o.later(e, w, "no host is heard", now)
 	case err != nil && hv.KindOf(err) == hv.NotFound:
 		return o.misfit(e, w, "no host can hold the task", now)
 	case err != nil && hv.KindOf(err) == hv.Full:
