--- a/cmd/hvgate/gate.go
+++ b/cmd/hvgate/gate.go
@@ -103,9 +103,9 @@
 	_ = level.Error(g.logger).Log("msg", "invariant violated", "invariant", invariant, "detail", message)
 }
 
-// reload reads the local settings file again. The token and the addresses of
+// Reload reads the local settings file again. The token and the addresses of
 // the gates to contact first can change; the other fields need a restart.
-func (g *gate) reload(path string) {
+func (g *gate) Reload(path string) {
 	conf, err := readConfig(path)
 	if err != nil {
 		_ = level.Error(g.logger).Log("msg", "local settings are unchanged", "err", err)
@@ -127,8 +127,8 @@
 	g.placer.SetPrefer(hv.Prefer(v.Settings.Policy.Prefer))
 }
 
-// serve works until ctx ends, then drains.
-func (g *gate) serve(ctx context.Context) error {
+// Run works until ctx ends, then drains.
+func (g *gate) Run(ctx context.Context) error {
 	internal, err := net.Listen("tcp", g.conf.Internal)
 	if err != nil {
 		return errors.Wrap(err, "internal")
--- a/hvagent/agent.go
+++ b/hvagent/agent.go
@@ -14,6 +14,7 @@
 
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvconf"
+	"hibiscusvane.example/hibiscusvane/hvlogger"
 	"hibiscusvane.example/hibiscusvane/hvmetric"
 	"hibiscusvane.example/hibiscusvane/hvworker"
 )
@@ -24,8 +25,8 @@
 
 // Deps are the parts that an agent uses.
 type Deps struct {
-	Clock  hv.Clock
-	Logger log.Logger
+	Clock hv.Clock
+	Logs  *hvlogger.Root
 	// Violations is told of violated invariants after they were counted and
 	// logged; it may be nil.
 	Violations hv.Violations
@@ -34,7 +35,7 @@
 // Agent is one side process.
 type Agent struct {
 	clock       hv.Clock
-	logs        *leveled
+	logs        *hvlogger.Root
 	logger      log.Logger
 	metric      *hvmetric.Registry
 	told        hv.Violations
@@ -60,11 +61,11 @@
 // New returns an agent that does nothing before Run.
 func New(conf Config, d Deps) *Agent {
 	a := &Agent{
-		conf: conf, clock: d.Clock, logs: newLeveled(d.Logger), told: d.Violations,
+		conf: conf, clock: d.Clock, logs: d.Logs, told: d.Violations,
 		metric: hvmetric.New(hvmetric.DefaultCallers), incarnation: uuid.Must(uuid.NewV7()).String(),
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workerCalls}},
 	}
-	a.logger = a.logs.part("side")
+	a.logger = a.logs.Part("side")
 	a.book = hvconf.NewBook(a.violation)
 	a.gates = newGates(a)
 	if conf.Service != "" {
--- a/hvagent/fixture_test.go
+++ b/hvagent/fixture_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http/httptest"
 	"slices"
@@ -10,12 +11,12 @@
 	"testing"
 	"time"
 
-	"github.com/go-kit/log"
 	"go.uber.org/goleak"
 
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvconf"
 	"hibiscusvane.example/hibiscusvane/hvkey"
+	"hibiscusvane.example/hibiscusvane/hvlogger"
 	"hibiscusvane.example/hibiscusvane/hvwire"
 	"hibiscusvane.example/hibiscusvane/hvworker/hvworkertest"
 )
@@ -258,7 +259,7 @@
 func (f *fixture) start() (a *Agent, stop func()) {
 	f.Helper()
 	a = New(f.conf, Deps{
-		Clock: f.clock, Logger: log.NewNopLogger(),
+		Clock: f.clock, Logs: hvlogger.New(io.Discard),
 		Violations: func(i int, m string) { f.Errorf("invariant %d: %s", i, m) },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/hvagent/reports.go
+++ b/hvagent/reports.go
@@ -50,7 +50,7 @@
 }
 
 func newReports(a *Agent) *reports {
-	return &reports{agent: a, logger: a.logs.part("report"), plans: map[reportKey]plan{}}
+	return &reports{agent: a, logger: a.logs.Part("report"), plans: map[reportKey]plan{}}
 }
 
 // started adds the report of a start.
--- a/hvagent/settings.go
+++ b/hvagent/settings.go
@@ -30,7 +30,9 @@
 // apply brings every part to the settings in force.
 func (a *Agent) apply(ctx context.Context) {
 	v := a.book.Current()
-	a.logs.set(v.Settings.Logs.Level)
+	if err := a.logs.SetLevel(v.Settings.Logs.Level); err != nil {
+		logError(a.logger, "msg", "level of the logs is unchanged", "err", err)
+	}
 	a.gates.set(ctx, a.addresses(v))
 	if a.service != nil {
 		limits := a.limits()
@@ -87,9 +89,14 @@
 	}
 }
 
-// Reload takes a changed local settings file. Other fields than gates, region,
+// Reload reads the local settings file again. Other fields than gates, region,
 // slots and connections need a restart.
-func (a *Agent) Reload(c Config) {
+func (a *Agent) Reload(path string) {
+	c, err := ReadConfig(path)
+	if err != nil {
+		logError(a.logger, "msg", "settings are invalid and were not taken", "err", err)
+		return
+	}
 	a.mu.Lock()
 	old := a.conf
 	fixed := c.Host != old.Host || c.Service != old.Service || c.Upstream != old.Upstream || c.Worker != old.Worker || c.Listen != old.Listen
--- a/hvagent/tasks.go
+++ b/hvagent/tasks.go
@@ -41,7 +41,7 @@
 
 func newTasks(a *Agent, w hv.Worker) *tasks {
 	return &tasks{
-		agent: a, worker: w, clock: a.clock, logger: a.logs.part("tasks"), locks: newLocks(),
+		agent: a, worker: w, clock: a.clock, logger: a.logs.Part("tasks"), locks: newLocks(),
 		ends: map[hv.Attempt]hvhost.End{}, doubts: map[hv.Attempt]time.Time{},
 		renewed: map[hv.Attempt]time.Time{}, checkpoints: map[hv.Attempt]string{},
 	}
--- /dev/null
+++ b/hvdaemon/daemon.go
@@ -0,0 +1,84 @@
+// Package hvdaemon runs a daemon: command line, signals and exit code.
+package hvdaemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-kit/log/level"
+	"github.com/jessevdk/go-flags"
+
+	"hibiscusvane.example/hibiscusvane/hvlogger"
+)
+
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// Daemon is a process that works until its context ends.
+type Daemon interface {
+	// Run works until ctx ends, and then stops gracefully.
+	Run(ctx context.Context) error
+	// Reload reads the local settings file again. An invalid file changes
+	// nothing.
+	Reload(path string)
+}
+
+// Build returns a daemon for a local settings file.
+type Build func(path string, logs *hvlogger.Root) (Daemon, error)
+
+type options struct {
+	Config  string `long:"config" description:"Local settings file (JSON)"`
+	Version bool   `long:"version" description:"Print the version"`
+}
+
+// Main runs the daemon of a program and returns its exit code. SIGTERM and
+// SIGINT stop it gracefully, SIGHUP reads the local settings again.
+func Main(part, version string, build Build) int {
+	var opts options
+	if _, err := flags.NewParser(&opts, flags.Default).Parse(); err != nil {
+		if flags.WroteHelp(err) {
+			return exitOK
+		}
+		return exitUsage
+	}
+	if opts.Version {
+		fmt.Println(version)
+		return exitOK
+	}
+	logs := hvlogger.New(os.Stderr)
+	logger := logs.Part(part)
+	d, err := build(opts.Config, logs)
+	if err != nil {
+		_ = level.Error(logger).Log("msg", "settings are invalid", "err", err)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	go reload(ctx, opts.Config, d)
+	if err := d.Run(ctx); err != nil {
+		_ = level.Error(logger).Log("msg", "failed", "err", err)
+		return exitFailure
+	}
+	return exitOK
+}
+
+func reload(ctx context.Context, path string, d Daemon) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			d.Reload(path)
+		}
+	}
+}
