Check that a publication is in force within 3 s at every daemon itself

The script allowed 4 s for each of three gates, because it read the versions of sides from heartbeats.

--- a/hvconf/publish.go
+++ b/hvconf/publish.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -33,7 +34,8 @@
 	case !ok:
 		return 0, errorf("publish", hv.Uncertain, "the record at offset %d was read, but its outcome is no longer known", offset)
 	case v.Reason != "":
-		return 0, &Error{Op: "publish", Kind: v.Kind, Err: errors.New(v.Reason), Version: v.Version}
+		reason := strings.TrimPrefix(v.Reason, "settings publish: ")
+		return 0, &Error{Op: "publish", Kind: v.Kind, Err: errors.New(reason), Version: v.Version}
 	}
 	return offset, nil
 }
--- a/hvprocess/fleet_test.go
+++ b/hvprocess/fleet_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
@@ -152,6 +153,34 @@
 	writeJSON(ts, name, map[string]any{"base": base, "author": author, "files": files})
 }
 
+// cmdInForce waits until all gates and sides of the fleet work by a version of
+// the settings: inforce VERSION DURATION.
+func cmdInForce(ts *testscript.TestScript, _ bool, args []string) {
+	limit, err := time.ParseDuration(args[1])
+	ts.Check(err)
+	var daemons []string
+	for _, kind := range []string{"GATE", "SIDE"} {
+		for i := 1; ts.Getenv(fmt.Sprint(kind, i)) != ""; i++ {
+			daemons = append(daemons, fmt.Sprint(kind, i))
+		}
+	}
+	want := "\nhv_settings_version " + args[0] + "\n"
+	end := time.Now().Add(limit)
+	for _, d := range daemons {
+		for {
+			out, err := request(ts, []string{"GET", "http://" + ts.Getenv(d) + "/metrics"})
+			if err == nil && strings.Contains(out, want) {
+				break
+			}
+			if time.Now().After(end) {
+				ts.Fatalf("version %s is not in force at %s within %s", args[0], d, limit)
+			}
+			time.Sleep(pollInterval)
+		}
+	}
+	ts.Logf("version %s in force at %d daemons after %s", args[0], len(daemons), limit-time.Until(end))
+}
+
 func writeJSON(ts *testscript.TestScript, name string, v any) {
 	b, err := json.Marshal(v)
 	ts.Check(err)
--- a/hvprocess/process_test.go
+++ b/hvprocess/process_test.go
@@ -46,6 +46,7 @@
 			"ports":       cmdPorts,
 			"expand":      cmdExpand,
 			"fleet":       cmdFleet,
+			"inforce":     cmdInForce,
 			"publish":     cmdPublish,
 			"publication": cmdPublication,
 			"spawn":       cmdSpawn,
