--- a/hvshard/run.go
+++ b/hvshard/run.go
@@ -8,8 +8,13 @@
 	"hibiscusvane.example/hibiscusvane/hvtask"
 )
 
-// stepEvery is half of flushEvery, so that a flush is at most that much late.
-const stepEvery = flushEvery / 2
+const (
+	// stepEvery is half of flushEvery, so that a flush is at most that much late.
+	stepEvery = flushEvery / 2
+	// idleSteps is how many steps a shard may skip in which nothing is queued.
+	// A claim or a sweep is then at most 250 ms late.
+	idleSteps = 5
+)
 
 // Run drives the owner until ctx ends.
 func (o *Owner) Run(ctx context.Context) {
@@ -22,16 +27,32 @@
 	defer func() { <-finished }()
 	tick := time.NewTicker(stepEvery)
 	defer tick.Stop()
-	for {
+	for skipped := 0; ; {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			if b := o.Step(o.Clock.Now()); b != nil {
-				batches.Put(b)
-			}
 		}
+		if skipped < idleSteps && o.idle() {
+			skipped++
+			continue
+		}
+		skipped = 0
+		if b := o.Step(o.Clock.Now()); b != nil {
+			batches.Put(b)
+		}
+	}
+}
+
+// idle reports whether a step has nothing to do but to look at the ownership
+// and the leases.
+func (o *Owner) idle() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.leaving || o.doubt || len(o.waiting) > 0 {
+		return false
 	}
+	return o.epoch == 0 || !o.state.Pending()
 }
 
 func (o *Owner) appendAll(ctx context.Context, batches *hvring.Ring[*Batch]) {
--- a/hvtask/query.go
+++ b/hvtask/query.go
@@ -66,6 +66,13 @@
 	return len(s.queue)
 }
 
+// Pending reports whether a task waits for a host or for its start.
+func (s *Shard) Pending() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return len(s.queue) > 0 || len(s.placed) > 0
+}
+
 // Placed returns the tasks whose start is not recorded yet, by identifier.
 func (s *Shard) Placed() []Entry {
 	s.mu.RLock()
