--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,11 @@
 slopes:
 	go run ./hvslope/hvslopecmd
 
+# Random tests with new seeds for a number of minutes: make soak MINUTES=30.
+MINUTES ?= 10
+soak:
+	sh scripts/soak.sh $(MINUTES)
+
 # Processor time, memory and bytes of a gate and a side.
 budget: build
 	sh scripts/budget.sh
--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,18 @@
+#!/bin/sh
+# Runs the random tests with new seeds until a number of minutes has passed and
+# stops at the first failure. Each line printed is a command that repeats a run.
+set -eu
+cd "$(dirname "$0")/.."
+minutes=${1:-10}
+checks=${CHECKS:-2000}
+end=$(($(date +%s) + 60 * minutes))
+runs=0
+while [ "$(date +%s)" -lt "$end" ]; do
+	seed=$(od -An -N4 -tu4 /dev/urandom | tr -d ' ')
+	for p in hvkey hvhost hvslot hvtask hvshard hvdispatch hvadmit; do
+		echo "go test -count=1 ./$p -rapid.seed=$seed -rapid.checks=$checks"
+		go test -count=1 -timeout 30m "./$p" -rapid.seed="$seed" -rapid.checks="$checks" || exit 1
+		runs=$((runs + 1))
+	done
+done
+echo "$runs runs without a failure"
