--- a/hvcontrol/control.go
+++ b/hvcontrol/control.go
@@ -68,9 +68,8 @@
 	keys   *stream
 	tasks  []*stream
 
-	mu       sync.Mutex
-	leaving  bool
-	draining map[string]bool
+	mu      sync.Mutex
+	leaving bool
 	// placeable holds the hosts that the placer knows.
 	placeable map[string]bool
 	// changed is when the set of sides of a service last changed.
@@ -79,7 +78,7 @@
 
 // New returns the control plane and adds its methods to the mux.
 func New(conf Config, deps Deps) *Control {
-	c := &Control{conf: conf, Deps: deps, draining: map[string]bool{}, placeable: map[string]bool{}, changed: map[string]sideSet{}}
+	c := &Control{conf: conf, Deps: deps, placeable: map[string]bool{}, changed: map[string]sideSet{}}
 	c.view = hvquorum.New(hvquorum.Config{
 		Gate: conf.Name, Incarnation: conf.Incarnation, Lease: hv.Lease, Margin: hv.Margin,
 	}, deps.Clock, []string{conf.Name})
--- a/hvcontrol/sides.go
+++ b/hvcontrol/sides.go
@@ -91,7 +91,7 @@
 	now := c.Clock.Now()
 	view := hv.HostView{
 		Host: side.Host, Committed: side.Beat.Committed, Programs: map[string]int{}, Groups: map[string]int{},
-		Usable:  side.Left.IsZero() && !side.Beat.Leaving && !c.drains(side.Host.Name) && c.Health.Usable(now, side.Host.Name),
+		Usable:  side.Left.IsZero() && !side.Beat.Leaving && c.Health.Usable(now, side.Host.Name),
 		Suspect: c.Health.Suspect(side.Host.Name),
 	}
 	if side.Service != "" {
@@ -130,12 +130,6 @@
 	}
 }
 
-func (c *Control) drains(host string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.draining[host]
-}
-
 // refreshHosts takes hosts out of the placer that are no longer alive. It goes
 // by the hosts that the placer was told of, as a host can come and go between
 // two looks at the members.
