Ask the owner of a shard why a task waits

Behind the balancer a caller reaches any gate, but only the owner of a shard knows why a task waits; the others left the reason out.

--- a/hvcontrol/admin.go
+++ b/hvcontrol/admin.go
@@ -103,8 +103,8 @@
 }
 
 // Explain implements hvhttp.Admin.
-func (a *Admin) Explain(_ context.Context, task string) (any, error) {
-	text, err := a.control.explain(task)
+func (a *Admin) Explain(ctx context.Context, task string) (any, error) {
+	text, err := a.control.explain(ctx, task)
 	if err != nil {
 		return nil, err
 	}
--- a/hvcontrol/jobs.go
+++ b/hvcontrol/jobs.go
@@ -7,8 +7,10 @@
 
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvhttp"
+	"hibiscusvane.example/hibiscusvane/hvpeer"
 	"hibiscusvane.example/hibiscusvane/hvshard"
 	"hibiscusvane.example/hibiscusvane/hvtask"
+	"hibiscusvane.example/hibiscusvane/hvwire"
 )
 
 // submitTimeout bounds how long a caller waits for the log.
@@ -85,12 +87,12 @@
 }
 
 // Get implements hvhttp.Jobs.
-func (c *Control) Get(_ context.Context, _ string, kind hv.Kind, id string) (hvhttp.Job, error) {
+func (c *Control) Get(ctx context.Context, _ string, kind hv.Kind, id string) (hvhttp.Job, error) {
 	e, err := c.lookup(kind, id)
 	if err != nil {
 		return hvhttp.Job{}, err
 	}
-	return c.job(e), nil
+	return c.explained(ctx, e), nil
 }
 
 func (c *Control) lookup(kind hv.Kind, id string) (hvtask.Entry, error) {
@@ -119,7 +121,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return c.job(e), nil
+			return c.explained(context.WithoutCancel(ctx), e), nil
 		case <-changed:
 		}
 	}
@@ -179,6 +181,19 @@
 	return count, nil
 }
 
+// explained adds to a queued job why it waits.
+func (c *Control) explained(ctx context.Context, e hvtask.Entry) hvhttp.Job {
+	job := c.job(e)
+	if e.State != hvtask.Queued {
+		return job
+	}
+	if text, err := c.explain(ctx, e.Task.ID); err == nil {
+		job.Reason = text
+	}
+	return job
+}
+
+// job describes a task by what this gate knows.
 func (c *Control) job(e hvtask.Entry) hvhttp.Job {
 	job := hvhttp.Job{
 		Task: e.Task, State: string(e.State), Reason: e.Reason, Attempt: e.Number, Final: e.State.Terminal(),
@@ -186,14 +201,33 @@
 	if e.Hold != nil {
 		job.Host = e.Hold.Host
 	}
-	if text, err := c.explain(e.Task.ID); err == nil && e.State == hvtask.Queued {
-		job.Reason = text
+	if e.State == hvtask.Queued {
+		if text, err := c.owners[hvtask.ShardOf(e.Task.ID)].Explain(e.Task.ID); err == nil {
+			job.Reason = text
+		}
 	}
 	return job
 }
 
-func (c *Control) explain(id string) (string, error) {
-	return c.owners[hvtask.ShardOf(id)].Explain(id)
+// explain says in words what state a task is in. Only the owner of its shard
+// knows why a queued task waits, so another gate asks it.
+func (c *Control) explain(ctx context.Context, id string) (string, error) {
+	shard := hvtask.ShardOf(id)
+	text, err := c.owners[shard].Explain(id)
+	if _, owns := c.owners[shard].Owns(); owns || err != nil {
+		return text, err
+	}
+	owner := c.states[shard].Owner().Gate
+	ans, ok := hvpeer.AskOne[hvwire.Explained](ctx, c.peers, owner, hvwire.MethodExplain, hvwire.Explain{Task: id})
+	if ok && ans.Text != "" {
+		return ans.Text, nil
+	}
+	return text, nil
+}
+
+func (c *Control) serveExplain(_ context.Context, _ *hvwire.Conn, q hvwire.Explain) (hvwire.Explained, error) {
+	text, err := c.owners[hvtask.ShardOf(q.Task)].Explain(q.Task)
+	return hvwire.Explained{Text: text}, err
 }
 
 var _ hvshard.Appender = (*stream)(nil)
--- a/hvcontrol/sides.go
+++ b/hvcontrol/sides.go
@@ -17,6 +17,7 @@
 	hvwire.Handle(c.Mux, hvwire.MethodPeer, c.servePeer)
 	hvwire.Handle(c.Mux, hvwire.MethodConfirm, c.serveConfirm)
 	hvwire.Handle(c.Mux, hvwire.MethodFetch, c.serveFetch)
+	hvwire.Handle(c.Mux, hvwire.MethodExplain, c.serveExplain)
 }
 
 func (c *Control) serveAnnounce(_ context.Context, conn *hvwire.Conn, a hvwire.Announce) (hvwire.AnnounceAck, error) {
--- a/hvwire/messages.go
+++ b/hvwire/messages.go
@@ -21,6 +21,7 @@
 	MethodFetch    = "fetch"
 	MethodHandover = "handover"
 	MethodDrain    = "drain"
+	MethodExplain  = "explain"
 )
 
 // Announce tells a gate about a side, its host and its upstream.
@@ -290,3 +291,14 @@
 type Drain struct {
 	Host string `json:"host"`
 }
+
+// Explain asks the gate that owns a task's shard for the state of the task in
+// words.
+type Explain struct {
+	Task string `json:"task"`
+}
+
+// Explained answers Explain.
+type Explained struct {
+	Text string `json:"text"`
+}
