Remove what stood twice and what nothing uses

The loop of a repeated duty stood in hvagent and hvcontrol and is now hvtick; hvmeasure repeated its runs and wrote its rows by two copies each; hvtask and hvconf had types of their own for the reporter of violations. Forget of hvpeer, Items of hvring and the address of hvcontrol's configuration had no user.

--- a/cmd/hvgate/gate.go
+++ b/cmd/hvgate/gate.go
@@ -72,7 +72,7 @@
 	g.control = hvcontrol.New(
 		hvcontrol.Config{
 			Name: conf.Name, Incarnation: uuid.Must(uuid.NewV7()).String(), Region: conf.Region,
-			Address: conf.Internal, Gates: conf.Gates,
+			Gates: conf.Gates,
 		},
 		hvcontrol.Deps{
 			Log: hvlog.NewClient(conf.Log, logClient(&g.logTraffic)), Clock: g.clock, Members: g.members, Placer: g.placer,
--- a/hvagent/agent.go
+++ b/hvagent/agent.go
@@ -133,17 +133,3 @@
 	defer a.mu.Unlock()
 	return a.conf
 }
-
-// every calls f at an interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, f func()) {
-	tick := time.NewTicker(interval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			f()
-		}
-	}
-}
--- a/hvagent/guard.go
+++ b/hvagent/guard.go
@@ -6,6 +6,7 @@
 
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvguard"
+	"hibiscusvane.example/hibiscusvane/hvtick"
 )
 
 const (
@@ -21,7 +22,7 @@
 	}
 	var guard hv.Guard = hvguard.None{}
 	active, prefer := false, hv.Prefer("")
-	every(ctx, guardInterval, func() {
+	hvtick.Every(ctx, guardInterval, func() {
 		settings := a.book.Current().Settings
 		wanted := settings.Services[a.service.name].Guard
 		if wanted != active || prefer != hv.Prefer(settings.Policy.Prefer) {
--- a/hvagent/reports.go
+++ b/hvagent/reports.go
@@ -9,6 +9,7 @@
 
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvhost"
+	"hibiscusvane.example/hibiscusvane/hvtick"
 	"hibiscusvane.example/hibiscusvane/hvwire"
 )
 
@@ -71,7 +72,7 @@
 }
 
 func (r *reports) run(ctx context.Context) {
-	every(ctx, reportInterval, func() { r.round(ctx) })
+	hvtick.Every(ctx, reportInterval, func() { r.round(ctx) })
 }
 
 func (r *reports) round(ctx context.Context) {
--- a/hvagent/tasks.go
+++ b/hvagent/tasks.go
@@ -10,6 +10,7 @@
 
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvhost"
+	"hibiscusvane.example/hibiscusvane/hvtick"
 	"hibiscusvane.example/hibiscusvane/hvwire"
 )
 
@@ -65,10 +66,10 @@
 			return
 		}
 		var wg sync.WaitGroup
-		wg.Go(func() { every(ctx, lapseInterval, func() { t.lapse(ctx) }) })
-		wg.Go(func() { every(ctx, pollInterval, func() { t.poll(ctx) }) })
-		wg.Go(func() { every(ctx, renewInterval, func() { t.renew(ctx) }) })
-		wg.Go(func() { every(ctx, usageInterval, func() { t.measure(ctx) }) })
+		wg.Go(func() { hvtick.Every(ctx, lapseInterval, func() { t.lapse(ctx) }) })
+		wg.Go(func() { hvtick.Every(ctx, pollInterval, func() { t.poll(ctx) }) })
+		wg.Go(func() { hvtick.Every(ctx, renewInterval, func() { t.renew(ctx) }) })
+		wg.Go(func() { hvtick.Every(ctx, usageInterval, func() { t.measure(ctx) }) })
 		wg.Wait()
 	})
 }
--- a/hvconf/book.go
+++ b/hvconf/book.go
@@ -43,13 +43,10 @@
 	Reason string `json:"reason,omitempty"`
 }
 
-// Violations is told about each violated invariant.
-type Violations func(invariant int, message string)
-
 // Book holds the current version. As the applier of the stream its state
 // depends on the records only.
 type Book struct {
-	violations Violations
+	violations hv.Violations
 
 	mu       sync.Mutex
 	current  Version
@@ -59,7 +56,7 @@
 }
 
 // NewBook returns a book without a version.
-func NewBook(violations Violations) *Book {
+func NewBook(violations hv.Violations) *Book {
 	return &Book{violations: violations, current: Version{Settings: Default()}, changed: make(chan struct{})}
 }
 
--- a/hvcontrol/control.go
+++ b/hvcontrol/control.go
@@ -28,8 +28,6 @@
 	Name        string
 	Incarnation string
 	Region      string
-	// Address is the internal address of this gate.
-	Address string
 	// Gates are the internal addresses of the other gates to contact before
 	// the first publication.
 	Gates []string
@@ -208,18 +206,4 @@
 // Current returns the version of the settings in force.
 func (c *Control) Current() hvconf.Version { return c.book.Current() }
 
-// every calls f at an interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, f func()) {
-	tick := time.NewTicker(interval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			f()
-		}
-	}
-}
-
 var _ hvlog.Applier = (*hvkey.Table)(nil)
--- a/hvcontrol/peers.go
+++ b/hvcontrol/peers.go
@@ -10,6 +10,7 @@
 	"hibiscusvane.example/hibiscusvane/hvquorum"
 	"hibiscusvane.example/hibiscusvane/hvshard"
 	"hibiscusvane.example/hibiscusvane/hvtask"
+	"hibiscusvane.example/hibiscusvane/hvtick"
 	"hibiscusvane.example/hibiscusvane/hvwire"
 )
 
@@ -107,7 +108,7 @@
 
 // runRounds confirms views by majority rounds while the log is not reached.
 func (c *Control) runRounds(ctx context.Context) {
-	every(ctx, roundInterval, func() {
+	hvtick.Every(ctx, roundInterval, func() {
 		if c.view.Reachable() {
 			return
 		}
--- a/hvcontrol/sides.go
+++ b/hvcontrol/sides.go
@@ -6,6 +6,7 @@
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvmember"
 	"hibiscusvane.example/hibiscusvane/hvtask"
+	"hibiscusvane.example/hibiscusvane/hvtick"
 	"hibiscusvane.example/hibiscusvane/hvwire"
 )
 
@@ -135,7 +136,7 @@
 // by the hosts that the placer was told of, as a host can come and go between
 // two looks at the members.
 func (c *Control) refreshHosts(ctx context.Context) {
-	every(ctx, refreshInterval, func() {
+	hvtick.Every(ctx, refreshInterval, func() {
 		alive := map[string]bool{}
 		for _, s := range c.Members.Alive() {
 			alive[s.Host.Name] = true
--- a/hvcontrol/slots.go
+++ b/hvcontrol/slots.go
@@ -8,6 +8,7 @@
 	"hibiscusvane.example/hibiscusvane/hvkey"
 	"hibiscusvane.example/hibiscusvane/hvmember"
 	"hibiscusvane.example/hibiscusvane/hvquorum"
+	"hibiscusvane.example/hibiscusvane/hvtick"
 	"hibiscusvane.example/hibiscusvane/hvwire"
 )
 
@@ -82,7 +83,7 @@
 // first gate by name does it; two gates that both believe to be the first do
 // no harm, because a move is valid only if it names the current owner.
 func (c *Control) assignSlots(ctx context.Context) {
-	every(ctx, assignInterval, func() {
+	hvtick.Every(ctx, assignInterval, func() {
 		if !c.member() || !c.first() || !c.view.Reachable() || !c.keys.follower.Status().Live {
 			return
 		}
--- a/hvmeasure/table.go
+++ b/hvmeasure/table.go
@@ -29,7 +29,8 @@
 // parallelRuns bounds the use of a shared machine.
 const parallelRuns = 4
 
-func repeat(c Case, d Deployment, build builder, seeds int) []metrics {
+// repeat runs one variant with the seeds 1 to seeds, some at a time.
+func repeat(seeds int, run func(seed uint64) metrics) []metrics {
 	runs := make([]metrics, seeds)
 	slots := make(chan struct{}, parallelRuns)
 	var wg sync.WaitGroup
@@ -37,7 +38,7 @@
 		wg.Go(func() {
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			runs[i] = Run(c, d, build, uint64(i+1))
+			runs[i] = run(uint64(i + 1))
 		})
 	}
 	wg.Wait()
@@ -65,10 +66,17 @@
 }
 
 func printCase(w io.Writer, c Case, d Deployment, seeds int) int {
-	b, p := repeat(c, d, baseline, seeds), repeat(c, d, policy, seeds)
+	b := repeat(seeds, func(seed uint64) metrics { return Run(c, d, baseline, seed) })
+	p := repeat(seeds, func(seed uint64) metrics { return Run(c, d, policy, seed) })
+	return printRows(w, c.Name+" | "+d.Name, c.Targets(d), info, b, p)
+}
+
+// printRows writes the rows of one case: its targets, then the metrics in info
+// that are not among them. It returns the number of missed targets.
+func printRows(w io.Writer, title string, targets []Target, info []string, b, p []metrics) int {
 	missed := 0
 	shown := map[string]bool{}
-	for _, t := range c.Targets(d) {
+	for _, t := range targets {
 		shown[t.Metric] = true
 		bs, ps := spreadOf(b, t.Metric), spreadOf(p, t.Metric)
 		result := "met"
@@ -76,13 +84,12 @@
 			result = "**missed**"
 			missed++
 		}
-		fmt.Fprintf(w, "| %s | %s | %s | %s | %v | %v | %s |\n", c.Name, d.Name, t.Metric, t.Text, bs, ps, result)
+		fmt.Fprintf(w, "| %s | %s | %s | %v | %v | %s |\n", title, t.Metric, t.Text, bs, ps, result)
 	}
 	for _, name := range info {
-		if shown[name] {
-			continue
+		if !shown[name] {
+			fmt.Fprintf(w, "| %s | %s | - | %v | %v | - |\n", title, name, spreadOf(b, name), spreadOf(p, name))
 		}
-		fmt.Fprintf(w, "| %s | %s | %s | - | %v | %v | - |\n", c.Name, d.Name, name, spreadOf(b, name), spreadOf(p, name))
 	}
 	return missed
 }
--- a/hvpeer/peers.go
+++ b/hvpeer/peers.go
@@ -153,14 +153,3 @@
 		return s.Peer.Leaving || now.Sub(s.Heard) > missingAfter
 	})
 }
-
-// Forget drops peers that are not among the named gates.
-func (p *Peers) Forget(known func(name string) bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for name := range p.states {
-		if !known(name) {
-			delete(p.states, name)
-		}
-	}
-}
--- a/hvring/ring.go
+++ b/hvring/ring.go
@@ -47,8 +47,5 @@
 	return items
 }
 
-// Items returns the channel for use in a select statement.
-func (r *Ring[T]) Items() <-chan T { return r.items }
-
 // Len returns the number of buffered items.
 func (r *Ring[T]) Len() int { return len(r.items) }
--- a/hvtask/shard.go
+++ b/hvtask/shard.go
@@ -9,10 +9,6 @@
 	hv "hibiscusvane.example/hibiscusvane"
 )
 
-// Violations reports a violated invariant. It fails a test and is counted in
-// production.
-type Violations func(invariant int, message string)
-
 // Limits bound the state of a shard. They are part of the apply rules, so all
 // processes must use the same.
 type Limits struct {
@@ -32,7 +28,7 @@
 type Shard struct {
 	mu         sync.RWMutex
 	limits     Limits
-	violations Violations
+	violations hv.Violations
 	changed    chan struct{}
 
 	next hv.Offset
@@ -52,7 +48,7 @@
 }
 
 // New returns the empty state of a shard.
-func New(limits Limits, violations Violations) *Shard {
+func New(limits Limits, violations hv.Violations) *Shard {
 	s := &Shard{limits: limits, violations: violations, changed: make(chan struct{})}
 	s.reset()
 	return s
