--- a/cmd/hvgate/main.go
+++ b/cmd/hvgate/main.go
@@ -12,7 +12,7 @@
 // version is set by the build.
 var version = "dev"
 
-func main() { os.Exit(hvdaemon.Main("gate", version, build)) }
+func main() { os.Exit(hvdaemon.Main(hvdaemon.Program{Part: "gate", Version: version, Build: build, Platform: onPlatform})) }
 
 func build(path string, logs *hvlogger.Root) (hvdaemon.Daemon, error) {
 	conf, err := readConfig(path)
--- /dev/null
+++ b/cmd/hvgate/platform.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/google/uuid"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvdaemon"
+	"hibiscusvane.example/hibiscusvane/hventry"
+	"hibiscusvane.example/hibiscusvane/hvlogger"
+	"hibiscusvane.example/hibiscusvane/hvmetric"
+	"hibiscusvane.example/hibiscusvane/platform"
+)
+
+const (
+	// offRotation is how long the platform may go on to open connections to a
+	// gate that is not ready: it asks every second and waits for two misses.
+	offRotation = 2500 * time.Millisecond
+	// stopReserve is kept of the time to SIGKILL for the exit itself.
+	stopReserve = time.Second
+)
+
+// platformGate is a gate on the users' platform.
+type platformGate struct {
+	settings platform.Settings
+	gate     *hventry.Gate
+	metrics  *hvmetric.Registry
+	logger   log.Logger
+}
+
+func onPlatform(logs *hvlogger.Root) (hvdaemon.Daemon, error) {
+	s, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return nil, err
+	}
+	logger := log.With(logs.Part("gate"), "node", s.Node)
+	metrics := hvmetric.New(hvmetric.DefaultCallers)
+	gate := hventry.New(hventry.Options{
+		Name: s.Node, Zone: s.Zone, Addr: s.Peers, Process: uuid.NewString(),
+		Store: platform.NewStore(s.Store), Topic: platform.CellTopic,
+		Published: platform.OperatorsTopic, Key: platform.ConfigKey, Decode: platform.DecodeCatalog,
+		Early: s.Early, Retain: s.Retain, Remote: s.Remote,
+		Clock: hv.SystemClock{}, Metrics: metrics, Logger: logger,
+	})
+	return &platformGate{settings: s, gate: gate, metrics: metrics, logger: logger}, nil
+}
+
+// Run implements hvdaemon.Daemon.
+func (p *platformGate) Run(ctx context.Context) error {
+	_ = level.Info(p.logger).Log("msg", "gate starts", "version", version, "zone", p.settings.Zone, "peers", p.settings.Peers)
+	servers, err := p.listen()
+	if err != nil {
+		return err
+	}
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := hvdaemon.ServeWire(work, p.settings.Peers, p.gate.Mux(), p.logger); err != nil {
+		return err
+	}
+	for _, s := range servers {
+		go s.Serve()
+	}
+	var duty sync.WaitGroup
+	owning, release := context.WithCancel(work)
+	duty.Go(func() { p.gate.Run(owning, work) })
+	<-ctx.Done()
+	p.stop(servers, release)
+	cancel()
+	duty.Wait()
+	_ = level.Info(p.logger).Log("msg", "gate has stopped")
+	return nil
+}
+
+func (p *platformGate) listen() ([]*hvdaemon.Server, error) {
+	var out []*hvdaemon.Server
+	for addr, h := range map[string]http.Handler{
+		p.settings.Callers: platform.CallerHandler(p.gate),
+		p.settings.Ready:   platform.ReadyHandler(p.gate.Ready),
+		metricsAddr(p.settings.Peers): http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if err := p.metrics.Write(w); err != nil {
+				_ = level.Debug(p.logger).Log("msg", "metrics are cut", "err", err)
+			}
+		}),
+	} {
+		if addr == "" {
+			continue
+		}
+		s, err := hvdaemon.Listen(addr, h, p.logger)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, s)
+	}
+	return out, nil
+}
+
+// stop gives up the cell at once, waits until the platform sends no more
+// connections, and answers what has come.
+func (p *platformGate) stop(servers []*hvdaemon.Server, release func()) {
+	_ = level.Info(p.logger).Log("msg", "gate stops", "grace", p.settings.Grace)
+	deadline := time.Now().Add(p.settings.Grace - stopReserve)
+	p.gate.Leave()
+	release()
+	for _, s := range servers {
+		s.Drain()
+	}
+	time.Sleep(min(offRotation, time.Until(deadline)))
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	for _, s := range servers {
+		s.Stop(ctx)
+	}
+}
+
+// Reload implements hvdaemon.Daemon. Addresses do not change while a process
+// runs, so a changed file is only checked.
+func (p *platformGate) Reload(string) {
+	if _, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable)); err != nil {
+		_ = level.Error(p.logger).Log("msg", "settings are invalid", "err", err)
+		return
+	}
+	_ = level.Info(p.logger).Log("msg", "settings were read again")
+}
+
+// metricsPort is the port of the metrics; deploy/system.toml names it too.
+const metricsPort = "7799"
+
+func metricsAddr(peers string) string {
+	return peers[:strings.LastIndexByte(peers, ':')+1] + metricsPort
+}
--- a/cmd/hvside/main.go
+++ b/cmd/hvside/main.go
@@ -14,7 +14,7 @@
 // version is set by the build.
 var version = "dev"
 
-func main() { os.Exit(hvdaemon.Main("side", version, build)) }
+func main() { os.Exit(hvdaemon.Main(hvdaemon.Program{Part: "side", Version: version, Build: build, Platform: onPlatform})) }
 
 func build(path string, logs *hvlogger.Root) (hvdaemon.Daemon, error) {
 	conf, err := hvagent.ReadConfig(path)
--- /dev/null
+++ b/cmd/hvside/platform.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvdaemon"
+	"hibiscusvane.example/hibiscusvane/hvledger"
+	"hibiscusvane.example/hibiscusvane/hvlogger"
+	"hibiscusvane.example/hibiscusvane/hvmetric"
+	"hibiscusvane.example/hibiscusvane/hvnode"
+	"hibiscusvane.example/hibiscusvane/hvorder"
+	"hibiscusvane.example/hibiscusvane/platform"
+)
+
+// platformSide is a side on the users' platform.
+type platformSide struct {
+	settings platform.Settings
+	node     *hvnode.Node
+	metrics  *hvmetric.Registry
+	logger   log.Logger
+}
+
+func onPlatform(logs *hvlogger.Root) (hvdaemon.Daemon, error) {
+	s, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return nil, err
+	}
+	logger := log.With(logs.Part("side"), "node", s.Node)
+	metrics := hvmetric.New(hvmetric.DefaultCallers)
+	store := platform.NewStore(s.Store)
+	register := func(ctx context.Context, h *hvorder.Host) error {
+		rec, err := hvledger.NodeRecord(hvledger.Node{Name: s.Node, Zone: s.Zone, Addr: s.Peers, Host: h})
+		if err != nil {
+			return err
+		}
+		_, err = store.Append(ctx, platform.CellTopic, []hv.KeyedRecord{rec}, hv.Fence{At: -1})
+		return err
+	}
+	node := hvnode.New(s.Node, hvnode.Deps{
+		Clock: hv.SystemClock{}, Executor: platform.NewExecutor(s.Executor), Register: register, Metrics: metrics, Logger: logger,
+	})
+	return &platformSide{settings: s, node: node, metrics: metrics, logger: logger}, nil
+}
+
+// Run implements hvdaemon.Daemon. A side stops at once: what runs keeps its
+// lease until the side is back.
+func (p *platformSide) Run(ctx context.Context) error {
+	_ = level.Info(p.logger).Log("msg", "side starts", "version", version, "zone", p.settings.Zone, "peers", p.settings.Peers)
+	beats, err := hvdaemon.Listen(p.settings.Beats, platform.BeatHandler(p.node), p.logger)
+	if err != nil {
+		return err
+	}
+	metrics, err := hvdaemon.Listen(metricsAddr(p.settings.Peers), http.HandlerFunc(p.writeMetrics), p.logger)
+	if err != nil {
+		return err
+	}
+	if err := hvdaemon.ServeWire(ctx, p.settings.Peers, p.node.Mux(ctx), p.logger); err != nil {
+		return err
+	}
+	go beats.Serve()
+	go metrics.Serve()
+	var duty sync.WaitGroup
+	duty.Go(func() { p.node.Run(ctx) })
+	duty.Wait()
+	_ = level.Info(p.logger).Log("msg", "side has stopped")
+	return nil
+}
+
+func (p *platformSide) writeMetrics(w http.ResponseWriter, _ *http.Request) {
+	if err := p.metrics.Write(w); err != nil {
+		_ = level.Debug(p.logger).Log("msg", "metrics are cut", "err", err)
+	}
+}
+
+// Reload implements hvdaemon.Daemon. Addresses do not change while a process
+// runs, so a changed file is only checked.
+func (p *platformSide) Reload(string) {
+	if _, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable)); err != nil {
+		_ = level.Error(p.logger).Log("msg", "settings are invalid", "err", err)
+		return
+	}
+	_ = level.Info(p.logger).Log("msg", "settings were read again")
+}
+
+// metricsPort is the port of the metrics; deploy/system.toml names it too.
+const metricsPort = "7799"
+
+func metricsAddr(peers string) string {
+	return peers[:strings.LastIndexByte(peers, ':')+1] + metricsPort
+}
--- /dev/null
+++ b/executor.go
@@ -0,0 +1,93 @@
+package hibiscusvane
+
+import "context"
+
+// Executor runs tasks on one host under a lease. An error of kind Uncertain
+// means that the call may have been carried out or may be carried out later.
+type Executor interface {
+	// Start runs a task. It succeeds if that run is already there. Errors of
+	// kind Conflict (an owner with a higher epoch was seen), Expired (the run
+	// number is used up or the lease has passed) and Full (no room) are final.
+	Start(ctx context.Context, s StartRun) error
+	// Stop ends a run or bars it from ever starting.
+	Stop(ctx context.Context, task string, run int, epoch int64) error
+	// Hold extends the lease of everything that runs and lists it. It waits
+	// for the next end for up to Wait.
+	Hold(ctx context.Context, h Hold) (Holding, error)
+	// Pace limits a run to a share of its work in percent.
+	Pace(ctx context.Context, task string, run, percent int, epoch int64) error
+}
+
+// StartRun asks for one run of a task.
+type StartRun struct {
+	Task  string
+	Run   int
+	Spec  string
+	Saved string
+	// Ticket proves that advice allowed the step on the host.
+	Ticket string
+	Epoch  int64
+	// Until is the end of the lease on the executor's clock in milliseconds.
+	Until int64
+}
+
+// Hold extends leases and acknowledges ends.
+type Hold struct {
+	Epoch int64
+	// Until is the end of the lease on the executor's clock in milliseconds;
+	// 0 extends nothing.
+	Until int64
+	// Seen is the number of the last end that the owner has stored.
+	Seen int64
+	// WaitMS is how long to wait for an end, in milliseconds.
+	WaitMS int
+}
+
+// Holding lists what runs on an executor and what has ended.
+type Holding struct {
+	// Life distinguishes the incarnations of an executor.
+	Life string
+	// Clock is the executor's clock in milliseconds.
+	Clock   int64
+	Running []RunState
+	Ended   []RunEnd
+}
+
+// RunState is a run that has not ended.
+type RunState struct {
+	Task    string `json:"task"`
+	Run     int    `json:"run"`
+	Saved   string `json:"saved,omitempty"`
+	Percent int    `json:"percent"`
+	// Load is the tail latency in milliseconds of a run that serves requests
+	// and the processor use in thousandths of a core of every other run. It
+	// covers the last half second.
+	Load int `json:"load,omitempty"`
+}
+
+// RunEnd is the end of a run. Numbers rise by one within a life.
+type RunEnd struct {
+	Number int64  `json:"number"`
+	Task   string `json:"task"`
+	Run    int    `json:"run"`
+	How    How    `json:"how"`
+	Saved  string `json:"saved,omitempty"`
+}
+
+// How tells why a run ended.
+type How string
+
+const (
+	// EndDone is a run that completed its task.
+	EndDone How = "done"
+	// EndFailed is a run that failed by its own fault or that of the host.
+	EndFailed How = "failed"
+	// EndStopped is a run that was stopped by an order.
+	EndStopped How = "stopped"
+	// EndLapsed is a run whose lease passed.
+	EndLapsed How = "lapsed"
+	// EndBroken is a gang member that ended because another one did.
+	EndBroken How = "broken"
+	// EndAlone is a gang member that waited too long for the others.
+	EndAlone How = "alone"
+)
--- /dev/null
+++ b/hvcell/cell.go
@@ -0,0 +1,297 @@
+package hvcell
+
+import (
+	"slices"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvjob"
+	"hibiscusvane.example/hibiscusvane/hvorder"
+)
+
+// runsPerEpoch separates the run numbers of owners, so that a new owner never
+// repeats one of an older owner that it does not know.
+const runsPerEpoch = 1000
+
+// Options are what a Cell needs to know.
+type Options struct {
+	Epoch int64
+	// Claimed is the offset of the owner's claim: older jobs are inherited.
+	Claimed int64
+	// Now is when the cell was claimed.
+	Now time.Time
+	// Lease is what each report of a host is granted.
+	Lease time.Duration
+	// Authority is how long the owner before may have granted leases after
+	// the claim.
+	Authority time.Duration
+	// Early is how long before its due time a round may start.
+	Early time.Duration
+	// Remote is the factor of a run time away from its data.
+	Remote float64
+	// Retain is how long the state of an ended job stays readable.
+	Retain time.Duration
+	Health hv.Health
+	Logger log.Logger
+}
+
+// Cell is the state of one ownership of a cell. It is not safe for concurrent
+// use.
+type Cell struct {
+	options Options
+	catalog *hvjob.Catalog
+	jobs    map[string]*job
+	hosts   map[string]*host
+	changed []*job
+	// ended holds the jobs to forget, oldest first.
+	ended    []endedJob
+	estimate estimator
+	seq      int64
+	settled  bool
+	// suspended is true while the owner can no longer be sure to be the owner.
+	suspended bool
+	counts    Counts
+}
+
+// Counts are totals since the cell was claimed.
+type Counts struct {
+	Starts, Done, Failed, Lost, Stopped, Refused int64
+	Jobs, Waiting, Running, Hosts                int64
+}
+
+type endedJob struct {
+	id string
+	at time.Time
+}
+
+// New returns a cell without jobs and hosts.
+func New(o Options) *Cell {
+	return &Cell{options: o, jobs: map[string]*job{}, hosts: map[string]*host{}, estimate: newEstimator()}
+}
+
+// SetCatalog changes the queues in force. Jobs keep running; tasks that have
+// not started follow the new settings.
+func (c *Cell) SetCatalog(cat *hvjob.Catalog) {
+	c.catalog = cat
+	for _, j := range c.jobs {
+		if q, ok := cat.Queue(j.Queue); ok {
+			j.queue = q
+		}
+	}
+}
+
+// Put adds a job as it stands in the topic.
+func (c *Cell) Put(now time.Time, j hvjob.Job, offset int64, p hvjob.Progress, cancelled bool) {
+	if old := c.jobs[j.ID]; old != nil {
+		if cancelled && !old.cancelled {
+			c.cancel(now, old)
+		}
+		return
+	}
+	if p.State.Final() || cancelled {
+		c.ended = append(c.ended, endedJob{j.ID, now})
+		return
+	}
+	c.seq++
+	entry := &job{Job: j, offset: offset, seq: c.seq, progress: p.Clone(), rounds: map[int]*round{}, inherited: offset < c.options.Claimed}
+	if c.catalog != nil {
+		entry.queue, _ = c.catalog.Queue(j.Queue)
+	}
+	c.jobs[j.ID] = entry
+	c.begin(now, entry)
+	_ = level.Info(c.options.Logger).Log("msg", "job is accepted", "job", j.ID, "queue", j.Queue, "offset", offset, "inherited", entry.inherited, "steps", len(j.Steps), "goal", entry.goal(), "waiting", c.counts.Waiting)
+}
+
+// goal is when the job's oldest round should be complete, as a Unix time in
+// milliseconds.
+func (j *job) goal() int64 {
+	goal := int64(0)
+	for _, r := range j.rounds {
+		if goal == 0 || r.goal < goal {
+			goal = r.goal
+		}
+	}
+	return goal
+}
+
+// lookahead is how long before its due time a round is set up, beyond Early.
+const lookahead = 2 * time.Second
+
+// begin sets up the rounds that are due.
+func (c *Cell) begin(now time.Time, j *job) {
+	for j.begun < j.Rounds() {
+		n := j.begun
+		due := j.Due(n)
+		if j.Times > 0 && due > now.Add(c.options.Early+lookahead).UnixMilli() {
+			return
+		}
+		j.begun++
+		if slices.Contains(j.progress.Ended, n) {
+			continue
+		}
+		c.addRound(j, n, due)
+	}
+}
+
+func (c *Cell) addRound(j *job, n int, due int64) {
+	r := &round{number: n, job: j, due: due}
+	stored, ok := j.progress.Rounds[n]
+	if !ok {
+		stored = hvjob.NewRound(j.Job)
+		if j.progress.Rounds == nil {
+			j.progress.Rounds = map[int]hvjob.Round{}
+		}
+		j.progress.Rounds[n] = stored
+	}
+	for i := range j.Steps {
+		r.steps = append(r.steps, c.newStep(r, i, stored.Steps[i]))
+	}
+	chain := c.chain(r)
+	objective := int64(j.queue.Stretch*float64(chain.Milliseconds())) + j.queue.Slack
+	r.goal, r.late = due+objective, due+lateFactor*objective
+	j.rounds[n] = r
+	r.openSteps()
+}
+
+// lateFactor times its objective is when a job is no longer of use.
+const lateFactor = 3
+
+func (c *Cell) newStep(r *round, i int, p hvjob.StepProgress) *step {
+	spec := &r.job.Steps[i]
+	s := &step{spec: spec, index: i, round: r, perHost: map[*host]int{}, next: c.firstRun()}
+	for k := range spec.Count {
+		t := &task{step: s, index: k, done: p.Done.Has(k), saved: p.Saved[k], next: c.firstRun()}
+		t.name = hvjob.Task{Job: r.job.ID, Round: r.number, Step: i, Index: k}.String()
+		if t.done {
+			s.done++
+		} else {
+			s.waiting++
+		}
+		s.tasks = append(s.tasks, t)
+	}
+	return s
+}
+
+func (c *Cell) firstRun() int { return int(c.options.Epoch-1)*runsPerEpoch + 1 }
+
+// openSteps opens the steps whose predecessors are complete.
+func (r *round) openSteps() {
+	for _, s := range r.steps {
+		s.open = true
+		for _, a := range s.spec.After {
+			if p := r.steps[a]; p.done < len(p.tasks) {
+				s.open = false
+			}
+		}
+	}
+}
+
+// cancel stops everything of a job.
+func (c *Cell) cancel(now time.Time, j *job) {
+	j.cancelled = true
+	_ = level.Info(c.options.Logger).Log("msg", "job is cancelled", "job", j.ID, "state", j.progress.State)
+	c.drop(now, j)
+}
+
+// drop stops the runs of a job that has ended and forgets it.
+func (c *Cell) drop(now time.Time, j *job) {
+	for _, r := range j.rounds {
+		for _, s := range r.steps {
+			for _, t := range s.tasks {
+				for _, run := range t.runs {
+					c.stop(run)
+				}
+			}
+		}
+	}
+	delete(c.jobs, j.ID)
+	c.ended = append(c.ended, endedJob{j.ID, now})
+}
+
+// touch marks the progress of a job as not stored.
+func (c *Cell) touch(j *job) {
+	if !j.changed {
+		j.changed = true
+		c.changed = append(c.changed, j)
+	}
+}
+
+// task finds a task by its name at executors, or nil.
+func (c *Cell) task(name string) *task {
+	id, err := hvjob.ParseTask(name)
+	if err != nil {
+		return nil
+	}
+	j := c.jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	r := j.rounds[id.Round]
+	if r == nil || id.Step >= len(r.steps) || id.Index >= len(r.steps[id.Step].tasks) {
+		return nil
+	}
+	return r.steps[id.Step].tasks[id.Index]
+}
+
+// stop orders the end of a run. The run keeps its place on the host until its
+// end is listed.
+func (c *Cell) stop(r *run) {
+	if r.phase == phaseStopping {
+		return
+	}
+	r.phase = phaseStopping
+	r.host.orders.Stops = append(r.host.orders.Stops, r.ref())
+	c.counts.Stopped++
+}
+
+// Suspend stops new work and the renewal of leases, or allows both again.
+func (c *Cell) Suspend(suspended bool) {
+	if c.suspended != suspended {
+		_ = level.Warn(c.options.Logger).Log("msg", "authority has changed", "epoch", c.options.Epoch, "suspended", suspended)
+	}
+	c.suspended = suspended
+}
+
+// WithOrders returns the names of the hosts that have orders to take.
+func (c *Cell) WithOrders() []string {
+	var out []string
+	for name, h := range c.hosts {
+		if h.hasOrders() {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+func (h *host) hasOrders() bool {
+	if !h.linked || !h.answered {
+		return false
+	}
+	return len(h.orders.Starts)+len(h.orders.Stops)+len(h.orders.Profiles) > 0 || h.kept != h.told
+}
+
+// Orders returns the orders for a host that have not been taken.
+func (c *Cell) Orders(name string) (hvorder.Orders, bool) {
+	h := c.hosts[name]
+	if h == nil || !h.hasOrders() {
+		return hvorder.Orders{}, false
+	}
+	o := h.orders
+	h.orders = hvorder.Orders{}
+	h.told = h.kept
+	o.Epoch, o.Life, o.Until, o.Seen = c.options.Epoch, h.life, h.until, h.kept
+	return o, true
+}
+
+// Counts returns the totals.
+func (c *Cell) Counts() Counts {
+	out := c.counts
+	out.Jobs, out.Hosts = int64(len(c.jobs)), int64(len(c.hosts))
+	for _, h := range c.hosts {
+		out.Running += int64(len(h.runs))
+	}
+	return out
+}
--- /dev/null
+++ b/hvcell/ends.go
@@ -0,0 +1,206 @@
+package hvcell
+
+import (
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvjob"
+	"hibiscusvane.example/hibiscusvane/hvorder"
+)
+
+// retryPause is the wait before a task that could not start is tried again.
+const retryPause = 200 * time.Millisecond
+
+// end applies the end of a run that a host lists.
+func (c *Cell) end(now time.Time, h *host, e hv.RunEnd) {
+	t := c.task(e.Task)
+	r := h.runs[hvorder.Run{Task: e.Task, Run: e.Run}]
+	if r != nil {
+		c.release(r)
+	}
+	if t == nil || t.done {
+		return
+	}
+	if e.Saved != "" && t.step.spec.Checkpoint {
+		t.saved = e.Saved
+		t.progress().save(t.index, e.Saved)
+		c.touch(t.step.round.job)
+	}
+	switch e.How {
+	case hv.EndDone:
+		c.done(now, h, t, r)
+	case hv.EndFailed:
+		c.failed(now, h, t, e)
+	default:
+		c.counts.Lost++
+		c.logEnd(h, e)
+	}
+}
+
+func (c *Cell) logEnd(h *host, e hv.RunEnd) {
+	_ = level.Info(c.options.Logger).Log("msg", "run has ended", "task", e.Task, "run", e.Run, "host", h.name, "how", e.How, "number", e.Number)
+}
+
+// progress returns the stored part of a task's step.
+func (t *task) progress() *stepProgress {
+	r := t.step.round
+	return (*stepProgress)(&r.job.progress.Rounds[r.number].Steps[t.step.index])
+}
+
+type stepProgress hvjob.StepProgress
+
+func (p *stepProgress) save(index int, saved string) {
+	if p.Saved == nil {
+		p.Saved = map[int]string{}
+	}
+	p.Saved[index] = saved
+}
+
+func (p *stepProgress) fail(index, run int) int {
+	if p.Failed == nil {
+		p.Failed = map[int][]int{}
+	}
+	if !slices.Contains(p.Failed[index], run) {
+		p.Failed[index] = append(p.Failed[index], run)
+	}
+	return len(p.Failed[index])
+}
+
+// done completes a task, or the whole gang that it belongs to.
+func (c *Cell) done(now time.Time, h *host, t *task, r *run) {
+	c.counts.Done++
+	h.hung = 0
+	c.options.Health.Record(now, h.name, h.info.Rack, t.name, true)
+	if r != nil {
+		took := now.Sub(r.started)
+		t.step.took.add(took)
+		c.estimate.learn(t.step, took)
+	}
+	if t.step.spec.Lasting {
+		return
+	}
+	done := []*task{t}
+	if t.step.spec.Gang {
+		done = t.step.tasks
+	}
+	for _, d := range done {
+		c.complete(d)
+	}
+	c.advance(now, t.step.round)
+}
+
+func (c *Cell) complete(t *task) {
+	if t.done {
+		return
+	}
+	if len(t.runs) == 0 {
+		t.step.waiting--
+	}
+	t.done = true
+	t.step.done++
+	p := t.progress()
+	p.Done.Set(t.index)
+	delete(p.Saved, t.index)
+	c.touch(t.step.round.job)
+	if t.step.spec.Gang {
+		return
+	}
+	for _, other := range t.runs {
+		c.stop(other)
+	}
+}
+
+// advance opens further steps of a round or completes it and its job.
+func (c *Cell) advance(now time.Time, r *round) {
+	r.openSteps()
+	for _, s := range r.steps {
+		if s.done < len(s.tasks) {
+			return
+		}
+	}
+	j := r.job
+	delete(j.rounds, r.number)
+	delete(j.progress.Rounds, r.number)
+	j.progress.Ended = append(j.progress.Ended, r.number)
+	if len(j.progress.Ended) == j.Rounds() {
+		c.finish(now, j, hvjob.Complete)
+	}
+}
+
+// finish ends a job in a state that is stored.
+func (c *Cell) finish(now time.Time, j *job, s hvjob.State) {
+	_ = level.Info(c.options.Logger).Log("msg", "job has ended", "job", j.ID, "queue", j.Queue, "state", s, "took_ms", now.UnixMilli()-j.Submitted)
+	c.drop(now, j)
+	j.progress = hvjob.Progress{State: s, At: now.UnixMilli()}
+	c.touch(j)
+}
+
+// failed counts a failed run and ends the job when there were too many.
+func (c *Cell) failed(now time.Time, h *host, t *task, e hv.RunEnd) {
+	c.counts.Failed++
+	c.options.Health.Record(now, h.name, h.info.Rack, t.name, false)
+	t.shun(h)
+	if t.step.spec.Lasting {
+		c.logEnd(h, e)
+		return
+	}
+	index := t.index
+	if t.step.spec.Gang {
+		index = 0
+	}
+	n := t.progress().fail(index, e.Run)
+	j := t.step.round.job
+	c.touch(j)
+	_ = level.Info(c.options.Logger).Log("msg", "run has failed", "task", t.name, "run", e.Run, "host", h.name, "failed", n, "attempts", j.queue.Attempts)
+	if j.queue.Attempts > 0 && n >= j.queue.Attempts {
+		c.finish(now, j, hvjob.Failed)
+	}
+}
+
+// shun keeps further runs of the task off a host while others have room.
+func (t *task) shun(h *host) {
+	if t.avoid == nil {
+		t.avoid = map[string]bool{}
+	}
+	t.avoid[h.name] = true
+}
+
+// release takes a run off its host and lets its task wait again.
+func (c *Cell) release(r *run) {
+	h, t := r.host, r.task
+	if h.runs[r.ref()] != r {
+		return
+	}
+	delete(h.runs, r.ref())
+	h.used = h.used.Minus(r.commit)
+	if t.step.spec.Fill {
+		h.filled -= t.step.spec.Need.CPU
+	}
+	if t.step.perHost[h]--; t.step.perHost[h] <= 0 {
+		delete(t.step.perHost, h)
+	}
+	if i := slices.Index(t.runs, r); i >= 0 {
+		t.runs = slices.Delete(t.runs, i, i+1)
+	}
+	if len(t.runs) == 0 && !t.done {
+		t.step.waiting++
+		if r.saved != "" && t.step.spec.Checkpoint {
+			t.saved = r.saved
+		}
+	}
+}
+
+// lose gives up all runs of a host that has ended or whose leases have passed.
+func (c *Cell) lose(now time.Time, h *host, why string) {
+	if len(h.runs) > 0 {
+		_ = level.Warn(c.options.Logger).Log("msg", "runs are lost", "host", h.name, "why", why, "runs", len(h.runs), "life", h.life)
+	}
+	for _, r := range h.runs {
+		c.counts.Lost++
+		c.release(r)
+	}
+	h.orders = hvorder.Orders{}
+}
--- /dev/null
+++ b/hvcell/estimate.go
@@ -0,0 +1,75 @@
+package hvcell
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// learnWeight is the weight of a new run time.
+	learnWeight = 0.05
+	// minLearned is the number of run times from which the mean of a queue
+	// may replace the callers' estimates.
+	minLearned = 8
+)
+
+// estimator predicts run times. Callers' estimates are far off in some queues,
+// so each queue uses the better of the estimates and its own mean.
+type estimator struct{ queues map[string]*history }
+
+// history is what is known of the run times of a queue, as logarithms of
+// milliseconds.
+type history struct {
+	n    int
+	mean float64
+	// ofMean and ofEstimate are the mean absolute errors of both predictions.
+	ofMean, ofEstimate float64
+}
+
+func newEstimator() estimator { return estimator{queues: map[string]*history{}} }
+
+func (e *estimator) learn(s *step, took time.Duration) {
+	ms := float64(max(took.Milliseconds(), 1))
+	h := e.queues[s.round.job.Queue]
+	if h == nil {
+		h = &history{mean: math.Log(ms)}
+		e.queues[s.round.job.Queue] = h
+	}
+	h.n++
+	w := max(learnWeight, 1/float64(h.n))
+	actual := math.Log(ms)
+	h.ofMean += w * (math.Abs(actual-h.mean) - h.ofMean)
+	h.ofEstimate += w * (math.Abs(actual-math.Log(float64(max(s.spec.Estimate, 1)))) - h.ofEstimate)
+	h.mean += w * (actual - h.mean)
+}
+
+// task returns the expected run time of a task of a step.
+func (e *estimator) task(s *step) time.Duration {
+	if s.took.n > 0 {
+		return s.took.value()
+	}
+	h := e.queues[s.round.job.Queue]
+	if h != nil && h.n >= minLearned && (h.ofMean < h.ofEstimate || s.spec.Estimate == 0) {
+		return time.Duration(math.Exp(h.mean)) * time.Millisecond
+	}
+	return time.Duration(s.spec.Estimate) * time.Millisecond
+}
+
+// chain returns the expected time of the longest chain of steps of a round
+// that are not complete.
+func (c *Cell) chain(r *round) time.Duration {
+	ends := make([]time.Duration, len(r.steps))
+	longest := time.Duration(0)
+	for i, s := range r.steps {
+		start := time.Duration(0)
+		for _, a := range s.spec.After {
+			start = max(start, ends[a])
+		}
+		ends[i] = start
+		if s.done < len(s.tasks) {
+			ends[i] += c.estimate.task(s)
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
--- /dev/null
+++ b/hvcell/hosts.go
@@ -0,0 +1,260 @@
+package hvcell
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvorder"
+)
+
+const (
+	// clockDrift bounds how much slower an executor's clock may be.
+	clockDrift = 0.03
+	// lapseSlack covers the time in which an executor ends what has lapsed.
+	lapseSlack = 300 * time.Millisecond
+)
+
+// AddHost makes a node known. Until it answers, it may run inherited tasks.
+func (c *Cell) AddHost(now time.Time, name string, info *hvorder.Host) {
+	h := c.hosts[name]
+	if h == nil {
+		h = &host{name: name, runs: map[hvorder.Run]*run{}}
+		c.hosts[name] = h
+		if !c.settled {
+			h.lapse = c.options.Now.Add(c.options.Authority + c.leaseBound())
+		}
+	}
+	if info != nil && !h.announced {
+		h.info, h.announced = *info, true
+	}
+}
+
+// DropHost forgets a node that has nothing left to run.
+func (c *Cell) DropHost(name string) {
+	if h := c.hosts[name]; h != nil && !h.linked && len(h.runs) == 0 {
+		delete(c.hosts, name)
+	}
+}
+
+func (c *Cell) leaseBound() time.Duration {
+	return c.options.Lease + time.Duration(float64(c.options.Lease)*clockDrift) + lapseSlack
+}
+
+// Attached takes the first report of a node on a new connection.
+func (c *Cell) Attached(now time.Time, name string, r hvorder.Report) hvorder.Grant {
+	c.AddHost(now, name, nil)
+	h := c.hosts[name]
+	h.linked, h.since = true, now
+	_ = level.Info(c.options.Logger).Log("msg", "node is attached", "host", name, "life", r.Life, "full", r.Full, "running", len(r.Running), "pending", len(r.Pending), "ended", len(r.Ended))
+	return c.Report(now, name, r)
+}
+
+// Detached notes that the connection to a node has ended. What runs there goes
+// on until its lease passes.
+func (c *Cell) Detached(now time.Time, name string) {
+	h := c.hosts[name]
+	if h == nil || !h.linked {
+		return
+	}
+	h.linked = false
+	h.answered = false
+	// Orders that were not taken are lost; the lists tell when it is back.
+	h.orders = hvorder.Orders{}
+	_ = level.Info(c.options.Logger).Log("msg", "node is detached", "host", name, "runs", len(h.runs), "lapse", h.lapse.Sub(now))
+}
+
+// Report takes a report of an attached node.
+func (c *Cell) Report(now time.Time, name string, r hvorder.Report) hvorder.Grant {
+	h := c.hosts[name]
+	if h == nil {
+		return hvorder.Grant{}
+	}
+	if r.Host != nil {
+		h.info, h.announced = *r.Host, true
+	}
+	if r.Dead {
+		c.lose(now, h, "the executor is gone")
+		h.life, h.answered, h.lapse = "", true, now
+	}
+	if r.Life != "" && !c.newLife(now, h, r) {
+		return hvorder.Grant{}
+	}
+	for _, e := range r.Ended {
+		if e.Number > h.got {
+			h.got = e.Number
+			c.end(now, h, e)
+		}
+	}
+	for _, s := range r.Stopped {
+		if run := h.runs[s]; run != nil {
+			c.release(run)
+		}
+	}
+	for _, f := range r.Refused {
+		c.refused(now, h, f)
+	}
+	c.noteSaved(h, r.Running)
+	if r.Full {
+		c.reconcile(now, h, r)
+	}
+	return c.grant(now, h, r)
+}
+
+// newLife notes the incarnation of the executor. It reports false for a list
+// that is older than what is known.
+func (c *Cell) newLife(now time.Time, h *host, r hvorder.Report) bool {
+	if h.life == r.Life {
+		return true
+	}
+	if h.life != "" {
+		c.lose(now, h, "the executor started anew")
+	}
+	h.life, h.clock, h.until = r.Life, 0, 0
+	h.got, h.kept, h.told = 0, 0, 0
+	return true
+}
+
+// grant renews the lease of everything on the host.
+func (c *Cell) grant(now time.Time, h *host, r hvorder.Report) hvorder.Grant {
+	if r.Life == "" {
+		return hvorder.Grant{}
+	}
+	h.told = h.kept
+	if c.suspended {
+		return hvorder.Grant{Seen: h.kept}
+	}
+	h.clock = max(h.clock, r.Clock)
+	h.until = max(h.until, r.Clock+c.options.Lease.Milliseconds())
+	if lapse := now.Add(c.leaseBound()); lapse.After(h.lapse) || h.answered {
+		h.lapse = lapse
+	}
+	return hvorder.Grant{Until: h.until, Seen: h.kept}
+}
+
+// noteSaved keeps the saved states of runs in case their host is lost.
+func (c *Cell) noteSaved(h *host, rows []hv.RunState) {
+	for _, row := range rows {
+		if r := h.runs[hvorder.Run{Task: row.Task, Run: row.Run}]; r != nil {
+			r.listed = true
+			if row.Saved != "" {
+				r.saved = row.Saved
+			}
+		}
+	}
+}
+
+// refused gives back a start that the executor refused.
+func (c *Cell) refused(now time.Time, h *host, f hvorder.Refusal) {
+	r := h.runs[f.Run]
+	if r == nil {
+		return
+	}
+	c.counts.Refused++
+	r.task.after = now.Add(retryPause)
+	if f.Kind == hv.Unavailable || f.Kind == hv.Invalid {
+		r.task.shun(h)
+	}
+	_ = level.Info(c.options.Logger).Log("msg", "start was refused", "task", f.Task, "run", f.Run.Run, "host", h.name, "kind", f.Kind, "life", h.life)
+	c.release(r)
+}
+
+// reconcile compares what a host lists with what is known of it.
+func (c *Cell) reconcile(now time.Time, h *host, r hvorder.Report) {
+	listed := map[hvorder.Run]bool{}
+	for _, row := range r.Running {
+		ref := hvorder.Run{Task: row.Task, Run: row.Run}
+		listed[ref] = true
+		c.adopt(now, h, ref, row.Saved)
+	}
+	for _, ref := range r.Pending {
+		listed[ref] = true
+		c.adopt(now, h, ref, "")
+	}
+	for ref, known := range h.runs {
+		if !listed[ref] {
+			// The order may have been lost, or may still be carried out: a stop
+			// bars the run before its task starts elsewhere.
+			known.phase = phaseActive
+			c.stop(known)
+		} else if known.phase == phaseStopping {
+			h.orders.Stops = append(h.orders.Stops, ref)
+		}
+	}
+	h.answered = true
+}
+
+// adopt takes over a run that a host lists, or stops it.
+func (c *Cell) adopt(now time.Time, h *host, ref hvorder.Run, saved string) {
+	if known := h.runs[ref]; known != nil {
+		known.listed = true
+		return
+	}
+	t := c.task(ref.Task)
+	if t == nil || t.done || len(t.runs) > 0 && !t.step.spec.Speculative {
+		h.orders.Stops = append(h.orders.Stops, ref)
+		_ = level.Info(c.options.Logger).Log("msg", "run is not wanted", "task", ref.Task, "run", ref.Run, "host", h.name)
+		return
+	}
+	r := c.commit(now, h, t, ref.Run)
+	r.listed, r.saved = true, saved
+	t.next = max(t.next, ref.Run+1)
+	t.step.next = max(t.step.next, ref.Run+1)
+	h.orders.Profiles = append(h.orders.Profiles, profile(r))
+	j := t.step.round.job
+	c.started(j)
+}
+
+// commit counts a run on its host.
+func (c *Cell) commit(now time.Time, h *host, t *task, number int) *run {
+	r := &run{task: t, number: number, host: h, started: now, commit: t.step.spec.Commit()}
+	h.runs[r.ref()] = r
+	h.used = h.used.Plus(r.commit)
+	if t.step.spec.Fill {
+		h.filled += t.step.spec.Need.CPU
+	}
+	t.step.perHost[h]++
+	if len(t.runs) == 0 {
+		t.step.waiting--
+	}
+	t.runs = append(t.runs, r)
+	return r
+}
+
+func profile(r *run) hvorder.Profile {
+	s := r.task.step.spec
+	return hvorder.Profile{Run: r.ref(), Target: s.Target, Fill: s.Fill, Image: s.Image}
+}
+
+// Tick gives up hosts whose leases have passed, sets up due rounds and looks
+// for runs that stand still.
+func (c *Cell) Tick(now time.Time) {
+	for _, h := range c.hosts {
+		if !h.linked && len(h.runs) > 0 && now.After(h.lapse) {
+			c.lose(now, h, "the leases have passed")
+		}
+	}
+	c.settle(now)
+	for _, j := range c.jobs {
+		if j.begun < j.Rounds() {
+			c.begin(now, j)
+		}
+	}
+	c.checkStragglers(now)
+}
+
+// settle lets inherited tasks start once every host has listed what it runs
+// or can run nothing of the owner before.
+func (c *Cell) settle(now time.Time) {
+	if c.settled {
+		return
+	}
+	for _, h := range c.hosts {
+		if !h.answered && now.Before(h.lapse) {
+			return
+		}
+	}
+	c.settled = true
+	_ = level.Info(c.options.Logger).Log("msg", "cell is settled", "epoch", c.options.Epoch, "hosts", len(c.hosts), "after", now.Sub(c.options.Now))
+}
--- /dev/null
+++ b/hvcell/plan.go
@@ -0,0 +1,285 @@
+package hvcell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"hibiscusvane.example/hibiscusvane/hvjob"
+	"hibiscusvane.example/hibiscusvane/hvorder"
+)
+
+// use tells what a round can still be worth.
+type use int
+
+const (
+	// useInTime rounds can be complete by their goal.
+	useInTime use = iota
+	// useLate rounds can be complete while they are still of some use.
+	useLate
+	// useNone rounds are completed because they were accepted.
+	useNone
+)
+
+// candidate is a step with tasks that wait.
+type candidate struct {
+	step *step
+	use  use
+	// lasting steps serve users at all times and go first.
+	lasting bool
+}
+
+// Plan starts what fits.
+func (c *Cell) Plan(now time.Time) {
+	hosts := c.usable(now)
+	if len(hosts) == 0 || c.suspended {
+		return
+	}
+	for _, cand := range c.candidates(now) {
+		if cand.step.spec.Gang {
+			c.placeGang(now, cand.step, hosts)
+			continue
+		}
+		c.place(now, cand.step, hosts)
+	}
+}
+
+func (c *Cell) candidates(now time.Time) []candidate {
+	var out []candidate
+	c.counts.Waiting = 0
+	for _, j := range c.jobs {
+		if j.inherited && !c.settled {
+			continue
+		}
+		for _, r := range j.rounds {
+			if j.Times > 0 && now.Add(c.options.Early/2).UnixMilli() < r.due {
+				continue
+			}
+			for _, s := range r.steps {
+				if s.open && s.waiting > 0 {
+					c.counts.Waiting += int64(s.waiting)
+					out = append(out, candidate{step: s, use: c.use(now, r), lasting: s.spec.Lasting})
+				}
+			}
+		}
+	}
+	slices.SortFunc(out, compare)
+	return out
+}
+
+// use estimates what completing a round from now on is worth.
+func (c *Cell) use(now time.Time, r *round) use {
+	end := now.Add(c.chain(r)).UnixMilli()
+	switch {
+	case end <= r.goal:
+		return useInTime
+	case end <= r.late:
+		return useLate
+	}
+	return useNone
+}
+
+// compare orders candidates: lasting tasks first, then what can be in time,
+// urgent queues first, and the earliest goal.
+func compare(a, b candidate) int {
+	if a.lasting != b.lasting {
+		if a.lasting {
+			return -1
+		}
+		return 1
+	}
+	ra, rb := a.step.round, b.step.round
+	return cmp.Or(
+		cmp.Compare(a.use, b.use),
+		cmp.Compare(ra.job.queue.Priority, rb.job.queue.Priority),
+		cmp.Compare(ra.goal, rb.goal),
+		cmp.Compare(ra.job.seq, rb.job.seq),
+		cmp.Compare(a.step.index, b.step.index),
+	)
+}
+
+// usable returns the hosts that take new work.
+func (c *Cell) usable(now time.Time) []*host {
+	var out []*host
+	for _, h := range c.hosts {
+		if h.linked && h.answered && h.announced && h.life != "" && h.life == h.info.Life && !h.info.Draining {
+			out = append(out, h)
+		}
+	}
+	slices.SortFunc(out, func(a, b *host) int { return cmp.Compare(a.name, b.name) })
+	return out
+}
+
+// place starts the waiting tasks of a step as far as hosts have room.
+func (c *Cell) place(now time.Time, s *step, hosts []*host) {
+	for _, t := range s.tasks {
+		if s.waiting == 0 {
+			return
+		}
+		if t.done || len(t.runs) > 0 || now.Before(t.after) {
+			continue
+		}
+		h := c.pick(now, t, hosts)
+		if h == nil {
+			if len(t.avoid) == 0 {
+				return
+			}
+			continue
+		}
+		c.launch(now, h, t, t.next)
+		t.next++
+	}
+}
+
+// placeGang starts all tasks of a gang at once or none.
+func (c *Cell) placeGang(now time.Time, s *step, hosts []*host) {
+	if s.waiting < len(s.tasks) || now.Before(s.tasks[0].after) {
+		return
+	}
+	if s.spec.Tight {
+		for _, rack := range racks(hosts) {
+			if c.tryGang(now, s, rack) {
+				return
+			}
+		}
+	}
+	c.tryGang(now, s, hosts)
+}
+
+// racks groups hosts by rack.
+func racks(hosts []*host) [][]*host {
+	byRack := map[string][]*host{}
+	var order []string
+	for _, h := range hosts {
+		if byRack[h.info.Rack] == nil {
+			order = append(order, h.info.Rack)
+		}
+		byRack[h.info.Rack] = append(byRack[h.info.Rack], h)
+	}
+	out := make([][]*host, 0, len(order))
+	for _, rack := range order {
+		out = append(out, byRack[rack])
+	}
+	return out
+}
+
+func (c *Cell) tryGang(now time.Time, s *step, hosts []*host) bool {
+	var placed []*run
+	for _, t := range s.tasks {
+		h := c.pick(now, t, hosts)
+		if h == nil {
+			for _, r := range placed {
+				c.release(r)
+			}
+			return false
+		}
+		placed = append(placed, c.commit(now, h, t, s.next))
+	}
+	for _, r := range placed {
+		r.task.saved = s.tasks[0].saved
+		c.order(now, r)
+	}
+	s.next++
+	return true
+}
+
+// pick returns the host for a task, or nil.
+func (c *Cell) pick(now time.Time, t *task, hosts []*host) *host {
+	var best *host
+	bestScore := 0.0
+	for _, h := range hosts {
+		if !c.allowed(now, t, h) {
+			continue
+		}
+		if score := c.score(t, h); best == nil || score > bestScore {
+			best, bestScore = h, score
+		}
+	}
+	return best
+}
+
+// allowed reports whether a host may and can take a task.
+func (c *Cell) allowed(now time.Time, t *task, h *host) bool {
+	s := t.step.spec
+	switch {
+	case h.info.Service != t.step.round.job.queue.Service:
+		return false
+	case !s.Commit().Fits(h.free()):
+		return false
+	case s.Fill && h.filled+s.Need.CPU > h.free().CPU && h.filled > 0:
+		return false
+	case s.Label != "" && !slices.Contains(h.info.Labels, s.Label):
+		return false
+	case s.Spread > 0 && t.step.perHost[h] >= s.Spread:
+		return false
+	case t.avoid[h.name] && len(t.avoid) < len(c.hosts):
+		return false
+	}
+	return c.options.Health.Usable(now, h.name)
+}
+
+// Weights of a score. A full host scores 0 and an empty one 1 for its room.
+const (
+	scoreNear = 2.0
+	scoreFree = 1.0
+	// scoreBeside is taken off for fill work beside serving tasks, which it
+	// would disturb, and for serving tasks beside fill work.
+	scoreBeside = 1.5
+)
+
+func (c *Cell) score(t *task, h *host) float64 {
+	s := t.step.spec
+	score := 0.0
+	if s.Rack != "" && s.Rack == h.info.Rack {
+		score += scoreNear
+	}
+	if h.info.Room.CPU > 0 {
+		score += scoreFree * float64(h.free().CPU-h.filled) / float64(h.info.Room.CPU)
+	}
+	if s.Fill && h.serves() || s.Target > 0 && h.filled > 0 {
+		score -= scoreBeside
+	}
+	return score
+}
+
+// serves reports whether a task with a latency target runs on the host.
+func (h *host) serves() bool {
+	for _, r := range h.runs {
+		if r.task.step.spec.Target > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// launch orders a run.
+func (c *Cell) launch(now time.Time, h *host, t *task, number int) {
+	c.order(now, c.commit(now, h, t, number))
+}
+
+func (c *Cell) order(now time.Time, r *run) {
+	h, t := r.host, r.task
+	j := t.step.round.job
+	start := hvorder.Start{Profile: profile(r)}
+	if t.step.spec.Checkpoint {
+		start.Saved = t.saved
+	}
+	h.orders.Starts = append(h.orders.Starts, start)
+	if h.orders.Specs == nil {
+		h.orders.Specs = map[string]string{}
+	}
+	h.orders.Specs[j.ID] = j.Spec
+	c.counts.Starts++
+	c.started(j)
+	_ = level.Debug(c.options.Logger).Log("msg", "run is ordered", "task", t.name, "run", r.number, "host", h.name, "free", h.free().CPU)
+}
+
+// started notes the first run of a job.
+func (c *Cell) started(j *job) {
+	if j.progress.State == "" || j.progress.State == hvjob.Queued {
+		j.progress.State = hvjob.Running
+		c.touch(j)
+	}
+}
--- /dev/null
+++ b/hvcell/state.go
@@ -0,0 +1,138 @@
+// Package hvcell decides what runs where in one cell: a set of hosts and the
+// jobs bound to it, which one gate owns at a time. It does no input or output;
+// package hvowner carries its orders out.
+package hvcell
+
+import (
+	"time"
+
+	"hibiscusvane.example/hibiscusvane/hvjob"
+	"hibiscusvane.example/hibiscusvane/hvorder"
+)
+
+// job is a job that has not ended.
+type job struct {
+	hvjob.Job
+	queue  hvjob.Queue
+	offset int64
+	// seq is the order of acceptance.
+	seq       int64
+	cancelled bool
+	progress  hvjob.Progress
+	rounds    map[int]*round
+	// begun is the number of rounds that were set up so far.
+	begun int
+	// inherited jobs may run on hosts that have not answered this owner yet.
+	inherited bool
+	// changed is true while the progress is not stored.
+	changed bool
+}
+
+type round struct {
+	number int
+	job    *job
+	steps  []*step
+	// due is when the round may start and goal when it should be complete, as
+	// Unix times in milliseconds.
+	due, goal, late int64
+}
+
+type step struct {
+	spec  *hvjob.Step
+	index int
+	round *round
+	open  bool
+	done  int
+	tasks []*task
+	// waiting counts the tasks that have neither a run nor ended.
+	waiting int
+	// took holds the run times of the tasks that are done.
+	took mean
+	// perHost counts the runs of the step by host, for its spread limit.
+	perHost map[*host]int
+	// next is the number of the next run of a gang.
+	next int
+}
+
+type task struct {
+	name  string
+	step  *step
+	index int
+	done  bool
+	runs  []*run
+	next  int
+	saved string
+	// avoid holds the hosts on which a run failed or stood still.
+	avoid map[string]bool
+	// after is the earliest time of the next run.
+	after time.Time
+}
+
+type runPhase int
+
+const (
+	// phaseActive runs were ordered and have not ended.
+	phaseActive runPhase = iota
+	// phaseStopping runs were told to stop.
+	phaseStopping
+)
+
+type run struct {
+	task    *task
+	number  int
+	host    *host
+	phase   runPhase
+	started time.Time
+	commit  hvjob.Size
+	// listed is true once the executor has listed the run.
+	listed bool
+	saved  string
+}
+
+func (r *run) ref() hvorder.Run { return hvorder.Run{Task: r.task.name, Run: r.number} }
+
+type host struct {
+	name string
+	info hvorder.Host
+	// announced is true once info is known.
+	announced bool
+	// linked is true while the node is attached to this owner.
+	linked bool
+	// answered is true once the executor has listed what runs to this owner.
+	answered bool
+	life     string
+	clock    int64
+	until    int64
+	// lapse is when everything on the host has surely ended if no further
+	// lease is granted.
+	lapse time.Time
+	runs  map[hvorder.Run]*run
+	used  hvjob.Size
+	// filled is the processor demand of the fill work.
+	filled int64
+	// got is the number of the last end that was processed, kept that of the
+	// last one whose effect is stored, and told what the node knows of kept.
+	got, kept, told int64
+	orders          hvorder.Orders
+	// since is when the host was linked.
+	since time.Time
+	// hung counts the runs that stood still since one completed.
+	hung int
+}
+
+func (h *host) free() hvjob.Size { return h.info.Room.Minus(h.used) }
+
+// mean is a mean of durations.
+type mean struct {
+	sum time.Duration
+	n   int
+}
+
+func (m *mean) add(d time.Duration) { m.sum, m.n = m.sum+d, m.n+1 }
+
+func (m mean) value() time.Duration {
+	if m.n == 0 {
+		return 0
+	}
+	return m.sum / time.Duration(m.n)
+}
--- /dev/null
+++ b/hvcell/store.go
@@ -0,0 +1,70 @@
+package hvcell
+
+import (
+	"time"
+
+	"hibiscusvane.example/hibiscusvane/hvjob"
+)
+
+// Batch is what has to be stored before its ends are acknowledged.
+type Batch struct {
+	Progress []JobProgress
+	// Forgotten lists jobs whose records can be removed.
+	Forgotten []string
+	seen      map[*host]seenEnd
+}
+
+type seenEnd struct {
+	life string
+	got  int64
+}
+
+// JobProgress is the progress of one job.
+type JobProgress struct {
+	Job      string
+	Progress hvjob.Progress
+}
+
+// maxBatch bounds the jobs of one batch.
+const maxBatch = 200
+
+// Batch returns what has changed since the last one. It reports false if
+// there is nothing to store and no end to acknowledge.
+func (c *Cell) Batch(now time.Time) (Batch, bool) {
+	b := Batch{seen: map[*host]seenEnd{}}
+	n := min(len(c.changed), maxBatch)
+	for _, j := range c.changed[:n] {
+		j.changed = false
+		b.Progress = append(b.Progress, JobProgress{j.ID, j.progress.Clone()})
+	}
+	c.changed = c.changed[n:]
+	if len(c.changed) == 0 {
+		// Ends are acknowledged only with all that they changed.
+		for _, h := range c.hosts {
+			if h.got > h.kept {
+				b.seen[h] = seenEnd{h.life, h.got}
+			}
+		}
+	}
+	b.Forgotten = c.forget(now, n)
+	return b, len(b.Progress)+len(b.Forgotten)+len(b.seen) > 0
+}
+
+// forget returns ended jobs that no caller may ask for any more.
+func (c *Cell) forget(now time.Time, used int) []string {
+	var out []string
+	for len(c.ended) > 0 && used+len(out) < maxBatch && now.Sub(c.ended[0].at) > 2*c.options.Retain {
+		out = append(out, c.ended[0].id)
+		c.ended = c.ended[1:]
+	}
+	return out
+}
+
+// Stored notes that a batch is stored.
+func (c *Cell) Stored(b Batch) {
+	for h, s := range b.seen {
+		if h.life == s.life {
+			h.kept = max(h.kept, s.got)
+		}
+	}
+}
--- /dev/null
+++ b/hvcell/straggler.go
@@ -0,0 +1,51 @@
+package hvcell
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+)
+
+const (
+	// stragglerFactor times its expected run time, and stragglerSlack more, is
+	// when a run is taken to stand still.
+	stragglerFactor = 3
+	stragglerSlack  = time.Second
+	// guessFactor applies instead while no task of the step is done.
+	guessFactor = 8
+)
+
+// checkStragglers starts tasks elsewhere whose runs take much longer than
+// others of their kind.
+func (c *Cell) checkStragglers(now time.Time) {
+	for _, h := range c.hosts {
+		for _, r := range h.runs {
+			if r.phase == phaseActive && c.standsStill(now, r) {
+				c.abandon(now, r)
+			}
+		}
+	}
+}
+
+func (c *Cell) standsStill(now time.Time, r *run) bool {
+	s := r.task.step
+	if s.spec.Lasting || s.spec.Fill || s.spec.Gang {
+		// The pace of fill work is not its own, and a gang waits for its members.
+		return false
+	}
+	expected := c.estimate.task(s)
+	factor := time.Duration(guessFactor)
+	if s.took.n > 0 {
+		factor = stragglerFactor
+	}
+	return now.Sub(r.started) > factor*expected+stragglerSlack
+}
+
+// abandon stops a run; its task starts again once the end is listed.
+func (c *Cell) abandon(now time.Time, r *run) {
+	_ = level.Info(c.options.Logger).Log("msg", "run stands still", "task", r.task.name, "run", r.number, "host", r.host.name, "age", now.Sub(r.started), "expected", c.estimate.task(r.task.step))
+	r.host.hung++
+	c.options.Health.Record(now, r.host.name, r.host.info.Rack, r.task.name, false)
+	r.task.shun(r.host)
+	c.stop(r)
+}
--- a/hvdaemon/daemon.go
+++ b/hvdaemon/daemon.go
@@ -34,13 +34,27 @@
 type Build func(path string, logs *hvlogger.Root) (Daemon, error)
 
 type options struct {
-	Config  string `long:"config" description:"Local settings file (JSON)"`
-	Version bool   `long:"version" description:"Print the version"`
+	Config   string `long:"config" description:"Local settings file (JSON)"`
+	Platform bool   `long:"platform" description:"Run on the users' platform, with the settings file that it names in the environment"`
+	Version  bool   `long:"version" description:"Print the version"`
+}
+
+// Program is what a command can run.
+type Program struct {
+	// Part is the prefix of its log lines.
+	Part string
+	// Version is set by the build.
+	Version string
+	// Build returns the daemon for a local settings file.
+	Build Build
+	// Platform returns the daemon for the users' platform. Its logs go to
+	// standard output.
+	Platform func(logs *hvlogger.Root) (Daemon, error)
 }
 
 // Main runs the daemon of a program and returns its exit code. SIGTERM and
 // SIGINT stop it gracefully, SIGHUP reads the local settings again.
-func Main(part, version string, build Build) int {
+func Main(p Program) int {
 	var opts options
 	if _, err := flags.NewParser(&opts, flags.Default).Parse(); err != nil {
 		if flags.WroteHelp(err) {
@@ -49,12 +63,15 @@
 		return exitUsage
 	}
 	if opts.Version {
-		fmt.Println(version)
+		fmt.Println(p.Version)
 		return exitOK
 	}
 	logs := hvlogger.New(os.Stderr)
-	logger := logs.Part(part)
-	d, err := build(opts.Config, logs)
+	if opts.Platform {
+		logs = hvlogger.New(hvlogger.NewQueue(os.Stdout))
+	}
+	logger := logs.Part(p.Part)
+	d, err := p.build(opts, logs)
 	if err != nil {
 		_ = level.Error(logger).Log("msg", "settings are invalid", "err", err)
 		return exitUsage
@@ -69,6 +86,13 @@
 	return exitOK
 }
 
+func (p Program) build(opts options, logs *hvlogger.Root) (Daemon, error) {
+	if opts.Platform {
+		return p.Platform(logs)
+	}
+	return p.Build(opts.Config, logs)
+}
+
 func reload(ctx context.Context, path string, d Daemon) {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
--- /dev/null
+++ b/hvdaemon/serve.go
@@ -0,0 +1,81 @@
+package hvdaemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"hibiscusvane.example/hibiscusvane/hvwire"
+)
+
+const (
+	// headerTimeout bounds the time in which a request's header must arrive.
+	headerTimeout = 5 * time.Second
+	// idleTimeout ends idle connections of callers.
+	idleTimeout = 60 * time.Second
+)
+
+// Server is an HTTP server on one address.
+type Server struct {
+	http   *http.Server
+	listen net.Listener
+	logger log.Logger
+}
+
+// Listen binds an address.
+func Listen(addr string, h http.Handler, logger log.Logger) (*Server, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	return &Server{http: s, listen: l, logger: logger}, nil
+}
+
+// Serve answers requests until Stop is called.
+func (s *Server) Serve() {
+	if err := s.http.Serve(s.listen); !errors.Is(err, http.ErrServerClosed) {
+		_ = level.Error(s.logger).Log("msg", "server failed", "addr", s.listen.Addr(), "err", err)
+	}
+}
+
+// Drain makes callers open new connections for their next requests.
+func (s *Server) Drain() { s.http.SetKeepAlivesEnabled(false) }
+
+// Stop waits for the requests that are being answered.
+func (s *Server) Stop(ctx context.Context) {
+	if err := s.http.Shutdown(ctx); err != nil {
+		_ = level.Warn(s.logger).Log("msg", "requests were cut off", "addr", s.listen.Addr(), "err", err)
+	}
+}
+
+// ServeWire accepts connections of other processes of the system until ctx
+// ends.
+func ServeWire(ctx context.Context, addr string, mux hvwire.Mux, logger log.Logger) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	go func() {
+		<-ctx.Done()
+		_ = l.Close()
+	}()
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				if ctx.Err() == nil {
+					_ = level.Error(logger).Log("msg", "server failed", "addr", addr, "err", err)
+				}
+				return
+			}
+			hvwire.NewConn(nc, mux)
+		}
+	}()
+	return nil
+}
--- /dev/null
+++ b/hventry/gate.go
@@ -0,0 +1,208 @@
+// Package hventry runs on an entry host: it takes jobs from callers, answers
+// for their state, and owns the cell when it is elected.
+package hventry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvjob"
+	"hibiscusvane.example/hibiscusvane/hvledger"
+	"hibiscusvane.example/hibiscusvane/hvmetric"
+	"hibiscusvane.example/hibiscusvane/hvowner"
+	"hibiscusvane.example/hibiscusvane/hvtick"
+	"hibiscusvane.example/hibiscusvane/hvwire"
+)
+
+const (
+	// ownerSpacing and followerSpacing separate reads of the topic that
+	// returned records. The owner starts what it reads, followers only answer
+	// for it.
+	ownerSpacing    = 5 * time.Millisecond
+	followerSpacing = 40 * time.Millisecond
+	// freshEnough is the age up to which a replica can tell that a job does
+	// not exist.
+	freshEnough = 3 * time.Second
+	// submitRetry separates repeats of a submission without an answer, and
+	// submitLimit bounds them below the patience of callers.
+	submitRetry = 60 * time.Millisecond
+	submitLimit = 2200 * time.Millisecond
+	// syncLimit bounds the question whether a job has just been accepted.
+	syncLimit = 800 * time.Millisecond
+	// outageRetry is when a caller that was refused should come back.
+	outageRetry = time.Second
+)
+
+// Options are what a Gate works with.
+type Options struct {
+	Name, Zone, Addr string
+	// Process distinguishes the incarnations of this gate.
+	Process string
+	Store   hv.KeyedStore
+	// Topic holds the cell, Published what operators publish under Key.
+	Topic, Published, Key string
+	// Decode decodes what operators publish.
+	Decode  func([]byte) (*hvjob.Catalog, error)
+	Early   time.Duration
+	Retain  time.Duration
+	Remote  float64
+	Clock   hv.Clock
+	Metrics *hvmetric.Registry
+	Logger  log.Logger
+}
+
+// Gate is one gate.
+type Gate struct {
+	options Options
+	relay   *hvledger.Relay
+	peers   *peers
+	replica *hvledger.Replica
+	tail    *hvledger.Tail
+	catalog *catalogs
+	// leaving is set once the process stops.
+	leaving atomic.Bool
+
+	mu    sync.Mutex
+	owner *hvowner.Owner
+}
+
+// New returns a gate.
+func New(o Options) *Gate {
+	g := &Gate{options: o}
+	g.replica = hvledger.NewReplica(o.Clock, o.Logger, g)
+	g.peers = newPeers(o.Name, g.replica.Nodes, o.Logger)
+	g.relay = hvledger.NewRelay(o.Store, g.peers, o.Clock, o.Logger)
+	g.tail = hvledger.NewTail(g.relay, o.Topic, g.replica, g.spacing, o.Logger)
+	g.catalog = newCatalogs(o.Key, o.Decode, o.Logger, g.published)
+	return g
+}
+
+// Mux returns the methods that other gates call.
+func (g *Gate) Mux() hvwire.Mux { return relayed(g.relay, g.options.Process) }
+
+// spacing separates reads that returned records.
+func (g *Gate) spacing() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.owner != nil {
+		return ownerSpacing
+	}
+	return followerSpacing
+}
+
+// Run works until ctx ends. It owns the cell at most until owning ends.
+func (g *Gate) Run(owning, ctx context.Context) {
+	published := hvledger.NewTail(g.relay, g.options.Published, g.catalog, func() time.Duration { return followerSpacing }, g.options.Logger)
+	var duties sync.WaitGroup
+	duties.Go(func() { g.tail.Run(ctx) })
+	duties.Go(func() { published.Run(ctx) })
+	duties.Go(func() { g.enroll(ctx) })
+	duties.Go(func() {
+		g.peers.watch(ctx, func() hvledger.Claim {
+			c, _ := g.replica.Claim()
+			return c
+		})
+	})
+	duties.Go(func() { g.elect(owning) })
+	duties.Wait()
+}
+
+// enroll registers this gate.
+func (g *Gate) enroll(ctx context.Context) {
+	rec, err := hvledger.NodeRecord(hvledger.Node{Name: g.options.Name, Zone: g.options.Zone, Addr: g.options.Addr, Gate: true})
+	if err != nil {
+		_ = level.Error(g.options.Logger).Log("msg", "registration cannot be encoded", "err", err)
+		return
+	}
+	for ctx.Err() == nil {
+		if _, err = g.relay.Append(ctx, g.options.Topic, []hv.KeyedRecord{rec}, hv.Fence{At: -1}); err == nil {
+			return
+		}
+		_ = level.Warn(g.options.Logger).Log("msg", "registration failed", "err", err)
+		hvtick.Sleep(ctx, submitRetry)
+	}
+}
+
+// elect owns the cell whenever it has no owner.
+func (g *Gate) elect(ctx context.Context) {
+	o := g.options
+	self := hvledger.Claim{Name: o.Name, Addr: o.Addr, Process: o.Process}
+	e := hvledger.NewElector(g.replica, g.tail, g.relay, o.Topic, self, g.peers.isGone, o.Logger)
+	for ctx.Err() == nil {
+		w := e.Wait(ctx)
+		if w == nil {
+			return
+		}
+		g.own(ctx, w)
+	}
+}
+
+func (g *Gate) own(ctx context.Context, w *hvledger.Writer) {
+	if err := g.tail.Sync(ctx); err != nil {
+		_ = level.Warn(g.options.Logger).Log("msg", "claim is not read back", "err", err)
+	}
+	_, claimed := g.replica.Claim()
+	owner := hvowner.New(hvowner.Options{
+		Writer: w, Claimed: claimed, Early: g.options.Early, Retain: g.options.Retain, Remote: g.options.Remote,
+		Clock: g.options.Clock, Metrics: g.options.Metrics, Logger: g.options.Logger,
+	})
+	if c := g.Catalog(); c != nil {
+		owner.SetCatalog(c)
+	}
+	g.mu.Lock()
+	g.owner = owner
+	g.mu.Unlock()
+	// Changes may be seen twice, by the lists and as they come.
+	for _, n := range g.replica.Nodes() {
+		owner.NodeChanged(n, false)
+	}
+	for _, e := range g.replica.Jobs() {
+		owner.JobChanged(e)
+	}
+	owner.Run(ctx)
+	g.mu.Lock()
+	g.owner = nil
+	g.mu.Unlock()
+}
+
+func (g *Gate) current() *hvowner.Owner {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.owner
+}
+
+// JobChanged implements hvledger.Observer.
+func (g *Gate) JobChanged(e hvledger.Entry) {
+	if o := g.current(); o != nil {
+		o.JobChanged(e)
+	}
+}
+
+// NodeChanged implements hvledger.Observer.
+func (g *Gate) NodeChanged(n hvledger.Node, dropped bool) {
+	if o := g.current(); o != nil {
+		o.NodeChanged(n, dropped)
+	}
+}
+
+// ClaimChanged implements hvledger.Observer.
+func (g *Gate) ClaimChanged(c hvledger.Claim) {
+	_ = level.Info(g.options.Logger).Log("msg", "owner has changed", "owner", c.Name, "epoch", c.Epoch, "released", c.Released)
+	g.options.Metrics.Set("hv_owner_epoch", c.Epoch)
+	if o := g.current(); o != nil && c.Process != g.options.Process {
+		o.Deposed(c)
+	}
+}
+
+func (g *Gate) published(c *hvjob.Catalog) {
+	g.options.Metrics.Set("hv_catalog_version", c.Version)
+	if o := g.current(); o != nil {
+		o.SetCatalog(c)
+	}
+}
--- /dev/null
+++ b/hventry/jobs.go
@@ -0,0 +1,127 @@
+package hventry
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvjob"
+	"hibiscusvane.example/hibiscusvane/hvledger"
+	"hibiscusvane.example/hibiscusvane/hvtick"
+)
+
+// Catalog returns the queues in force, or nil before the first is known.
+func (g *Gate) Catalog() *hvjob.Catalog { return g.catalog.now.Load() }
+
+// Ready reports whether requests can be answered.
+func (g *Gate) Ready() bool {
+	return !g.leaving.Load() && g.Catalog() != nil && g.replica.Loaded()
+}
+
+// Leave makes the gate report that it is not ready.
+func (g *Gate) Leave() { g.leaving.Store(true) }
+
+// Pending counts the jobs of a queue that have not started a task.
+func (g *Gate) Pending(queue string) int { return g.replica.Pending(queue) }
+
+// Submit stores a job. A repeated submission is the same job.
+func (g *Gate) Submit(ctx context.Context, j hvjob.Job) (time.Duration, error) {
+	if _, ok := g.replica.Job(j.ID); ok {
+		g.decided("submit", j.ID, "outcome", "known")
+		return 0, nil
+	}
+	rec, err := hvledger.JobRecord(j)
+	if err != nil {
+		return 0, err
+	}
+	err = g.put(ctx, rec)
+	if err != nil {
+		g.decided("submit", j.ID, "outcome", "refused", "kind", hv.KindOf(err), "age", g.replica.Age(), "err", err)
+		return outageRetry, err
+	}
+	g.decided("submit", j.ID, "outcome", "accepted", "queue", j.Queue, "catalog", g.Catalog().Version)
+	return 0, nil
+}
+
+// put stores a record that has the same effect when it is repeated. An error
+// of kind Unavailable promises that it was not stored.
+func (g *Gate) put(ctx context.Context, rec hv.KeyedRecord) error {
+	ctx, cancel := context.WithTimeout(ctx, submitLimit)
+	defer cancel()
+	uncertain := false
+	for {
+		_, err := g.relay.Append(ctx, g.options.Topic, []hv.KeyedRecord{rec}, hv.Fence{At: -1})
+		if err == nil {
+			return nil
+		}
+		kind := hv.KindOf(err)
+		if kind != hv.Unavailable && kind != hv.Uncertain {
+			return err
+		}
+		if kind == hv.Unavailable && !uncertain {
+			return err
+		}
+		uncertain = true
+		hvtick.Sleep(ctx, submitRetry)
+		if ctx.Err() != nil {
+			return failure("put", hv.Uncertain, "no answer of the store: %v", err)
+		}
+	}
+}
+
+// State returns the state of a job.
+func (g *Gate) State(ctx context.Context, id string) (hvjob.State, error) {
+	e, err := g.find(ctx, id)
+	if err != nil {
+		g.decided("state", id, "outcome", "unknown", "kind", hv.KindOf(err), "age", g.replica.Age())
+		return "", err
+	}
+	return e.State(), nil
+}
+
+// Cancel stores the end of a job.
+func (g *Gate) Cancel(ctx context.Context, id string) error {
+	e, err := g.find(ctx, id)
+	if err != nil {
+		g.decided("cancel", id, "outcome", "unknown", "kind", hv.KindOf(err), "age", g.replica.Age())
+		return err
+	}
+	if e.Cancelled || e.Progress.State.Final() {
+		g.decided("cancel", id, "outcome", "ended before", "state", e.State())
+		return nil
+	}
+	if err := g.put(ctx, hvledger.CancelRecord(id)); err != nil {
+		g.decided("cancel", id, "outcome", "refused", "kind", hv.KindOf(err), "err", err)
+		return err
+	}
+	g.decided("cancel", id, "outcome", "accepted")
+	return nil
+}
+
+// find returns a job, or an error of kind NotFound if the topic does not have
+// it. A job that was accepted a moment ago by another gate is read first.
+func (g *Gate) find(ctx context.Context, id string) (hvledger.Entry, error) {
+	if e, ok := g.replica.Job(id); ok {
+		return e, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, syncLimit)
+	defer cancel()
+	err := g.tail.Sync(ctx)
+	if e, ok := g.replica.Job(id); ok {
+		return e, nil
+	}
+	if err != nil && g.replica.Age() > freshEnough {
+		return hvledger.Entry{}, failure("find", hv.Uncertain, "the topic cannot be read: %v", err)
+	}
+	if err != nil {
+		return hvledger.Entry{}, failure("find", hv.Unavailable, "the topic cannot be read: %v", err)
+	}
+	return hvledger.Entry{}, failure("find", hv.NotFound, "job %q does not exist", id)
+}
+
+// decided logs a decision about a job and counts it.
+func (g *Gate) decided(what, id string, outcome string, value any, more ...any) {
+	_ = level.Info(g.options.Logger).Log(append([]any{"msg", "request is decided", "call", what, "job", id, outcome, value}, more...)...)
+}
--- /dev/null
+++ b/hvjob/job.go
@@ -0,0 +1,214 @@
+// Package hvjob holds jobs with steps, the queues that they are submitted to
+// and the progress of their tasks.
+package hvjob
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	hv "hibiscusvane.example/hibiscusvane"
+)
+
+// Error is the error type of the package.
+type Error struct {
+	Op   string
+	Kind hv.ErrorKind
+	Err  error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("job %s: %v", e.Op, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// ErrorKind returns the kind of the error.
+func (e *Error) ErrorKind() hv.ErrorKind { return e.Kind }
+
+func invalid(op, format string, args ...any) error {
+	return &Error{Op: op, Kind: hv.Invalid, Err: errors.Errorf(format, args...)}
+}
+
+const (
+	// maxSteps and maxTasks bound what one job can make the owner keep.
+	maxSteps = 64
+	maxTasks = 10_000
+	// maxSpecBytes is the longest description of work that a job can carry.
+	maxSpecBytes = 4_000
+)
+
+// Size is what a task needs or a host has.
+type Size struct {
+	// CPU is in thousandths of a core.
+	CPU int64 `json:"cpu,omitempty"`
+	// Memory is in MiB.
+	Memory int64 `json:"mem,omitempty"`
+	GPU    int64 `json:"gpu,omitempty"`
+}
+
+// Plus returns the sum of two sizes.
+func (s Size) Plus(o Size) Size {
+	return Size{CPU: s.CPU + o.CPU, Memory: s.Memory + o.Memory, GPU: s.GPU + o.GPU}
+}
+
+// Minus returns the difference of two sizes.
+func (s Size) Minus(o Size) Size {
+	return Size{CPU: s.CPU - o.CPU, Memory: s.Memory - o.Memory, GPU: s.GPU - o.GPU}
+}
+
+// Fits reports whether s fits into room.
+func (s Size) Fits(room Size) bool {
+	return s.CPU <= room.CPU && s.Memory <= room.Memory && s.GPU <= room.GPU
+}
+
+// Step is a set of equal tasks.
+type Step struct {
+	Count int  `json:"count"`
+	Need  Size `json:"need"`
+	// Estimate is a rough run time of a task in milliseconds.
+	Estimate int64 `json:"estimate,omitempty"`
+	// After lists earlier steps that must be complete first.
+	After      []int `json:"after,omitempty"`
+	Checkpoint bool  `json:"checkpoint,omitempty"`
+	// Gang tasks work only while all of them run.
+	Gang bool `json:"gang,omitempty"`
+	// Tight gangs are slower on more than one rack.
+	Tight bool `json:"tight,omitempty"`
+	// Label is one that the host must have.
+	Label string `json:"label,omitempty"`
+	// Rack is the rack of the step's data.
+	Rack string `json:"rack,omitempty"`
+	// Spread is the most tasks of the step on one host; 0 is no limit.
+	Spread      int  `json:"spread,omitempty"`
+	Speculative bool `json:"speculative,omitempty"`
+	// Lasting tasks run until the job is cancelled.
+	Lasting bool   `json:"lasting,omitempty"`
+	Image   string `json:"image,omitempty"`
+	// Target is the greatest tail latency of a serving task in milliseconds.
+	Target int64 `json:"target,omitempty"`
+	// Fill tasks use the processors that others leave.
+	Fill bool `json:"fill,omitempty"`
+	// Spare is how many tasks may be away because of the system.
+	Spare int `json:"spare,omitempty"`
+}
+
+// Commit returns what a task takes of the room of its host.
+func (s Step) Commit() Size {
+	need := s.Need
+	if s.Fill {
+		need.CPU = 0
+	}
+	return need
+}
+
+// Job is what a caller submitted.
+type Job struct {
+	ID    string `json:"id"`
+	Queue string `json:"queue"`
+	Spec  string `json:"spec"`
+	Steps []Step `json:"steps"`
+	// First is the Unix time in milliseconds at which the first round is due.
+	First int64 `json:"first,omitempty"`
+	// Interval separates the rounds, in milliseconds.
+	Interval int64 `json:"interval,omitempty"`
+	// Times is the number of rounds of a scheduled job; other jobs have 0 and
+	// one round that is due at once.
+	Times int `json:"times,omitempty"`
+	// Submitted is the Unix time in milliseconds at which a gate took the job.
+	Submitted int64 `json:"submitted"`
+}
+
+// Rounds returns how often the steps run.
+func (j Job) Rounds() int { return max(j.Times, 1) }
+
+// Due returns the Unix time in milliseconds at which a round may start.
+func (j Job) Due(round int) int64 {
+	if j.Times == 0 {
+		return j.Submitted
+	}
+	return j.First + int64(round)*j.Interval
+}
+
+// UnmarshalJSON refuses an invalid job.
+func (j *Job) UnmarshalJSON(b []byte) error {
+	type plain Job
+	if err := json.Unmarshal(b, (*plain)(j)); err != nil {
+		return err
+	}
+	return j.Check()
+}
+
+// Check reports the first invalid field by its name.
+func (j Job) Check() error {
+	switch {
+	case !isID(j.ID):
+		return invalid("check", "id: %q is not 16 hexadecimal digits", j.ID)
+	case len(j.Spec) > maxSpecBytes:
+		return invalid("check", "spec: %d bytes, the limit is %d", len(j.Spec), maxSpecBytes)
+	case len(j.Steps) == 0 || len(j.Steps) > maxSteps:
+		return invalid("check", "steps: %d, want 1 to %d", len(j.Steps), maxSteps)
+	case j.Times < 0 || j.Interval < 0:
+		return invalid("check", "times: negative")
+	}
+	total := 0
+	for i, s := range j.Steps {
+		if err := s.check(i); err != nil {
+			return err
+		}
+		total += s.Count
+	}
+	if total > maxTasks {
+		return invalid("check", "steps: %d tasks, the limit is %d", total, maxTasks)
+	}
+	return nil
+}
+
+func (s Step) check(i int) error {
+	if s.Count < 1 {
+		return invalid("check", "steps[%d].count: %d, want at least 1", i, s.Count)
+	}
+	if s.Need.CPU < 0 || s.Need.Memory < 0 || s.Need.GPU < 0 {
+		return invalid("check", "steps[%d]: negative size", i)
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= i {
+			return invalid("check", "steps[%d].after: %d is not an earlier step", i, a)
+		}
+	}
+	return nil
+}
+
+func isID(s string) bool {
+	return len(s) == 16 && strings.Trim(s, "0123456789abcdefABCDEF") == ""
+}
+
+// Task names one task of a round of a job.
+type Task struct {
+	Job                string
+	Round, Step, Index int
+}
+
+// String returns the name of the task at executors.
+func (t Task) String() string {
+	return t.Job + "." + strconv.Itoa(t.Round) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
+}
+
+// ParseTask is the inverse of Task.String.
+func ParseTask(name string) (Task, error) {
+	parts := strings.Split(name, ".")
+	if len(parts) != 4 {
+		return Task{}, invalid("parse", "task %q: want JOB.ROUND.STEP.INDEX", name)
+	}
+	var n [3]int
+	for i := range n {
+		v, err := strconv.Atoi(parts[i+1])
+		if err != nil || v < 0 {
+			return Task{}, invalid("parse", "task %q: %q is not a number", name, parts[i+1])
+		}
+		n[i] = v
+	}
+	return Task{Job: parts[0], Round: n[0], Step: n[1], Index: n[2]}, nil
+}
--- /dev/null
+++ b/hvledger/elect.go
@@ -0,0 +1,126 @@
+package hvledger
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvtick"
+)
+
+const (
+	// electInterval separates two looks at the owner.
+	electInterval = 150 * time.Millisecond
+	// ownerSilence is the silence after which the owner is taken as lost; an
+	// owner appends at least every BeatInterval.
+	ownerSilence = 1500 * time.Millisecond
+	// BeatInterval is the longest time between two appends of an owner.
+	BeatInterval = 500 * time.Millisecond
+	// rankDelay separates the attempts of the candidates.
+	rankDelay = 200 * time.Millisecond
+	// claimTries bounds the appends of one attempt; other gates append
+	// submissions in between.
+	claimTries = 8
+)
+
+// Elector claims the cell when it has no owner.
+type Elector struct {
+	replica *Replica
+	tail    *Tail
+	store   hv.KeyedStore
+	topic   string
+	self    Claim
+	logger  log.Logger
+	// gone reports whether no process listens at the owner's address.
+	gone func(c Claim) bool
+}
+
+// NewElector returns an elector for a gate; self holds its name, address and
+// process.
+func NewElector(replica *Replica, tail *Tail, store hv.KeyedStore, topic string, self Claim, gone func(Claim) bool, logger log.Logger) *Elector {
+	return &Elector{replica: replica, tail: tail, store: store, topic: topic, self: self, gone: gone, logger: logger}
+}
+
+// Wait returns when this gate owns the cell, or nil when ctx ends.
+func (e *Elector) Wait(ctx context.Context) *Writer {
+	for ctx.Err() == nil {
+		if e.vacant() {
+			if w := e.claim(ctx); w != nil {
+				return w
+			}
+		}
+		hvtick.Sleep(ctx, electInterval)
+	}
+	return nil
+}
+
+// vacant reports whether this gate should claim the cell now.
+func (e *Elector) vacant() bool {
+	if !e.replica.Loaded() {
+		return false
+	}
+	c, _ := e.replica.Claim()
+	if c.Epoch == 0 || c.Released || c.Name == e.self.Name {
+		// An earlier process of this gate cannot be the owner any more.
+		return true
+	}
+	wait := time.Duration(e.rank(c)) * rankDelay
+	silence := e.replica.Silence()
+	return silence > ownerSilence+wait || silence > wait && e.gone(c)
+}
+
+// rank orders the candidates by a hash, so that they do not all try at once.
+func (e *Elector) rank(c Claim) int {
+	own := weight(e.self.Name, c)
+	rank := 0
+	for _, n := range e.replica.Nodes() {
+		if n.Gate && n.Name != c.Name && weight(n.Name, c) < own {
+			rank++
+		}
+	}
+	return rank
+}
+
+func weight(name string, c Claim) uint64 { return xxhash.Sum64String(name + c.Process) }
+
+// claim appends a claim on the condition that nothing was appended since the
+// state in which the cell had no owner.
+func (e *Elector) claim(ctx context.Context) *Writer {
+	for range claimTries {
+		if err := e.tail.Sync(ctx); err != nil {
+			_ = level.Debug(e.logger).Log("msg", "claim is put off", "err", err)
+			return nil
+		}
+		if !e.vacant() {
+			return nil
+		}
+		last, _ := e.replica.Claim()
+		c := e.self
+		c.Epoch = last.Epoch + 1
+		rec, err := claimRecord(c)
+		if err != nil {
+			return nil
+		}
+		at := now()
+		_, err = e.store.Append(ctx, e.topic, []hv.KeyedRecord{rec}, hv.Fence{Producer: producer, Epoch: c.Epoch, Sequence: 1, At: e.replica.Next()})
+		if err != nil && hv.KindOf(err) == hv.Unavailable {
+			return nil
+		}
+		if err != nil {
+			// The claim may be in the topic or may still come; the topic tells.
+			if e.tail.Sync(ctx) != nil {
+				return nil
+			}
+			if got, _ := e.replica.Claim(); got != c {
+				continue
+			}
+		}
+		_ = level.Info(e.logger).Log("msg", "cell is claimed", "epoch", c.Epoch, "before", last.Name, "silence", e.replica.Silence())
+		return &Writer{store: e.store, topic: e.topic, claim: c, sequence: 1, stored: at}
+	}
+	return nil
+}
--- /dev/null
+++ b/hvledger/record.go
@@ -0,0 +1,83 @@
+// Package hvledger replicates the jobs, nodes and the owner of a cell from a
+// keyed topic of the platform's store, and elects the owner.
+package hvledger
+
+import (
+	"encoding/json"
+	"strings"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvjob"
+	"hibiscusvane.example/hibiscusvane/hvorder"
+)
+
+// Keys of the topic. All but ownerKey are followed by an identifier.
+const (
+	jobPrefix      = "job/"
+	cancelPrefix   = "cancel/"
+	progressPrefix = "progress/"
+	nodePrefix     = "node/"
+	ownerKey       = "owner"
+)
+
+// Node is a process of the system as it registered itself.
+type Node struct {
+	Name string `json:"name"`
+	Zone string `json:"zone"`
+	// Addr is where other processes of the system connect to.
+	Addr string `json:"addr"`
+	Gate bool   `json:"gate,omitempty"`
+	// Host is set for a node beside an executor that has announced itself.
+	Host *hvorder.Host `json:"host,omitempty"`
+}
+
+// Claim names the owner of the cell.
+type Claim struct {
+	Epoch int64  `json:"epoch"`
+	Name  string `json:"name"`
+	Addr  string `json:"addr"`
+	// Process distinguishes the incarnations of a gate.
+	Process string `json:"process"`
+	// Released is true once the owner has given up the cell.
+	Released bool `json:"released,omitempty"`
+}
+
+// JobRecord returns the record that accepts a job.
+func JobRecord(j hvjob.Job) (hv.KeyedRecord, error) { return encode(jobPrefix+j.ID, j) }
+
+// CancelRecord returns the record that cancels a job.
+func CancelRecord(id string) hv.KeyedRecord {
+	return hv.KeyedRecord{Key: cancelPrefix + id, Value: []byte("1")}
+}
+
+// ProgressRecord returns the record of a job's progress.
+func ProgressRecord(id string, p hvjob.Progress) (hv.KeyedRecord, error) {
+	return encode(progressPrefix+id, p)
+}
+
+// NodeRecord returns the record that registers a node.
+func NodeRecord(n Node) (hv.KeyedRecord, error) { return encode(nodePrefix+n.Name, n) }
+
+// DropNode returns the record that removes a node.
+func DropNode(name string) hv.KeyedRecord { return hv.KeyedRecord{Key: nodePrefix + name} }
+
+// DropJob returns the records that remove everything of a job.
+func DropJob(id string) []hv.KeyedRecord {
+	return []hv.KeyedRecord{{Key: progressPrefix + id}, {Key: cancelPrefix + id}, {Key: jobPrefix + id}}
+}
+
+func claimRecord(c Claim) (hv.KeyedRecord, error) { return encode(ownerKey, c) }
+
+func encode(key string, v any) (hv.KeyedRecord, error) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return hv.KeyedRecord{}, &Error{Op: "encode", Kind: hv.Invalid, Err: err}
+	}
+	return hv.KeyedRecord{Key: key, Value: b}, nil
+}
+
+// cutKey splits a key into its prefix and identifier.
+func cutKey(key string) (prefix, id string) {
+	i := strings.IndexByte(key, '/')
+	return key[:i+1], key[i+1:]
+}
--- /dev/null
+++ b/hvledger/replica.go
@@ -0,0 +1,353 @@
+package hvledger
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvjob"
+)
+
+// Entry is a job as the topic describes it.
+type Entry struct {
+	Job hvjob.Job
+	// Offset is that of the record that accepted the job.
+	Offset    int64
+	Cancelled bool
+	Progress  hvjob.Progress
+}
+
+// State returns what callers see. A cancellation shows at once unless the job
+// ended before.
+func (e Entry) State() hvjob.State {
+	switch {
+	case e.Progress.State.Final():
+		return e.Progress.State
+	case e.Cancelled:
+		return hvjob.Cancelled
+	case e.Progress.State == "":
+		return hvjob.Queued
+	}
+	return e.Progress.State
+}
+
+// Observer learns of changes in the order of the topic.
+type Observer interface {
+	// JobChanged is called when a job was accepted or cancelled.
+	JobChanged(e Entry)
+	// NodeChanged is called when a node registered or was dropped.
+	NodeChanged(n Node, dropped bool)
+	// ClaimChanged is called when the owner changed.
+	ClaimChanged(c Claim)
+}
+
+// Replica is the state of the topic up to an offset. Its methods may be called
+// from any goroutine.
+type Replica struct {
+	clock    hv.Clock
+	logger   log.Logger
+	observer Observer
+
+	mu      sync.RWMutex
+	loaded  bool
+	next    int64
+	jobs    map[string]*Entry
+	nodes   map[string]Node
+	claim   Claim
+	claimed int64
+	// heard is when the last record of the owner arrived or, after failed
+	// reads, when reading worked again.
+	heard time.Time
+	// read is when the last successful read ended.
+	read time.Time
+	// failing is true after a read that failed.
+	failing bool
+	// newer holds offsets of keys that were loaded from beyond next.
+	newer map[string]int64
+}
+
+// NewReplica returns an empty replica.
+func NewReplica(clock hv.Clock, logger log.Logger, observer Observer) *Replica {
+	return &Replica{clock: clock, logger: logger, observer: observer, jobs: map[string]*Entry{}, nodes: map[string]Node{}, newer: map[string]int64{}, heard: clock.Now()}
+}
+
+// Load replaces the state by the newest records of all keys.
+func (r *Replica) Load(page hv.KeyedPage) {
+	r.mu.Lock()
+	r.next = page.Next
+	r.newer = map[string]int64{}
+	for _, rec := range page.Records {
+		if rec.Offset >= page.Next {
+			r.newer[rec.Key] = rec.Offset
+		}
+	}
+	r.mu.Unlock()
+	for _, rec := range sorted(page.Records) {
+		r.apply(rec)
+	}
+	r.mu.Lock()
+	r.loaded = true
+	r.readWorked()
+	r.mu.Unlock()
+}
+
+// sorted puts jobs before what refers to them.
+func sorted(recs []hv.KeyedRecord) []hv.KeyedRecord {
+	var jobs, rest []hv.KeyedRecord
+	for _, rec := range recs {
+		if prefix, _ := cutKey(rec.Key); prefix == jobPrefix {
+			jobs = append(jobs, rec)
+		} else {
+			rest = append(rest, rec)
+		}
+	}
+	return append(jobs, rest...)
+}
+
+// Apply adds the records of a page that was read from Next.
+func (r *Replica) Apply(page hv.KeyedPage) {
+	for _, rec := range page.Records {
+		r.mu.Lock()
+		old := rec.Offset < r.next
+		if !old {
+			r.next = rec.Offset + 1
+		}
+		newer, loaded := r.newer[rec.Key]
+		if loaded && newer <= rec.Offset {
+			delete(r.newer, rec.Key)
+		}
+		r.mu.Unlock()
+		if old || loaded && newer >= rec.Offset {
+			continue
+		}
+		r.apply(rec)
+	}
+	r.mu.Lock()
+	r.readWorked()
+	r.mu.Unlock()
+}
+
+// readWorked restarts the owner's silence after failed reads: while nothing
+// could be read, its records could not arrive.
+func (r *Replica) readWorked() {
+	r.read = r.clock.Now()
+	if r.failing {
+		r.failing = false
+		r.heard = r.read
+	}
+}
+
+// ReadFailed notes that the topic could not be read.
+func (r *Replica) ReadFailed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failing = true
+}
+
+func (r *Replica) apply(rec hv.KeyedRecord) {
+	if rec.Key == ownerKey {
+		r.applyClaim(rec)
+		return
+	}
+	switch prefix, id := cutKey(rec.Key); prefix {
+	case jobPrefix:
+		r.applyJob(rec, id)
+	case cancelPrefix:
+		r.applyCancel(rec, id)
+	case progressPrefix:
+		r.applyProgress(rec, id)
+	case nodePrefix:
+		r.applyNode(rec, id)
+	default:
+		_ = level.Warn(r.logger).Log("msg", "record with an unknown key is skipped", "key", rec.Key, "offset", rec.Offset)
+	}
+}
+
+func (r *Replica) applyClaim(rec hv.KeyedRecord) {
+	var c Claim
+	if err := json.Unmarshal(rec.Value, &c); err != nil {
+		r.undecodable(rec, err)
+		return
+	}
+	r.mu.Lock()
+	changed := c != r.claim
+	if c.Epoch > r.claim.Epoch {
+		r.claimed = rec.Offset
+	}
+	if c.Epoch >= r.claim.Epoch {
+		r.claim = c
+		r.heard = r.clock.Now()
+	}
+	r.mu.Unlock()
+	if changed {
+		r.observer.ClaimChanged(c)
+	}
+}
+
+func (r *Replica) applyJob(rec hv.KeyedRecord, id string) {
+	if len(rec.Value) == 0 {
+		r.mu.Lock()
+		delete(r.jobs, id)
+		r.mu.Unlock()
+		return
+	}
+	var j hvjob.Job
+	if err := json.Unmarshal(rec.Value, &j); err != nil {
+		r.undecodable(rec, err)
+		return
+	}
+	r.mu.Lock()
+	e := r.jobs[id]
+	if e != nil && e.Job.ID != "" {
+		// A repeated submission is the same job.
+		r.mu.Unlock()
+		return
+	}
+	if e == nil {
+		e = &Entry{}
+		r.jobs[id] = e
+	}
+	e.Job, e.Offset = j, rec.Offset
+	out := *e
+	r.mu.Unlock()
+	r.observer.JobChanged(out)
+}
+
+func (r *Replica) applyCancel(rec hv.KeyedRecord, id string) {
+	r.mu.Lock()
+	e := r.jobs[id]
+	if e == nil || len(rec.Value) == 0 {
+		r.mu.Unlock()
+		return
+	}
+	e.Cancelled = true
+	out := *e
+	r.mu.Unlock()
+	r.observer.JobChanged(out)
+}
+
+func (r *Replica) applyProgress(rec hv.KeyedRecord, id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.heard = r.clock.Now()
+	e := r.jobs[id]
+	if e == nil || len(rec.Value) == 0 {
+		return
+	}
+	var p hvjob.Progress
+	if err := json.Unmarshal(rec.Value, &p); err != nil {
+		r.undecodable(rec, err)
+		return
+	}
+	e.Progress = p
+}
+
+func (r *Replica) applyNode(rec hv.KeyedRecord, name string) {
+	n := Node{Name: name}
+	if len(rec.Value) > 0 {
+		if err := json.Unmarshal(rec.Value, &n); err != nil {
+			r.undecodable(rec, err)
+			return
+		}
+	}
+	r.mu.Lock()
+	if len(rec.Value) == 0 {
+		delete(r.nodes, name)
+	} else {
+		r.nodes[name] = n
+	}
+	r.mu.Unlock()
+	r.observer.NodeChanged(n, len(rec.Value) == 0)
+}
+
+func (r *Replica) undecodable(rec hv.KeyedRecord, err error) {
+	_ = level.Error(r.logger).Log("msg", "record cannot be decoded", "key", rec.Key, "offset", rec.Offset, "err", err)
+}
+
+// Next returns the offset to read from.
+func (r *Replica) Next() int64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.next
+}
+
+// Loaded reports whether the state has been read once.
+func (r *Replica) Loaded() bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.loaded
+}
+
+// Age is the time since the last successful read.
+func (r *Replica) Age() time.Duration {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.clock.Now().Sub(r.read)
+}
+
+// Claim returns the owner and the offset of its first record.
+func (r *Replica) Claim() (Claim, int64) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.claim, r.claimed
+}
+
+// Silence is how long nothing has come from the owner although the topic
+// could be read.
+func (r *Replica) Silence() time.Duration {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if r.failing {
+		return 0
+	}
+	return r.clock.Now().Sub(r.heard)
+}
+
+// Job returns a job by its identifier.
+func (r *Replica) Job(id string) (Entry, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if e := r.jobs[id]; e != nil {
+		return *e, true
+	}
+	return Entry{}, false
+}
+
+// Jobs returns all jobs.
+func (r *Replica) Jobs() []Entry {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := make([]Entry, 0, len(r.jobs))
+	for _, e := range r.jobs {
+		out = append(out, *e)
+	}
+	return out
+}
+
+// Nodes returns all registered nodes.
+func (r *Replica) Nodes() []Node {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := make([]Node, 0, len(r.nodes))
+	for _, n := range r.nodes {
+		out = append(out, n)
+	}
+	return out
+}
+
+// Pending counts the jobs of a queue that have not started a task.
+func (r *Replica) Pending(queue string) int {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	n := 0
+	for _, e := range r.jobs {
+		if e.Job.Queue == queue && e.State() == hvjob.Queued {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/hvledger/tail.go
@@ -0,0 +1,131 @@
+package hvledger
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvtick"
+)
+
+const (
+	// tailWait is how long a read waits at the store; a store that has gone
+	// silent is noticed after it and the time of a call.
+	tailWait = 500 * time.Millisecond
+	// tailRetry separates reads while the store does not answer.
+	tailRetry = 150 * time.Millisecond
+)
+
+// Target takes what a Tail reads.
+type Target interface {
+	Load(page hv.KeyedPage)
+	Apply(page hv.KeyedPage)
+	Next() int64
+	ReadFailed()
+}
+
+// Tail follows one keyed topic.
+type Tail struct {
+	store  hv.KeyedStore
+	topic  string
+	target Target
+	logger log.Logger
+	// Spacing returns the least time between two reads that returned records,
+	// which bounds the calls to the store under load.
+	spacing func() time.Duration
+
+	// mu orders the reads of Run and Sync.
+	mu     sync.Mutex
+	loaded bool
+	failed bool
+}
+
+// NewTail returns a tail of a topic.
+func NewTail(store hv.KeyedStore, topic string, target Target, spacing func() time.Duration, logger log.Logger) *Tail {
+	return &Tail{store: store, topic: topic, target: target, spacing: spacing, logger: logger}
+}
+
+// Run follows the topic until ctx ends.
+func (t *Tail) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := t.spacing()
+		if err := t.step(ctx); err != nil {
+			pause = tailRetry
+		}
+		hvtick.Sleep(ctx, pause)
+	}
+}
+
+func (t *Tail) step(ctx context.Context) error {
+	if err := t.load(ctx); err != nil {
+		return t.note(ctx, err)
+	}
+	from := t.target.Next()
+	page, err := t.store.Read(ctx, t.topic, from, tailWait)
+	return t.note(ctx, t.take(page, err))
+}
+
+// Sync reads what the topic holds now.
+func (t *Tail) Sync(ctx context.Context) error {
+	if err := t.load(ctx); err != nil {
+		return err
+	}
+	page, err := t.store.Read(ctx, t.topic, t.target.Next(), 0)
+	return t.take(page, err)
+}
+
+func (t *Tail) load(ctx context.Context) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.loaded {
+		return nil
+	}
+	page, err := t.store.Newest(ctx, t.topic)
+	if err != nil {
+		return err
+	}
+	t.target.Load(page)
+	t.loaded = true
+	return nil
+}
+
+func (t *Tail) take(page hv.KeyedPage, err error) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case err == nil:
+		t.target.Apply(page)
+	case hv.KindOf(err) == hv.Expired:
+		// Records that were not read are gone; the newest of each key are not.
+		_ = level.Info(t.logger).Log("msg", "topic is loaded again", "topic", t.topic, "next", t.target.Next())
+		t.loaded = false
+		return nil
+	case hv.KindOf(err) == hv.NotFound:
+		// The topic is created by its first record.
+		return nil
+	}
+	return err
+}
+
+// note logs the loss and the return of the store.
+func (t *Tail) note(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return err
+	}
+	if err != nil {
+		t.target.ReadFailed()
+	}
+	if (err != nil) != t.failed {
+		t.failed = err != nil
+		if t.failed {
+			_ = level.Warn(t.logger).Log("msg", "store is lost", "topic", t.topic, "next", t.target.Next(), "err", err)
+		} else {
+			_ = level.Info(t.logger).Log("msg", "store is back", "topic", t.topic, "next", t.target.Next())
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/hvowner/link.go
@@ -0,0 +1,149 @@
+package hvowner
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvorder"
+	"hibiscusvane.example/hibiscusvane/hvtick"
+	"hibiscusvane.example/hibiscusvane/hvwire"
+)
+
+const (
+	// dialTimeout bounds a connection to a node in the farthest zone.
+	dialTimeout = 500 * time.Millisecond
+	// callTimeout is after what a node without an answer is given up.
+	callTimeout = 1500 * time.Millisecond
+	// redialPause separates attempts to reach a node.
+	redialPause = 250 * time.Millisecond
+	// attachWait is how long a report waits until its connection is attached.
+	attachWait = 50 * time.Millisecond
+)
+
+// link keeps the connection to one node.
+type link struct {
+	owner *Owner
+	name  string
+	addr  string
+	wake  chan struct{}
+
+	cancel context.CancelFunc
+	// conn is the attached connection; the owner's lock protects it.
+	conn *hvwire.Conn
+}
+
+func (l *link) start(ctx context.Context) {
+	ctx, l.cancel = context.WithCancel(ctx)
+	go l.run(ctx)
+}
+
+func (l *link) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := l.serve(ctx); err != nil && hv.KindOf(err) == hv.Conflict && ctx.Err() == nil {
+			l.owner.depose(failure("link", hv.Conflict, "node %s: %v", l.name, err))
+			return
+		}
+		hvtick.Sleep(ctx, redialPause)
+	}
+}
+
+// serve attaches to the node and sends orders until the connection ends.
+func (l *link) serve(ctx context.Context) error {
+	dial, cancel := context.WithTimeout(ctx, dialTimeout)
+	conn, err := hvwire.Dial(dial, l.addr, l.mux())
+	cancel()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	if err := l.attach(ctx, conn); err != nil {
+		return err
+	}
+	defer l.detach(conn)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-conn.Done():
+			return nil
+		case <-l.wake:
+		}
+		if err := l.send(ctx, conn); err != nil {
+			_ = level.Info(l.owner.options.Logger).Log("msg", "orders are unanswered", "host", l.name, "err", err)
+			return err
+		}
+	}
+}
+
+func (l *link) attach(ctx context.Context, conn *hvwire.Conn) error {
+	claim := l.owner.options.Writer.Claim()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	r, err := hvwire.Call[hvorder.Report](ctx, conn, hvorder.MethodAttach, hvorder.Attach{Epoch: claim.Epoch, Owner: claim.Name})
+	if err != nil {
+		return err
+	}
+	o := l.owner
+	o.mu.Lock()
+	l.conn = conn
+	o.cell.Attached(o.options.Clock.Now(), l.name, r)
+	o.mu.Unlock()
+	hvtick.Wake(o.wakePlan)
+	hvtick.Wake(o.wakeFlush)
+	return nil
+}
+
+func (l *link) detach(conn *hvwire.Conn) {
+	o := l.owner
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if l.conn == conn {
+		l.conn = nil
+		o.cell.Detached(o.options.Clock.Now(), l.name)
+	}
+}
+
+func (l *link) send(ctx context.Context, conn *hvwire.Conn) error {
+	o := l.owner
+	o.mu.Lock()
+	orders, ok := o.cell.Orders(l.name)
+	o.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := hvwire.Call[struct{}](ctx, conn, hvorder.MethodOrders, orders)
+	return err
+}
+
+// mux serves the reports of the node.
+func (l *link) mux() hvwire.Mux {
+	m := hvwire.Mux{}
+	hvwire.Handle(m, hvorder.MethodReport, func(ctx context.Context, c *hvwire.Conn, r hvorder.Report) (hvorder.Grant, error) {
+		return l.report(ctx, c, r)
+	})
+	return m
+}
+
+func (l *link) report(ctx context.Context, c *hvwire.Conn, r hvorder.Report) (hvorder.Grant, error) {
+	o := l.owner
+	for deadline := o.options.Clock.Now().Add(attachWait); ; {
+		o.mu.Lock()
+		if l.conn == c {
+			grant := o.cell.Report(o.options.Clock.Now(), l.name, r)
+			o.mu.Unlock()
+			hvtick.Wake(o.wakePlan)
+			hvtick.Wake(o.wakeFlush)
+			return grant, nil
+		}
+		o.mu.Unlock()
+		if o.options.Clock.Now().After(deadline) {
+			return hvorder.Grant{}, failure("report", hv.Unavailable, "connection of %s is not attached", l.name)
+		}
+		hvtick.Sleep(ctx, time.Millisecond)
+	}
+}
