Give claims of one epoch different sequence numbers

Cause: the store answers a repeated sequence of a producer and epoch like the first, so all four gates took the claim of epoch 1 as theirs.

--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -147,7 +147,11 @@
 	if err := g.tail.Sync(ctx); err != nil {
 		_ = level.Warn(g.options.Logger).Log("msg", "claim is not read back", "err", err)
 	}
-	_, claimed := g.replica.Claim()
+	read, claimed := g.replica.Claim()
+	if read != w.Claim() {
+		_ = level.Warn(g.options.Logger).Log("msg", "claim is not in the topic", "epoch", w.Claim().Epoch, "owner", read.Name, "read", read.Epoch)
+		return
+	}
 	owner := hvowner.New(hvowner.Options{
 		Writer: w, Claimed: claimed, Early: g.options.Early, Retain: g.options.Retain, Remote: g.options.Remote,
 		Clock: g.options.Clock, Metrics: g.options.Metrics, Logger: g.options.Logger,
--- a/hvledger/elect.go
+++ b/hvledger/elect.go
@@ -87,6 +87,10 @@
 
 func weight(name string, c Claim) uint64 { return xxhash.Sum64String(name + c.Process) }
 
+// firstSequence is the sequence number of a claim. The store answers a repeated
+// number of an epoch like the first, so two candidates must not share one.
+func firstSequence(c Claim) int64 { return int64(xxhash.Sum64String(c.Process)>>34) + 1 }
+
 // claim appends a claim on the condition that nothing was appended since the
 // state in which the cell had no owner.
 func (e *Elector) claim(ctx context.Context) *Writer {
@@ -105,8 +109,8 @@
 		if err != nil {
 			return nil
 		}
-		at := now()
-		_, err = e.store.Append(ctx, e.topic, []hv.KeyedRecord{rec}, hv.Fence{Producer: producer, Epoch: c.Epoch, Sequence: 1, At: e.replica.Next()})
+		at, first := now(), firstSequence(c)
+		_, err = e.store.Append(ctx, e.topic, []hv.KeyedRecord{rec}, hv.Fence{Producer: producer, Epoch: c.Epoch, Sequence: first, At: e.replica.Next()})
 		if err != nil && hv.KindOf(err) == hv.Unavailable {
 			return nil
 		}
@@ -120,7 +124,7 @@
 			}
 		}
 		_ = level.Info(e.logger).Log("msg", "cell is claimed", "epoch", c.Epoch, "before", last.Name, "silence", e.replica.Silence())
-		return &Writer{store: e.store, topic: e.topic, claim: c, sequence: 1, stored: at}
+		return &Writer{store: e.store, topic: e.topic, claim: c, sequence: first, stored: at}
 	}
 	return nil
 }
