--- a/cmd/hvgate/main.go
+++ b/cmd/hvgate/main.go
@@ -12,7 +12,9 @@
 // version is set by the build.
 var version = "dev"
 
-func main() { os.Exit(hvdaemon.Main(hvdaemon.Program{Part: "gate", Version: version, Build: build, Platform: onPlatform})) }
+func main() {
+	os.Exit(hvdaemon.Main(hvdaemon.Program{Part: "gate", Version: version, Build: build, Platform: onPlatform}))
+}
 
 func build(path string, logs *hvlogger.Root) (hvdaemon.Daemon, error) {
 	conf, err := readConfig(path)
--- a/executor.go
+++ b/executor.go
@@ -55,10 +55,12 @@
 
 // RunState is a run that has not ended.
 type RunState struct {
-	Task    string `json:"task"`
-	Run     int    `json:"run"`
-	Saved   string `json:"saved,omitempty"`
-	Percent int    `json:"percent"`
+	Task  string `json:"task"`
+	Run   int    `json:"run"`
+	Saved string `json:"saved,omitempty"`
+	// Percent is how much of its work a run has done, and 100 for a lasting
+	// run that is at work.
+	Percent int `json:"percent"`
 	// Load is the tail latency in milliseconds of a run that serves requests
 	// and the processor use in thousandths of a core of every other run. It
 	// covers the last half second.
--- a/hvcell/ends.go
+++ b/hvcell/ends.go
@@ -176,9 +176,7 @@
 	}
 	delete(h.runs, r.ref())
 	h.used = h.used.Minus(r.commit)
-	if t.step.spec.Fill {
-		h.filled -= t.step.spec.Need.CPU
-	}
+	h.count(t.step.spec, -1)
 	if t.step.perHost[h]--; t.step.perHost[h] <= 0 {
 		delete(t.step.perHost, h)
 	}
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -6,6 +6,7 @@
 	"github.com/go-kit/log/level"
 
 	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvjob"
 	"hibiscusvane.example/hibiscusvane/hvorder"
 )
 
@@ -20,7 +21,7 @@
 func (c *Cell) AddHost(now time.Time, name string, info *hvorder.Host) {
 	h := c.hosts[name]
 	if h == nil {
-		h = &host{name: name, runs: map[hvorder.Run]*run{}}
+		h = &host{name: name, runs: map[hvorder.Run]*run{}, pace: fullPace}
 		c.hosts[name] = h
 		if !c.settled {
 			h.lapse = c.options.Now.Add(c.options.Authority + c.leaseBound())
@@ -95,6 +96,12 @@
 	for _, f := range r.Refused {
 		c.refused(now, h, f)
 	}
+	for _, s := range r.Stalled {
+		if run := h.runs[s]; run != nil && run.phase == phaseActive && !run.task.step.spec.Gang {
+			c.abandon(now, run)
+		}
+	}
+	h.pace = fullPace + r.Pace
 	c.noteSaved(h, r.Running)
 	if r.Full {
 		c.reconcile(now, h, r)
@@ -211,9 +218,7 @@
 	r := &run{task: t, number: number, host: h, started: now, commit: t.step.spec.Commit()}
 	h.runs[r.ref()] = r
 	h.used = h.used.Plus(r.commit)
-	if t.step.spec.Fill {
-		h.filled += t.step.spec.Need.CPU
-	}
+	h.count(t.step.spec, 1)
 	t.step.perHost[h]++
 	if len(t.runs) == 0 {
 		t.step.waiting--
@@ -222,6 +227,16 @@
 	return r
 }
 
+// count adds or takes off a run that fills or serves.
+func (h *host) count(s *hvjob.Step, sign int64) {
+	if s.Fill {
+		h.filled += sign * s.Need.CPU
+	}
+	if s.Target > 0 {
+		h.serving += sign * s.Commit().CPU
+	}
+}
+
 func profile(r *run) hvorder.Profile {
 	s := r.task.step.spec
 	return hvorder.Profile{Run: r.ref(), Target: s.Target, Fill: s.Fill, Image: s.Image}
--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -208,7 +208,7 @@
 		return false
 	case !s.Commit().Fits(h.free()):
 		return false
-	case s.Fill && h.filled+s.Need.CPU > h.free().CPU && h.filled > 0:
+	case s.Fill && h.filled+s.Need.CPU > h.unused():
 		return false
 	case s.Label != "" && !slices.Contains(h.info.Labels, s.Label):
 		return false
@@ -236,24 +236,14 @@
 		score += scoreNear
 	}
 	if h.info.Room.CPU > 0 {
-		score += scoreFree * float64(h.free().CPU-h.filled) / float64(h.info.Room.CPU)
+		score += scoreFree * float64(h.unused()-h.filled) / float64(h.info.Room.CPU)
 	}
-	if s.Fill && h.serves() || s.Target > 0 && h.filled > 0 {
+	if s.Fill && h.serving > 0 || s.Target > 0 && h.filled > 0 {
 		score -= scoreBeside
 	}
 	return score
 }
 
-// serves reports whether a task with a latency target runs on the host.
-func (h *host) serves() bool {
-	for _, r := range h.runs {
-		if r.task.step.spec.Target > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // launch orders a run.
 func (c *Cell) launch(now time.Time, h *host, t *task, number int) {
 	c.order(now, c.commit(now, h, t, number))
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -108,8 +108,11 @@
 	lapse time.Time
 	runs  map[hvorder.Run]*run
 	used  hvjob.Size
-	// filled is the processor demand of the fill work.
-	filled int64
+	// filled is the processor demand of the fill work, serving what the tasks
+	// with a latency target have reserved.
+	filled, serving int64
+	// pace is the share in percent that the node leaves to fill work.
+	pace int
 	// got is the number of the last end that was processed, kept that of the
 	// last one whose effect is stored, and told what the node knows of kept.
 	got, kept, told int64
@@ -122,6 +125,18 @@
 
 func (h *host) free() hvjob.Size { return h.info.Room.Minus(h.used) }
 
+// servingUse is the part of its reserved processors that a serving task uses
+// at its usual load.
+const servingUse = 0.5
+
+// unused returns the processors that fill work can use beside the rest.
+func (h *host) unused() int64 {
+	idle := h.info.Room.CPU - h.used.CPU + int64(float64(h.serving)*(1-servingUse))
+	return idle * int64(h.pace) / fullPace
+}
+
+const fullPace = 100
+
 // mean is a mean of durations.
 type mean struct {
 	sum time.Duration
--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -65,6 +65,9 @@
 	saved    map[hvorder.Run]string
 	pending  map[hvorder.Run]bool
 	profiles map[hvorder.Run]hvorder.Profile
+	// paces holds the shares that runs were slowed to.
+	paces    map[hvorder.Run]int
+	advances map[hvorder.Run]*progress
 	refused  []hvorder.Refusal
 	stopped  []hvorder.Run
 	hostTold bool
@@ -84,6 +87,8 @@
 		saved:      map[hvorder.Run]string{},
 		pending:    map[hvorder.Run]bool{},
 		profiles:   map[hvorder.Run]hvorder.Profile{},
+		paces:      map[hvorder.Run]int{},
+		advances:   map[hvorder.Run]*progress{},
 		wakeReport: make(chan struct{}, 1),
 		wakeHold:   make(chan struct{}, 1),
 		wakeEnroll: make(chan struct{}, 1),
@@ -224,6 +229,7 @@
 		n.saved = map[hvorder.Run]string{}
 	}
 	n.lists, n.known, n.dead = h, true, false
+	n.advance(n.deps.Clock.Now(), h.Running)
 }
 
 // holdFailed notes that the executor did not answer and reports whether the
--- a/hvnode/pace.go
+++ b/hvnode/pace.go
@@ -13,17 +13,22 @@
 const (
 	// paceInterval is how often the executor measures.
 	paceInterval = 450 * time.Millisecond
-	// paceHigh and paceLow are ratios of latency to target. Above the first
-	// the fill work is slowed, below the second it is given back. The gap keeps
-	// the share from changing with every measurement.
-	paceHigh = 0.85
-	paceLow  = 0.6
-	// paceCut is the share that is left at each step, and paceRaise what is
-	// given back, in percent.
-	paceCut   = 0.4
-	paceRaise = 15
+	// paceGoal is the ratio of latency to target that the fill work is slowed
+	// or sped up to. The distance to 1 covers the error of a measurement and
+	// the swing of the load until the next one.
+	paceGoal = 0.8
+	// paceBand is the distance from the goal within which the share stays, so
+	// that it does not change with every measurement.
+	paceBand = 0.07
+	// paceGain turns the distance from the goal into a change of the share, in
+	// percent of the whole share.
+	paceGain = 120
+	// maxPaceRaise bounds one rise, in percent, as its effect shows late.
+	maxPaceRaise = 25
+	// overCut is the factor of the share after a measurement over the target.
+	overCut = 0.45
 	// paceFloor is the share below which fill work is paused.
-	paceFloor = 10
+	paceFloor = 8
 	fullPace  = 100
 )
 
@@ -37,22 +42,23 @@
 // share returns the share in percent after a measurement of the worst ratio
 // of a serving task's latency to its target.
 func (p *pacer) share(now time.Time, worst float64) int {
+	share := fullPace - p.cut
 	if now.Sub(p.last) < paceInterval {
-		return fullPace - p.cut
+		return share
 	}
 	p.last = now
-	share := fullPace - p.cut
-	switch {
-	case worst > 1:
-		share = 0
-	case worst > paceHigh:
-		share = int(float64(share) * paceCut)
-	case worst < paceLow:
-		share = min(share+paceRaise, fullPace)
+	switch distance := paceGoal - worst; {
+	case worst >= 1:
+		share = int(float64(share) * overCut)
+	case distance > paceBand:
+		share += min(int(distance*paceGain), maxPaceRaise)
+	case distance < -paceBand:
+		share += int(distance * paceGain)
 	}
 	if share < paceFloor {
 		share = 0
 	}
+	share = min(share, fullPace)
 	p.cut = fullPace - share
 	return share
 }
@@ -82,16 +88,33 @@
 	}
 	n.mu.Unlock()
 	for _, r := range fill {
-		if r.Percent == share {
+		if !n.repace(runOf(r), share) {
 			continue
 		}
 		_ = level.Debug(n.deps.Logger).Log("msg", "run is paced", "task", r.Task, "percent", share, "worst", worst)
 		if err := n.deps.Executor.Pace(ctx, r.Task, r.Run, share, epoch); err != nil {
 			_ = level.Debug(n.deps.Logger).Log("msg", "pace failed", "task", r.Task, "err", err)
+			n.repace(runOf(r), unknownPace)
 		}
 	}
 }
 
+// unknownPace is the pace of a run after a call without an answer.
+const unknownPace = -1
+
+// repace notes the pace of a run and reports whether it is new. Runs start at
+// the whole pace.
+func (n *Node) repace(run hvorder.Run, share int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	old, ok := n.paces[run]
+	if !ok {
+		old = fullPace
+	}
+	n.paces[run] = share
+	return old != share
+}
+
 // forget drops the profiles of runs that have ended.
 func (n *Node) forget(h hv.Holding) {
 	if len(n.profiles) < 2*(len(h.Running)+len(n.pending))+16 {
@@ -105,4 +128,9 @@
 		live[run] = n.profiles[run]
 	}
 	n.profiles = live
+	for run := range n.paces {
+		if _, ok := live[run]; !ok {
+			delete(n.paces, run)
+		}
+	}
 }
--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -80,6 +80,10 @@
 		r.Running = n.newlySaved()
 		r.Ended = n.newEnds()
 	}
+	if n.known {
+		r.Stalled = n.stalled(n.deps.Clock.Now())
+		r.Pace = -n.pace.cut
+	}
 	r.Refused, n.refused = n.refused, nil
 	r.Stopped, n.stopped = n.stopped, nil
 	return n.owner, r, true
--- a/hvorder/order.go
+++ b/hvorder/order.go
@@ -106,6 +106,11 @@
 	Refused []Refusal   `json:"refused,omitempty"`
 	// Stopped lists runs that ended or can no longer start.
 	Stopped []Run `json:"stopped,omitempty"`
+	// Stalled lists runs that have made no progress for some time.
+	Stalled []Run `json:"stalled,omitempty"`
+	// Pace is the share in percent that the node leaves to fill work, less
+	// one hundred, so that the usual value is not sent.
+	Pace int `json:"pace,omitempty"`
 	// Dead is true if no executor listens on the host any more.
 	Dead bool `json:"dead,omitempty"`
 }
