Learn which images of fill work disturb which serving images

Cause: in a record of 1,200 measurements few pairs of images disturb (0.07 to 0.45 per processor in use), all others are at 0; pacing all fill work alike wastes what the harmless ones could use.

--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvinterference"
 	"hibiscusvane.example/hibiscusvane/hvjob"
 	"hibiscusvane.example/hibiscusvane/hvorder"
 )
@@ -49,8 +50,10 @@
 	// ended holds the jobs to forget, oldest first.
 	ended    []endedJob
 	estimate estimator
-	seq      int64
-	settled  bool
+	// disturb is how fill work slows serving tasks, by image.
+	disturb *hvinterference.Model
+	seq     int64
+	settled bool
 	// suspended is true while the owner can no longer be sure to be the owner.
 	suspended bool
 	counts    Counts
@@ -69,7 +72,7 @@
 
 // New returns a cell without jobs and hosts.
 func New(o Options) *Cell {
-	return &Cell{options: o, jobs: map[string]*job{}, hosts: map[string]*host{}, estimate: newEstimator()}
+	return &Cell{options: o, jobs: map[string]*job{}, hosts: map[string]*host{}, estimate: newEstimator(), disturb: hvinterference.New(disturbance)}
 }
 
 // SetCatalog changes the queues in force. Jobs keep running; tasks that have
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -102,6 +102,7 @@
 		}
 	}
 	h.pace = fullPace + r.Pace
+	c.learn(r)
 	c.noteSaved(h, r.Running)
 	if r.Full {
 		c.reconcile(now, h, r)
@@ -137,7 +138,7 @@
 	if lapse := now.Add(c.leaseBound()); lapse.After(h.lapse) || h.answered {
 		h.lapse = lapse
 	}
-	return hvorder.Grant{Until: h.until, Seen: h.kept}
+	return hvorder.Grant{Until: h.until, Seen: h.kept, Calm: c.calm(h)}
 }
 
 // noteSaved keeps the saved states of runs in case their host is lost.
--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -224,9 +224,11 @@
 const (
 	scoreNear = 2.0
 	scoreFree = 1.0
-	// scoreBeside is taken off for fill work beside serving tasks, which it
-	// would disturb, and for serving tasks beside fill work.
-	scoreBeside = 1.5
+	// scoreHurt is taken off for a task that multiplies a tail by e.
+	scoreHurt = 2.0
+	// scoreAlike is added for a serving task beside others of its image: the
+	// fewer images serve on a host, the more fill work suits it.
+	scoreAlike = 0.3
 )
 
 func (c *Cell) score(t *task, h *host) float64 {
@@ -238,10 +240,10 @@
 	if h.info.Room.CPU > 0 {
 		score += scoreFree * float64(h.unused()-h.filled) / float64(h.info.Room.CPU)
 	}
-	if s.Fill && h.serving > 0 || s.Target > 0 && h.filled > 0 {
-		score -= scoreBeside
+	if s.Target > 0 && slices.Contains(h.images(func(s *step) bool { return s.spec.Target > 0 }), s.Image) {
+		score += scoreAlike
 	}
-	return score
+	return score - scoreHurt*c.hurt(t, h)
 }
 
 // launch orders a run.
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -111,7 +111,8 @@
 	// filled is the processor demand of the fill work, serving what the tasks
 	// with a latency target have reserved.
 	filled, serving int64
-	// pace is the share in percent that the node leaves to fill work.
+	// pace is the share in percent that the node leaves to fill work that
+	// disturbs.
 	pace int
 	// got is the number of the last end that was processed, kept that of the
 	// last one whose effect is stored, and told what the node knows of kept.
@@ -131,8 +132,7 @@
 
 // unused returns the processors that fill work can use beside the rest.
 func (h *host) unused() int64 {
-	idle := h.info.Room.CPU - h.used.CPU + int64(float64(h.serving)*(1-servingUse))
-	return idle * int64(h.pace) / fullPace
+	return h.info.Room.CPU - h.used.CPU + int64(float64(h.serving)*(1-servingUse))
 }
 
 const fullPace = 100
--- /dev/null
+++ b/hvinterference/model.go
@@ -0,0 +1,129 @@
+// Package hvinterference learns how much the programs beside a service slow it.
+package hvinterference
+
+import "math"
+
+// Belief is the estimate of one coefficient and its variance.
+type Belief struct {
+	Mean, Variance float64
+}
+
+// Prior is what is assumed before any sample. The model is linear in the
+// logarithm of the slowdown, as queueing makes the tail latency grow faster
+// than the load. Its coefficients are the change of that logarithm for each
+// unit of load on the host.
+type Prior struct {
+	// Pair is the effect of one unit of a program's load on a service.
+	Pair Belief
+	// Base is the slowdown of a service without other load.
+	Base Belief
+	// Noise is the variance of one report of a tail latency.
+	Noise float64
+	// PairDrift and BaseDrift are what the variances grow by with each sample,
+	// up to their priors, so that the model follows shifts of load.
+	PairDrift, BaseDrift float64
+}
+
+const (
+	// A single report never moves the model by more than three deviations.
+	maxDeviations = 3
+
+	minSlowdown = 0.05
+	maxSlowdown = 50
+
+	// MaxNames bounds the services, and the programs of each service, that the
+	// model learns about; others keep the prior.
+	MaxNames = 256
+)
+
+// Sensitivity is what is known about the interference with one service.
+type Sensitivity struct {
+	prior *Prior
+	base  Belief
+	pairs map[string]*Belief
+}
+
+// Model learns how much each program slows each service. It is not safe for
+// concurrent use.
+type Model struct {
+	prior    Prior
+	services map[string]*Sensitivity
+}
+
+// New returns a model without samples.
+func New(p Prior) *Model { return &Model{prior: p, services: map[string]*Sensitivity{}} }
+
+// Service returns what is known about a service.
+func (m *Model) Service(name string) *Sensitivity {
+	s := m.services[name]
+	if s == nil {
+		s = &Sensitivity{prior: &m.prior, base: m.prior.Base, pairs: map[string]*Belief{}}
+		if len(m.services) < MaxNames {
+			m.services[name] = s
+		}
+	}
+	return s
+}
+
+// Base returns the slowdown of the service without other load, as a logarithm.
+func (s *Sensitivity) Base() Belief { return s.base }
+
+// Pair returns the effect of a program on the service.
+func (s *Sensitivity) Pair(program string) Belief {
+	if b := s.pairs[program]; b != nil {
+		return *b
+	}
+	return s.prior.Pair
+}
+
+func (s *Sensitivity) learned(program string) *Belief {
+	b := s.pairs[program]
+	if b == nil {
+		prior := s.prior.Pair
+		b = &prior
+		if len(s.pairs) < MaxNames {
+			s.pairs[program] = b
+		}
+	}
+	return b
+}
+
+// term is a coefficient with the amount that it is multiplied with.
+type term struct {
+	belief *Belief
+	amount float64
+	drift  float64
+	limit  float64
+}
+
+// hostDrift is the part of the drift of a service that its hosts share.
+const hostDrift = 0.25
+
+// Observe is a Kalman step with a diagonal covariance: each coefficient takes
+// a part of the error in proportion to its variance, so that a prior gives way
+// as samples arrive. Host is the offset of the host, or nil; loads holds the
+// load of each program there.
+func (s *Sensitivity) Observe(host *Belief, hostLimit float64, loads map[string]float64, slowdown float64) {
+	terms := []term{{&s.base, 1, s.prior.BaseDrift, s.prior.Base.Variance}}
+	if host != nil {
+		terms = append(terms, term{host, 1, s.prior.BaseDrift * hostDrift, hostLimit})
+	}
+	for program, load := range loads {
+		if load > 0 {
+			terms = append(terms, term{s.learned(program), load, s.prior.PairDrift, s.prior.Pair.Variance})
+		}
+	}
+	y := math.Log(min(max(slowdown, minSlowdown), maxSlowdown))
+	variance := s.prior.Noise
+	for _, t := range terms {
+		y -= t.belief.Mean * t.amount
+		variance += t.belief.Variance * t.amount * t.amount
+	}
+	bound := maxDeviations * math.Sqrt(variance)
+	y = min(max(y, -bound), bound)
+	for _, t := range terms {
+		gain := t.belief.Variance * t.amount / variance
+		t.belief.Mean += gain * y
+		t.belief.Variance = min(t.belief.Variance*(1-gain*t.amount)+t.drift, t.limit)
+	}
+}
--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -42,7 +42,8 @@
 type Node struct {
 	name string
 	deps Deps
-	pace pacer
+	// pace slows the fill work that disturbs, rest all other fill work.
+	pace, rest pacer
 
 	mu sync.Mutex
 	// host is what the executor last announced; id names its incarnation.
@@ -65,6 +66,11 @@
 	saved    map[hvorder.Run]string
 	pending  map[hvorder.Run]bool
 	profiles map[hvorder.Run]hvorder.Profile
+	// calm holds the images that do not disturb what serves here.
+	calm map[string]bool
+	// tails and loads are the newest measurement that was not reported.
+	tails []hvorder.Tail
+	loads map[string]int64
 	// paces holds the shares that runs were slowed to.
 	paces    map[hvorder.Run]int
 	advances map[hvorder.Run]*progress
--- a/hvnode/pace.go
+++ b/hvnode/pace.go
@@ -63,40 +63,92 @@
 	return share
 }
 
-// protect slows the fill work beside serving tasks that come near their target.
+// protect slows the fill work beside serving tasks that come near their
+// target: first what is known or suspected to disturb them, and the rest when
+// that was not enough.
 func (n *Node) protect(ctx context.Context, h hv.Holding) {
 	n.mu.Lock()
-	worst, serving := 0.0, false
-	var fill []hv.RunState
+	m := n.measure(h)
+	n.forget(h)
+	suspects, calm := n.shares(m)
+	epoch := n.epoch
+	n.mu.Unlock()
+	for _, r := range m.fill {
+		share := suspects
+		if m.calm[runOf(r)] {
+			share = calm
+		}
+		n.setPace(ctx, r, share, epoch)
+	}
+}
+
+// measurement is what one list says of the tasks that serve and fill.
+type measurement struct {
+	worst   float64
+	serving bool
+	fill    []hv.RunState
+	calm    map[hvorder.Run]bool
+}
+
+func (n *Node) measure(h hv.Holding) measurement {
+	m := measurement{calm: map[hvorder.Run]bool{}}
+	tails, loads := []hvorder.Tail{}, map[string]int64{}
 	for _, r := range h.Running {
 		p := n.profiles[runOf(r)]
 		if p.Target > 0 {
-			serving = true
-			worst = max(worst, float64(r.Load)/float64(p.Target))
+			m.serving = true
+			m.worst = max(m.worst, float64(r.Load)/float64(p.Target))
+			tails = append(tails, hvorder.Tail{Image: p.Image, Ratio: int64(r.Load) * ratioUnit / p.Target})
 		}
 		if p.Fill {
-			fill = append(fill, r)
+			m.fill = append(m.fill, r)
+			m.calm[runOf(r)] = n.calm[p.Image]
+			loads[p.Image] += int64(r.Load)
 		}
 	}
-	epoch := n.epoch
-	n.forget(h)
-	share := fullPace
-	if serving {
-		share = n.pace.share(n.deps.Clock.Now(), worst)
-	} else {
-		n.pace = pacer{}
+	if n.deps.Clock.Now().Sub(n.pace.last) >= paceInterval {
+		n.tails, n.loads = tails, loads
 	}
-	n.mu.Unlock()
-	for _, r := range fill {
-		if !n.repace(runOf(r), share) {
-			continue
-		}
-		_ = level.Debug(n.deps.Logger).Log("msg", "run is paced", "task", r.Task, "percent", share, "worst", worst)
-		if err := n.deps.Executor.Pace(ctx, r.Task, r.Run, share, epoch); err != nil {
-			_ = level.Debug(n.deps.Logger).Log("msg", "pace failed", "task", r.Task, "err", err)
-			n.repace(runOf(r), unknownPace)
+	return m
+}
+
+// ratioUnit is the unit of a ratio in reports.
+const ratioUnit = 1000
+
+// shares returns the shares of the fill work that disturbs and of the rest.
+func (n *Node) shares(m measurement) (suspects, calm int) {
+	if !m.serving {
+		n.pace, n.rest = pacer{}, pacer{}
+		return fullPace, fullPace
+	}
+	now := n.deps.Clock.Now()
+	suspects = n.pace.share(now, m.worst)
+	if m.worst >= 1 && suspects > 0 && n.hasSuspects(m) {
+		return suspects, fullPace - n.rest.cut
+	}
+	return suspects, n.rest.share(now, m.worst)
+}
+
+func (n *Node) hasSuspects(m measurement) bool { return len(m.fill) > 0 && !allTrue(m.calm) }
+
+func allTrue(set map[hvorder.Run]bool) bool {
+	for _, ok := range set {
+		if !ok {
+			return false
 		}
 	}
+	return true
+}
+
+func (n *Node) setPace(ctx context.Context, r hv.RunState, share int, epoch int64) {
+	if !n.repace(runOf(r), share) {
+		return
+	}
+	err := n.deps.Executor.Pace(ctx, r.Task, r.Run, share, epoch)
+	_ = level.Debug(n.deps.Logger).Log("msg", "run is paced", "task", r.Task, "percent", share, "err", err)
+	if err != nil {
+		n.repace(runOf(r), unknownPace)
+	}
 }
 
 // unknownPace is the pace of a run after a call without an answer.
--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -48,6 +48,10 @@
 		n.seen = max(n.seen, grant.Seen)
 	}
 	n.attached = n.deps.Clock.Now()
+	n.calm = map[string]bool{}
+	for _, image := range grant.Calm {
+		n.calm[image] = true
+	}
 	n.mu.Unlock()
 }
 
@@ -83,6 +87,8 @@
 	if n.known {
 		r.Stalled = n.stalled(n.deps.Clock.Now())
 		r.Pace = -n.pace.cut
+		r.Tails, n.tails = n.tails, nil
+		r.Fill, n.loads = n.loads, nil
 	}
 	r.Refused, n.refused = n.refused, nil
 	r.Stopped, n.stopped = n.stopped, nil
--- a/hvorder/order.go
+++ b/hvorder/order.go
@@ -108,17 +108,31 @@
 	Stopped []Run `json:"stopped,omitempty"`
 	// Stalled lists runs that have made no progress for some time.
 	Stalled []Run `json:"stalled,omitempty"`
-	// Pace is the share in percent that the node leaves to fill work, less
-	// one hundred, so that the usual value is not sent.
+	// Tails holds the newest tail latencies of serving tasks, and Fill the
+	// processors in use by fill work at that time, in thousandths by image.
+	Tails []Tail           `json:"tails,omitempty"`
+	Fill  map[string]int64 `json:"fill,omitempty"`
+	// Pace is the share in percent that the node leaves to fill work that
+	// disturbs, less one hundred, so that the usual value is not sent.
 	Pace int `json:"pace,omitempty"`
 	// Dead is true if no executor listens on the host any more.
 	Dead bool `json:"dead,omitempty"`
 }
 
+// Tail is the tail latency of a serving task.
+type Tail struct {
+	Image string `json:"image"`
+	// Ratio is the latency over its target, in thousandths.
+	Ratio int64 `json:"ratio"`
+}
+
 // Grant is the answer to a report.
 type Grant struct {
-	Until int64 `json:"until,omitempty"`
-	Seen  int64 `json:"seen,omitempty"`
+	// Calm lists the images of fill work that do not disturb the serving tasks
+	// on the host.
+	Calm  []string `json:"calm,omitempty"`
+	Until int64    `json:"until,omitempty"`
+	Seen  int64    `json:"seen,omitempty"`
 }
 
 // Append is a relayed append.
--- a/hvplace/index.go
+++ b/hvplace/index.go
@@ -5,6 +5,7 @@
 	"time"
 
 	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvinterference"
 )
 
 // The index sorts the hosts of a zone into cells by their free accelerators,
@@ -34,7 +35,7 @@
 	batch   int
 	// started is the time of the last placement.
 	started   time.Time
-	offsets   map[string]*belief
+	offsets   map[string]*hvinterference.Belief
 	snapshots snapshots
 }
 
--- a/hvplace/placer.go
+++ b/hvplace/placer.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvinterference"
 )
 
 // candidatesPerZone bounds the hosts that a decision rates. A few random
@@ -34,7 +35,7 @@
 	zones        []*zone
 	capacities   *capacities
 	spread       spread
-	interference interference
+	interference *hvinterference.Model
 	random       *rand.Rand
 	search       search
 	found        []*entry
@@ -46,7 +47,7 @@
 func New(o Options) *Placer {
 	p := &Placer{
 		options: o, weights: weightsOf(o.Prefer), hosts: map[string]*entry{}, capacities: newCapacities(),
-		spread: spread{}, interference: interference{}, random: rand.New(rand.NewPCG(o.Seed, 0)),
+		spread: spread{}, interference: hvinterference.New(prior), random: rand.New(rand.NewPCG(o.Seed, 0)),
 	}
 	p.search = search{limit: candidatesPerZone, random: p.random.IntN}
 	return p
@@ -95,7 +96,7 @@
 }
 
 func (p *Placer) enter(h hv.Host) *entry {
-	e := &entry{view: hv.HostView{Host: h}, zone: p.zone(h.Zone), offsets: map[string]*belief{}}
+	e := &entry{view: hv.HostView{Host: h}, zone: p.zone(h.Zone), offsets: map[string]*hvinterference.Belief{}}
 	e.zone.hosts++
 	p.hosts[h.Name] = e
 	p.capacities.add(h.Capacity)
@@ -258,8 +259,8 @@
 	}
 	offset := e.offsets[s.Service]
 	if offset == nil {
-		offset = &belief{0, hostVariance}
-		if len(e.offsets) < maxNames {
+		offset = &hvinterference.Belief{Variance: hostVariance}
+		if len(e.offsets) < hvinterference.MaxNames {
 			e.offsets[s.Service] = offset
 		}
 	}
@@ -267,7 +268,7 @@
 	if s.Share > 0 {
 		share = float64(s.Share) / fullShare
 	}
-	p.interference.service(s.Service).observe(offset, programs, share, s.Slowdown)
+	p.interference.Service(s.Service).Observe(offset, hostVariance, loads(programs, share), s.Slowdown)
 }
 
 // Looked returns the number of hosts that all decisions so far compared with
--- a/hvplace/placer_test.go
+++ b/hvplace/placer_test.go
@@ -163,8 +163,8 @@
 			p.Observe(hv.Sample{Host: v.Host.Name, Service: v.Services[0], Slowdown: slowdown * noise, Time: clock.now.Add(-30 * time.Second)})
 		}
 	}
-	disturbed, calm := p.interference["s0"].pair("noisy"), p.interference["s1"].pair("noisy")
-	if disturbed.mean < 0.15 || calm.mean > 0.05 || disturbed.variance > pairVariance/4 {
+	disturbed, calm := p.interference.Service("s0").Pair("noisy"), p.interference.Service("s1").Pair("noisy")
+	if disturbed.Mean < 0.15 || calm.Mean > 0.05 || disturbed.Variance > prior.Pair.Variance/4 {
 		t.Fatalf("coefficients are %+v and %+v", disturbed, calm)
 	}
 	for i := range 2 {
--- a/hvplace/score.go
+++ b/hvplace/score.go
@@ -76,9 +76,9 @@
 	throttled := e.view.Share > 0 && e.view.Share < fullShare
 	sum := 0.0
 	for _, service := range e.view.Services {
-		s := p.interference.service(service)
-		pair := s.pair(t.Program)
-		cost := max(pair.mean+p.weights.caution*math.Sqrt(pair.variance), 0)
+		s := p.interference.Service(service)
+		pair := s.Pair(t.Program)
+		cost := max(pair.Mean+p.weights.caution*math.Sqrt(pair.Variance), 0)
 		before := p.predict(service, e)
 		after := before + cost
 		over := throttled || after > math.Log(p.weights.limit)
@@ -98,23 +98,23 @@
 // predict returns the logarithm of the slowdown of a service on a host with
 // its present batch tasks.
 func (p *Placer) predict(service string, e *entry) float64 {
-	s := p.interference.service(service)
-	y := s.base.mean
+	s := p.interference.Service(service)
+	y := s.Base().Mean
 	if b := e.offsets[service]; b != nil {
-		y += b.mean
+		y += b.Mean
 	}
 	for program, n := range e.view.Programs {
-		y += float64(n) * max(s.pair(program).mean, 0)
+		y += float64(n) * max(s.Pair(program).Mean, 0)
 	}
 	return y
 }
 
 // exposure is what the batch tasks of a host would cost a new service.
 func (p *Placer) exposure(service string, e *entry) float64 {
-	s := p.interference.service(service)
+	s := p.interference.Service(service)
 	sum := 0.0
 	for program, n := range e.view.Programs {
-		sum += float64(n) * max(s.pair(program).mean, 0)
+		sum += float64(n) * max(s.Pair(program).Mean, 0)
 	}
 	return math.Exp(min(sum, 3)) - 1
 }
