Learn interference from changes of tails and loads

Cause: a diagonal filter over absolute tails took the swing of a serving task's own load (period 14 s) for the effect of what ran beside it.

--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -51,7 +51,7 @@
 	ended    []endedJob
 	estimate estimator
 	// disturb is how fill work slows serving tasks, by image.
-	disturb *hvinterference.Model
+	disturb *hvinterference.Changes
 	seq     int64
 	settled bool
 	// suspended is true while the owner can no longer be sure to be the owner.
@@ -72,7 +72,7 @@
 
 // New returns a cell without jobs and hosts.
 func New(o Options) *Cell {
-	return &Cell{options: o, jobs: map[string]*job{}, hosts: map[string]*host{}, estimate: newEstimator(), disturb: hvinterference.New(disturbance)}
+	return &Cell{options: o, jobs: map[string]*job{}, hosts: map[string]*host{}, estimate: newEstimator(), disturb: hvinterference.NewChanges(disturbance, tailNoise)}
 }
 
 // SetCatalog changes the queues in force. Jobs keep running; tasks that have
--- a/hvcell/disturb.go
+++ b/hvcell/disturb.go
@@ -8,17 +8,13 @@
 	"hibiscusvane.example/hibiscusvane/hvorder"
 )
 
-// disturbance is what is assumed of an image of fill work before any sample.
-// The unit of load is one processor in use.
-var disturbance = hvinterference.Prior{
-	Pair: hvinterference.Belief{Mean: 0.05, Variance: 0.12 * 0.12},
-	// A serving task without fill work beside it is at 40% of its target.
-	Base: hvinterference.Belief{Mean: -0.9, Variance: 0.25},
-	// The tail swings with the task's own load by about 40%.
-	Noise:     0.16,
-	PairDrift: 1e-6,
-	BaseDrift: 1e-4,
-}
+// Until it is measured, an image of fill work is assumed to raise the
+// logarithm of a tail by this much for each processor in use.
+var disturbance = hvinterference.Belief{Mean: 0.05, Variance: 0.12 * 0.12}
+
+// tailNoise is the variance of the logarithm of a tail's change from one
+// measurement to the next.
+const tailNoise = 0.25 * 0.25
 
 const (
 	// calmEffect is the effect of a processor on the logarithm of a tail below
@@ -30,22 +26,22 @@
 	coreUnit = 1000.0
 )
 
-// learn takes the tails of serving tasks and the load beside them.
+// learn takes the changes of the tails of serving tasks and of the load beside
+// them.
 func (c *Cell) learn(r hvorder.Report) {
-	if len(r.Tails) == 0 {
-		return
-	}
-	loads := make(map[string]float64, len(r.Fill))
-	for image, load := range r.Fill {
-		loads[image] = float64(load) / coreUnit
+	moved := make(map[string]float64, len(r.Moved))
+	for image, load := range r.Moved {
+		if load != 0 {
+			moved[image] = float64(load) / coreUnit
+		}
 	}
 	for _, t := range r.Tails {
-		c.disturb.Service(t.Image).Observe(nil, 0, loads, float64(t.Ratio)/ratioUnit)
+		c.disturb.Observe(t.Image, moved, float64(t.Change)/changeUnit)
 	}
 }
 
-// ratioUnit is the unit of a ratio in reports.
-const ratioUnit = 1000
+// changeUnit is the unit of a logarithm in reports.
+const changeUnit = 1000
 
 // calm returns the images of fill work on a host that do not disturb what
 // serves there.
@@ -68,7 +64,7 @@
 func (c *Cell) worstEffect(serving []string, image string) float64 {
 	worst := 0.0
 	for _, s := range serving {
-		b := c.disturb.Service(s).Pair(image)
+		b := c.disturb.Effect(s, image)
 		worst = max(worst, b.Mean+calmDeviations*math.Sqrt(b.Variance))
 	}
 	return worst
@@ -94,12 +90,12 @@
 	switch {
 	case spec.Fill && h.serving > 0:
 		for _, s := range h.images(func(s *step) bool { return s.spec.Target > 0 }) {
-			sum = max(sum, max(c.disturb.Service(s).Pair(spec.Image).Mean, 0)*float64(spec.Need.CPU)/coreUnit)
+			sum = max(sum, max(c.disturb.Effect(s, spec.Image).Mean, 0)*float64(spec.Need.CPU)/coreUnit)
 		}
 	case spec.Target > 0 && h.filled > 0:
 		for _, r := range h.runs {
 			if f := r.task.step.spec; f.Fill {
-				sum += max(c.disturb.Service(spec.Image).Pair(f.Image).Mean, 0) * float64(f.Need.CPU) / coreUnit
+				sum += max(c.disturb.Effect(spec.Image, f.Image).Mean, 0) * float64(f.Need.CPU) / coreUnit
 			}
 		}
 	}
--- /dev/null
+++ b/hvinterference/changes_test.go
@@ -0,0 +1,55 @@
+package hvinterference
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// Guards against blaming a harmless program that runs beside a harmful one
+// while the tail swings with the service's own load.
+func TestChangesTellProgramsApart(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	c := NewChanges(Belief{Mean: 0.05, Variance: 0.0144}, 0.0625)
+	harmful, harmless := 0.0, 0.0
+	last := math.NaN()
+	for i := range 400 {
+		a, b := 6*r.Float64(), 6*r.Float64()
+		swing := 0.5 * math.Sin(float64(i)/28*2*math.Pi)
+		tail := swing + 0.15*a + 0.1*r.NormFloat64()
+		if i > 0 {
+			c.Observe("s", map[string]float64{"harmful": a - harmful, "harmless": b - harmless}, tail-last)
+		}
+		harmful, harmless, last = a, b, tail
+	}
+	bad, good := c.Effect("s", "harmful"), c.Effect("s", "harmless")
+	if math.Abs(bad.Mean-0.15) > 0.02 || math.Abs(good.Mean) > 0.02 {
+		t.Fatalf("effects are %.3f and %.3f, want 0.15 and 0", bad.Mean, good.Mean)
+	}
+	if s := math.Sqrt(good.Variance); s > 0.02 {
+		t.Fatalf("deviation after 400 samples is %.3f", s)
+	}
+}
+
+// Guards against a model that trusts a program it has not seen.
+func TestUnknownProgramKeepsPrior(t *testing.T) {
+	prior := Belief{Mean: 0.05, Variance: 0.0144}
+	c := NewChanges(prior, 0.0625)
+	if got := c.Effect("s", "p"); got != prior {
+		t.Fatalf("effect is %v", got)
+	}
+	c.Observe("s", map[string]float64{"other": 1}, 0.3)
+	if got := c.Effect("s", "p"); got != prior {
+		t.Fatalf("effect after another program moved is %v", got)
+	}
+}
+
+func ExampleChanges() {
+	c := NewChanges(Belief{Mean: 0, Variance: 1}, 0.01)
+	for range 20 {
+		c.Observe("label-desk", map[string]float64{"report": 2}, 0.2)
+	}
+	fmt.Printf("%.2f\n", c.Effect("label-desk", "report").Mean)
+	// Output: 0.10
+}
--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -68,9 +68,13 @@
 	profiles map[hvorder.Run]hvorder.Profile
 	// calm holds the images that do not disturb what serves here.
 	calm map[string]bool
-	// tails and loads are the newest measurement that was not reported.
-	tails []hvorder.Tail
-	loads map[string]int64
+	// tails and loads are the newest measurement; changes and moved compare it
+	// with the one before until they are reported.
+	measured time.Time
+	tails    map[hvorder.Run]int
+	loads    map[string]int64
+	changes  []hvorder.Tail
+	moved    map[string]int64
 	// paces holds the shares that runs were slowed to.
 	paces    map[hvorder.Run]int
 	advances map[hvorder.Run]*progress
--- a/hvnode/pace.go
+++ b/hvnode/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -92,13 +93,13 @@
 
 func (n *Node) measure(h hv.Holding) measurement {
 	m := measurement{calm: map[hvorder.Run]bool{}}
-	tails, loads := []hvorder.Tail{}, map[string]int64{}
+	tails, loads := map[hvorder.Run]int{}, map[string]int64{}
 	for _, r := range h.Running {
 		p := n.profiles[runOf(r)]
 		if p.Target > 0 {
 			m.serving = true
 			m.worst = max(m.worst, float64(r.Load)/float64(p.Target))
-			tails = append(tails, hvorder.Tail{Image: p.Image, Ratio: int64(r.Load) * ratioUnit / p.Target})
+			tails[runOf(r)] = r.Load
 		}
 		if p.Fill {
 			m.fill = append(m.fill, r)
@@ -106,14 +107,36 @@
 			loads[p.Image] += int64(r.Load)
 		}
 	}
-	if n.deps.Clock.Now().Sub(n.pace.last) >= paceInterval {
-		n.tails, n.loads = tails, loads
+	if n.deps.Clock.Now().Sub(n.measured) >= paceInterval {
+		n.compare(tails, loads)
 	}
 	return m
 }
 
-// ratioUnit is the unit of a ratio in reports.
-const ratioUnit = 1000
+// changeUnit is the unit of a logarithm in reports.
+const changeUnit = 1000
+
+// compare notes what has changed since the last measurement.
+func (n *Node) compare(tails map[hvorder.Run]int, loads map[string]int64) {
+	now := n.deps.Clock.Now()
+	if now.Sub(n.measured) < 3*paceInterval {
+		n.moved = map[string]int64{}
+		for image, load := range loads {
+			n.moved[image] = load
+		}
+		for image, load := range n.loads {
+			n.moved[image] -= load
+		}
+		n.changes = n.changes[:0]
+		for run, tail := range tails {
+			if old := n.tails[run]; old > 0 && tail > 0 {
+				change := changeUnit * math.Log(float64(tail)/float64(old))
+				n.changes = append(n.changes, hvorder.Tail{Image: n.profiles[run].Image, Change: int64(change)})
+			}
+		}
+	}
+	n.measured, n.tails, n.loads = now, tails, loads
+}
 
 // shares returns the shares of the fill work that disturbs and of the rest.
 func (n *Node) shares(m measurement) (suspects, calm int) {
--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -87,8 +87,8 @@
 	if n.known {
 		r.Stalled = n.stalled(n.deps.Clock.Now())
 		r.Pace = -n.pace.cut
-		r.Tails, n.tails = n.tails, nil
-		r.Fill, n.loads = n.loads, nil
+		r.Tails, n.changes = n.changes, nil
+		r.Moved, n.moved = n.moved, nil
 	}
 	r.Refused, n.refused = n.refused, nil
 	r.Stopped, n.stopped = n.stopped, nil
--- a/hvorder/order.go
+++ b/hvorder/order.go
@@ -108,10 +108,11 @@
 	Stopped []Run `json:"stopped,omitempty"`
 	// Stalled lists runs that have made no progress for some time.
 	Stalled []Run `json:"stalled,omitempty"`
-	// Tails holds the newest tail latencies of serving tasks, and Fill the
-	// processors in use by fill work at that time, in thousandths by image.
+	// Tails holds how the tail latencies of serving tasks changed between the
+	// last two measurements, and Moved by how many thousandths of a processor
+	// the load of fill work changed, by image.
 	Tails []Tail           `json:"tails,omitempty"`
-	Fill  map[string]int64 `json:"fill,omitempty"`
+	Moved map[string]int64 `json:"moved,omitempty"`
 	// Pace is the share in percent that the node leaves to fill work that
 	// disturbs, less one hundred, so that the usual value is not sent.
 	Pace int `json:"pace,omitempty"`
@@ -119,11 +120,11 @@
 	Dead bool `json:"dead,omitempty"`
 }
 
-// Tail is the tail latency of a serving task.
+// Tail is the change of the tail latency of a serving task.
 type Tail struct {
 	Image string `json:"image"`
-	// Ratio is the latency over its target, in thousandths.
-	Ratio int64 `json:"ratio"`
+	// Change is the logarithm of the change, in thousandths.
+	Change int64 `json:"change"`
 }
 
 // Grant is the answer to a report.
