Pace by measured effects and avoid hosts that suffer

Cause: one share for all fill work that halves at each overshoot swings between 0 and 100, and fill work went to hosts whose serving images it disturbs.

--- a/hvcell/disturb.go
+++ b/hvcell/disturb.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"hibiscusvane.example/hibiscusvane/hvinterference"
+	"hibiscusvane.example/hibiscusvane/hvjob"
 	"hibiscusvane.example/hibiscusvane/hvorder"
 )
 
@@ -43,22 +44,26 @@
 // changeUnit is the unit of a logarithm in reports.
 const changeUnit = 1000
 
-// calm returns the images of fill work on a host that do not disturb what
-// serves there.
-func (c *Cell) calm(h *host) []string {
-	serving := h.images(func(s *step) bool { return s.spec.Target > 0 })
+// effects returns the images of fill work on a host that disturb what serves
+// there.
+func (c *Cell) effects(h *host) map[string]int64 {
+	serving := h.images(serves)
 	if len(serving) == 0 {
 		return nil
 	}
-	var out []string
-	for _, image := range h.images(func(s *step) bool { return s.spec.Fill }) {
-		if c.worstEffect(serving, image) < calmEffect {
-			out = append(out, image)
+	out := map[string]int64{}
+	for _, image := range h.images(fills) {
+		if e := c.worstEffect(serving, image); e >= calmEffect {
+			out[image] = int64(e * changeUnit)
 		}
 	}
 	return out
 }
 
+func serves(s *step) bool { return s.spec.Target > 0 }
+
+func fills(s *step) bool { return s.spec.Fill }
+
 // worstEffect is the greatest plausible effect of a processor of fill work on
 // one of the images that serve.
 func (c *Cell) worstEffect(serving []string, image string) float64 {
@@ -89,15 +94,36 @@
 	sum := 0.0
 	switch {
 	case spec.Fill && h.serving > 0:
-		for _, s := range h.images(func(s *step) bool { return s.spec.Target > 0 }) {
-			sum = max(sum, max(c.disturb.Effect(s, spec.Image).Mean, 0)*float64(spec.Need.CPU)/coreUnit)
+		for _, s := range h.images(serves) {
+			sum = max(sum, c.effect(s, spec))
 		}
 	case spec.Target > 0 && h.filled > 0:
 		for _, r := range h.runs {
 			if f := r.task.step.spec; f.Fill {
-				sum += max(c.disturb.Effect(spec.Image, f.Image).Mean, 0) * float64(f.Need.CPU) / coreUnit
+				sum += c.effect(spec.Image, f)
 			}
 		}
 	}
 	return sum
 }
+
+// effect is what a fill task at its full pace does to a serving image.
+func (c *Cell) effect(serving string, fill *hvjob.Step) float64 {
+	return max(c.disturb.Effect(serving, fill.Image).Mean, 0) * float64(fill.Need.CPU) / coreUnit
+}
+
+// bearable is the greatest effect of one fill task on a host that takes it
+// although other hosts suffer less.
+const bearable = 0.25
+
+// bearableFor returns the greatest effect that a fill task may have on its
+// host. Where it disturbs all hosts it goes to those that suffer least.
+func (c *Cell) bearableFor(t *task, hosts []*host) float64 {
+	least := math.Inf(1)
+	for _, h := range hosts {
+		if h.info.Service == t.step.round.job.queue.Service {
+			least = min(least, c.hurt(t, h))
+		}
+	}
+	return max(bearable, least)
+}
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -138,7 +138,7 @@
 	if lapse := now.Add(c.leaseBound()); lapse.After(h.lapse) || h.answered {
 		h.lapse = lapse
 	}
-	return hvorder.Grant{Until: h.until, Seen: h.kept, Calm: c.calm(h)}
+	return hvorder.Grant{Until: h.until, Seen: h.kept, Effects: c.effects(h)}
 }
 
 // noteSaved keeps the saved states of runs in case their host is lost.
--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -189,8 +190,12 @@
 func (c *Cell) pick(now time.Time, t *task, hosts []*host) *host {
 	var best *host
 	bestScore := 0.0
+	limit := math.Inf(1)
+	if t.step.spec.Fill {
+		limit = c.bearableFor(t, hosts)
+	}
 	for _, h := range hosts {
-		if !c.allowed(now, t, h) {
+		if !c.allowed(now, t, h) || c.hurt(t, h) > limit {
 			continue
 		}
 		if score := c.score(t, h); best == nil || score > bestScore {
@@ -240,7 +245,7 @@
 	if h.info.Room.CPU > 0 {
 		score += scoreFree * float64(h.unused()-h.filled) / float64(h.info.Room.CPU)
 	}
-	if s.Target > 0 && slices.Contains(h.images(func(s *step) bool { return s.spec.Target > 0 }), s.Image) {
+	if s.Target > 0 && slices.Contains(h.images(serves), s.Image) {
 		score += scoreAlike
 	}
 	return score - scoreHurt*c.hurt(t, h)
--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -66,8 +66,9 @@
 	saved    map[hvorder.Run]string
 	pending  map[hvorder.Run]bool
 	profiles map[hvorder.Run]hvorder.Profile
-	// calm holds the images that do not disturb what serves here.
-	calm map[string]bool
+	// effects holds the images that disturb what serves here, as in a grant;
+	// it is nil until the owner has told them.
+	effects map[string]int64
 	// tails and loads are the newest measurement; changes and moved compare it
 	// with the one before until they are reported.
 	measured time.Time
--- a/hvnode/obey.go
+++ b/hvnode/obey.go
@@ -76,6 +76,7 @@
 		err := n.deps.Executor.Start(ctx, s)
 		if err == nil {
 			n.settle(run, nil)
+			n.paceStarted(ctx, run, s.Epoch)
 			return
 		}
 		kind := hv.KindOf(err)
--- a/hvnode/pace.go
+++ b/hvnode/pace.go
@@ -20,17 +20,15 @@
 	paceGoal = 0.8
 	// paceBand is the distance from the goal within which the share stays, so
 	// that it does not change with every measurement.
-	paceBand = 0.07
-	// paceGain turns the distance from the goal into a change of the share, in
-	// percent of the whole share.
-	paceGain = 120
+	paceBand = 0.05
 	// maxPaceRaise bounds one rise, in percent, as its effect shows late.
 	maxPaceRaise = 25
-	// overCut is the factor of the share after a measurement over the target.
-	overCut = 0.45
 	// paceFloor is the share below which fill work is paused.
 	paceFloor = 8
 	fullPace  = 100
+	// guessedPull stands in for the effect of fill work that is not known yet,
+	// as the logarithm by which it raises the tail.
+	guessedPull = 0.5
 )
 
 // pacer decides the share of the fill work on one host. The zero value leaves
@@ -41,22 +39,29 @@
 }
 
 // share returns the share in percent after a measurement of the worst ratio
-// of a serving task's latency to its target.
-func (p *pacer) share(now time.Time, worst float64) int {
+// of a serving task's latency to its target. Pull is the logarithm by which
+// the fill work raises the tail at its present share.
+func (p *pacer) share(now time.Time, worst, pull float64) int {
 	share := fullPace - p.cut
 	if now.Sub(p.last) < paceInterval {
 		return share
 	}
 	p.last = now
-	switch distance := paceGoal - worst; {
-	case worst >= 1:
-		share = int(float64(share) * overCut)
-	case distance > paceBand:
-		share += min(int(distance*paceGain), maxPaceRaise)
-	case distance < -paceBand:
-		share += int(distance * paceGain)
-	}
-	if share < paceFloor {
+	if math.Abs(worst-paceGoal) <= paceBand {
+		return share
+	}
+	if pull <= 0 {
+		pull = guessedPull * float64(share) / fullPace
+	}
+	// The pull is in proportion to the share, so the share for the goal follows
+	// from how far the logarithm of the tail is from that of the goal.
+	excess := math.Log(max(worst, minRatio) / paceGoal)
+	if share == 0 {
+		share = paceFloor
+	} else {
+		share = min(int(float64(share)*(pull-excess)/pull), share+maxPaceRaise)
+	}
+	if share < paceFloor || worst > 1 && p.cut == fullPace {
 		share = 0
 	}
 	share = min(share, fullPace)
@@ -64,6 +69,9 @@
 	return share
 }
 
+// minRatio bounds the ratio of a serving task without load.
+const minRatio = 0.05
+
 // protect slows the fill work beside serving tasks that come near their
 // target: first what is known or suspected to disturb them, and the rest when
 // that was not enough.
@@ -89,8 +97,13 @@
 	serving bool
 	fill    []hv.RunState
 	calm    map[hvorder.Run]bool
+	// pull is the logarithm by which the fill work raises the worst tail.
+	pull float64
 }
 
+// coreUnit is the number of units of load in a processor.
+const coreUnit = 1000
+
 func (n *Node) measure(h hv.Holding) measurement {
 	m := measurement{calm: map[hvorder.Run]bool{}}
 	tails, loads := map[hvorder.Run]int{}, map[string]int64{}
@@ -103,7 +116,9 @@
 		}
 		if p.Fill {
 			m.fill = append(m.fill, r)
-			m.calm[runOf(r)] = n.calm[p.Image]
+			effect, known := n.effects[p.Image]
+			m.calm[runOf(r)] = !known && n.effects != nil
+			m.pull += float64(effect) / changeUnit * float64(r.Load) / coreUnit
 			loads[p.Image] += int64(r.Load)
 		}
 	}
@@ -145,11 +160,15 @@
 		return fullPace, fullPace
 	}
 	now := n.deps.Clock.Now()
-	suspects = n.pace.share(now, m.worst)
-	if m.worst >= 1 && suspects > 0 && n.hasSuspects(m) {
+	suspects = n.pace.share(now, m.worst, m.pull)
+	// The rest is slowed only when that was not enough.
+	if suspects > 0 && n.hasSuspects(m) && m.worst >= paceGoal {
 		return suspects, fullPace - n.rest.cut
 	}
-	return suspects, n.rest.share(now, m.worst)
+	if m.worst < 1 && n.rest.cut == 0 {
+		return suspects, fullPace
+	}
+	return suspects, n.rest.share(now, m.worst, 0)
 }
 
 func (n *Node) hasSuspects(m measurement) bool { return len(m.fill) > 0 && !allTrue(m.calm) }
@@ -174,6 +193,21 @@
 	}
 }
 
+// paceStarted gives a new run the share of its like, as runs start at the
+// whole pace.
+func (n *Node) paceStarted(ctx context.Context, run hvorder.Run, epoch int64) {
+	n.mu.Lock()
+	p := n.profiles[run]
+	share := fullPace - n.pace.cut
+	if _, disturbs := n.effects[p.Image]; !disturbs && n.effects != nil {
+		share = fullPace - n.rest.cut
+	}
+	n.mu.Unlock()
+	if p.Fill {
+		n.setPace(ctx, hv.RunState{Task: run.Task, Run: run.Run}, share, epoch)
+	}
+}
+
 // unknownPace is the pace of a run after a call without an answer.
 const unknownPace = -1
 
--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -48,10 +48,7 @@
 		n.seen = max(n.seen, grant.Seen)
 	}
 	n.attached = n.deps.Clock.Now()
-	n.calm = map[string]bool{}
-	for _, image := range grant.Calm {
-		n.calm[image] = true
-	}
+	n.effects = grant.Effects
 	n.mu.Unlock()
 }
 
--- a/hvorder/order.go
+++ b/hvorder/order.go
@@ -129,11 +129,12 @@
 
 // Grant is the answer to a report.
 type Grant struct {
-	// Calm lists the images of fill work that do not disturb the serving tasks
-	// on the host.
-	Calm  []string `json:"calm,omitempty"`
-	Until int64    `json:"until,omitempty"`
-	Seen  int64    `json:"seen,omitempty"`
+	// Effects holds the images of fill work that disturb the serving tasks on
+	// the host: by how many thousandths a processor in use raises the logarithm
+	// of the worst tail. Images that are absent do not disturb.
+	Effects map[string]int64 `json:"effects,omitempty"`
+	Until   int64            `json:"until,omitempty"`
+	Seen    int64            `json:"seen,omitempty"`
 }
 
 // Append is a relayed append.
