--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -102,6 +102,7 @@
 		}
 	}
 	h.pace = fullPace + r.Pace
+	h.noteSlow(now)
 	c.learn(r)
 	c.noteSaved(h, r.Running)
 	if r.Full {
@@ -258,6 +259,7 @@
 		}
 	}
 	c.checkStragglers(now)
+	c.moveSlowed(now)
 }
 
 // settle lets inherited tasks start once every host has listed what it runs
--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -215,6 +215,8 @@
 		return false
 	case s.Fill && h.filled+s.Need.CPU > h.unused():
 		return false
+	case s.Fill && c.crowdedOut(t, h):
+		return false
 	case s.Label != "" && !slices.Contains(h.info.Labels, s.Label):
 		return false
 	case s.Spread > 0 && t.step.perHost[h] >= s.Spread:
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -114,6 +114,9 @@
 	// pace is the share in percent that the node leaves to fill work that
 	// disturbs.
 	pace int
+	// slowSince is since when the share is low, and moved when a run was last
+	// moved away.
+	slowSince, moved time.Time
 	// got is the number of the last end that was processed, kept that of the
 	// last one whose effect is stored, and told what the node knows of kept.
 	got, kept, told int64
