--- a/hvcell/disturb.go
+++ b/hvcell/disturb.go
@@ -27,6 +27,29 @@
 	coreUnit = 1000.0
 )
 
+// Learned is what an owner hands to the next one.
+type Learned struct {
+	Effects hvinterference.Effects `json:"effects,omitempty"`
+	Times   map[string]History     `json:"times,omitempty"`
+}
+
+// Learned returns what the cell has learned.
+func (c *Cell) Learned() Learned {
+	l := Learned{Effects: c.disturb.Effects(), Times: map[string]History{}}
+	for queue, h := range c.estimate.queues {
+		l.Times[queue] = *h
+	}
+	return l
+}
+
+// Restore starts from what the owner before has learned.
+func (c *Cell) Restore(l Learned) {
+	c.disturb.Restore(l.Effects)
+	for queue, h := range l.Times {
+		c.estimate.queues[queue] = &h
+	}
+}
+
 // learn takes the changes of the tails of serving tasks and of the load beside
 // them.
 func (c *Cell) learn(r hvorder.Report) {
--- a/hvcell/estimate.go
+++ b/hvcell/estimate.go
@@ -15,32 +15,33 @@
 
 // estimator predicts run times. Callers' estimates are far off in some queues,
 // so each queue uses the better of the estimates and its own mean.
-type estimator struct{ queues map[string]*history }
+type estimator struct{ queues map[string]*History }
 
-// history is what is known of the run times of a queue, as logarithms of
+// History is what is known of the run times of a queue, as logarithms of
 // milliseconds.
-type history struct {
-	n    int
-	mean float64
-	// ofMean and ofEstimate are the mean absolute errors of both predictions.
-	ofMean, ofEstimate float64
+type History struct {
+	Count int     `json:"count"`
+	Mean  float64 `json:"mean"`
+	// OfMean and OfEstimate are the mean absolute errors of both predictions.
+	OfMean     float64 `json:"ofmean"`
+	OfEstimate float64 `json:"ofestimate"`
 }
 
-func newEstimator() estimator { return estimator{queues: map[string]*history{}} }
+func newEstimator() estimator { return estimator{queues: map[string]*History{}} }
 
 func (e *estimator) learn(s *step, took time.Duration) {
 	ms := float64(max(took.Milliseconds(), 1))
 	h := e.queues[s.round.job.Queue]
 	if h == nil {
-		h = &history{mean: math.Log(ms)}
+		h = &History{Mean: math.Log(ms)}
 		e.queues[s.round.job.Queue] = h
 	}
-	h.n++
-	w := max(learnWeight, 1/float64(h.n))
+	h.Count++
+	w := max(learnWeight, 1/float64(h.Count))
 	actual := math.Log(ms)
-	h.ofMean += w * (math.Abs(actual-h.mean) - h.ofMean)
-	h.ofEstimate += w * (math.Abs(actual-math.Log(float64(max(s.spec.Estimate, 1)))) - h.ofEstimate)
-	h.mean += w * (actual - h.mean)
+	h.OfMean += w * (math.Abs(actual-h.Mean) - h.OfMean)
+	h.OfEstimate += w * (math.Abs(actual-math.Log(float64(max(s.spec.Estimate, 1)))) - h.OfEstimate)
+	h.Mean += w * (actual - h.Mean)
 }
 
 // task returns the expected run time of a task of a step.
@@ -49,8 +50,8 @@
 		return s.took.value()
 	}
 	h := e.queues[s.round.job.Queue]
-	if h != nil && h.n >= minLearned && (h.ofMean < h.ofEstimate || s.spec.Estimate == 0) {
-		return time.Duration(math.Exp(h.mean)) * time.Millisecond
+	if h != nil && h.Count >= minLearned && (h.OfMean < h.OfEstimate || s.spec.Estimate == 0) {
+		return time.Duration(math.Exp(h.Mean)) * time.Millisecond
 	}
 	return time.Duration(s.spec.Estimate) * time.Millisecond
 }
--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -24,8 +24,8 @@
 	// ownerSpacing and followerSpacing separate reads of the topic that
 	// returned records. The owner starts what it reads, followers only answer
 	// for it.
-	ownerSpacing    = 5 * time.Millisecond
-	followerSpacing = 40 * time.Millisecond
+	ownerSpacing    = 15 * time.Millisecond
+	followerSpacing = 80 * time.Millisecond
 	// freshEnough is the age up to which a replica can tell that a job does
 	// not exist.
 	freshEnough = 3 * time.Second
@@ -153,7 +153,7 @@
 		return
 	}
 	owner := hvowner.New(hvowner.Options{
-		Writer: w, Claimed: claimed, Early: g.options.Early, Retain: g.options.Retain, Remote: g.options.Remote,
+		Writer: w, Claimed: claimed, Learned: g.replica.Learned(), Early: g.options.Early, Retain: g.options.Retain, Remote: g.options.Remote,
 		Clock: g.options.Clock, Metrics: g.options.Metrics, Logger: g.options.Logger,
 	})
 	if c := g.Catalog(); c != nil {
--- a/hventry/peers.go
+++ b/hventry/peers.go
@@ -142,21 +142,21 @@
 		return process{ID: id}, nil
 	})
 	hvwire.Handle(m, hvorder.MethodAppend, func(ctx context.Context, _ *hvwire.Conn, req hvorder.Append) (ans hvorder.Appended, err error) {
-		err = r.Direct(func(s hv.KeyedStore) error {
+		err = r.Direct(ctx, func(ctx context.Context, s hv.KeyedStore) error {
 			ans.End, err = s.Append(ctx, req.Topic, req.Records, req.Fence)
 			return err
 		})
 		return ans, err
 	})
 	hvwire.Handle(m, hvorder.MethodRead, func(ctx context.Context, _ *hvwire.Conn, req hvorder.Read) (page hv.KeyedPage, err error) {
-		err = r.Direct(func(s hv.KeyedStore) error {
+		err = r.Direct(ctx, func(ctx context.Context, s hv.KeyedStore) error {
 			page, err = s.Read(ctx, req.Topic, req.From, time.Duration(req.Wait)*time.Millisecond)
 			return err
 		})
 		return page, err
 	})
 	hvwire.Handle(m, hvorder.MethodNewest, func(ctx context.Context, _ *hvwire.Conn, req hvorder.Read) (page hv.KeyedPage, err error) {
-		err = r.Direct(func(s hv.KeyedStore) error {
+		err = r.Direct(ctx, func(ctx context.Context, s hv.KeyedStore) error {
 			page, err = s.Newest(ctx, req.Topic)
 			return err
 		})
--- a/hvinterference/changes.go
+++ b/hvinterference/changes.go
@@ -17,17 +17,63 @@
 	prior    Belief
 	noise    float64
 	services map[string]*normal
+	// known holds effects from an earlier model, by service and program.
+	known Effects
 }
 
+// Effects holds what a model knows, by service and program.
+type Effects map[string]map[string]Belief
+
 // NewChanges returns a model without samples. Prior is the effect of a unit of
 // load on the logarithm of the tail, noise the variance of one change.
 func NewChanges(prior Belief, noise float64) *Changes {
 	return &Changes{prior: prior, noise: noise, services: map[string]*normal{}}
 }
 
+// ageing is what the variance of an effect grows by when another model goes on
+// with it, as load may have shifted.
+const ageing = 0.02 * 0.02
+
+// Restore starts from the effects of an earlier model. It must be called
+// before the first sample.
+func (c *Changes) Restore(e Effects) { c.known = e }
+
+// Effects returns what the model knows.
+func (c *Changes) Effects() Effects {
+	out := Effects{}
+	for service, programs := range c.known {
+		for program := range programs {
+			out.set(service, program, c.Effect(service, program))
+		}
+	}
+	for service, n := range c.services {
+		for program := range n.index {
+			out.set(service, program, c.Effect(service, program))
+		}
+	}
+	return out
+}
+
+func (e Effects) set(service, program string, b Belief) {
+	if e[service] == nil {
+		e[service] = map[string]Belief{}
+	}
+	e[service][program] = b
+}
+
+// start is what is assumed of a pair before the first sample of this model.
+func (c *Changes) start(service, program string) Belief {
+	if b, ok := c.known[service][program]; ok {
+		return Belief{Mean: b.Mean, Variance: min(b.Variance+ageing, c.prior.Variance)}
+	}
+	return c.prior
+}
+
 // normal holds the normal equations of a ridge regression.
 type normal struct {
 	index map[string]int
+	// means holds what was assumed of each program at the start.
+	means []float64
 	a     [][]float64
 	b     []float64
 	// effects is the last solution and fresh the samples since.
@@ -51,8 +97,9 @@
 	}
 	y := min(max(change, -maxChange), maxChange)
 	for program, load := range moved {
-		n.add(program, c.noise/c.prior.Variance)
-		y -= c.prior.Mean * load
+		start := c.start(service, program)
+		n.add(program, start.Mean, c.noise/start.Variance)
+		y -= start.Mean * load
 	}
 	for p, x := range moved {
 		i, ok := n.index[p]
@@ -69,8 +116,8 @@
 	n.fresh++
 }
 
-// add makes room for a program; ridge is the weight of its prior.
-func (n *normal) add(program string, ridge float64) {
+// add makes room for a program; ridge is the weight of its mean.
+func (n *normal) add(program string, mean, ridge float64) {
 	if _, ok := n.index[program]; ok || len(n.b) >= MaxNames {
 		return
 	}
@@ -82,6 +129,7 @@
 	n.a = append(n.a, make([]float64, k+1))
 	n.a[k][k] = ridge
 	n.b = append(n.b, 0)
+	n.means = append(n.means, mean)
 	n.fresh = solveAfter
 }
 
@@ -90,25 +138,25 @@
 func (c *Changes) Effect(service, program string) Belief {
 	n := c.services[service]
 	if n == nil {
-		return c.prior
+		return c.start(service, program)
 	}
 	i, ok := n.index[program]
 	if !ok {
-		return c.prior
+		return c.start(service, program)
 	}
 	if n.fresh >= solveAfter || i >= len(n.effects) {
-		n.solve(c.prior.Mean, c.noise)
+		n.solve(c.noise)
 	}
 	return n.effects[i]
 }
 
 // solve inverts the matrix by Gauss and Jordan. The ridge keeps it regular.
-func (n *normal) solve(mean, noise float64) {
+func (n *normal) solve(noise float64) {
 	k := len(n.b)
 	inverse := invert(n.a)
 	n.effects = make([]Belief, k)
 	for i := range n.effects {
-		sum := mean
+		sum := n.means[i]
 		for j, b := range n.b {
 			sum += inverse[i][j] * b
 		}
--- a/hvinterference/changes_test.go
+++ b/hvinterference/changes_test.go
@@ -53,3 +53,27 @@
 	fmt.Printf("%.2f\n", c.Effect("label-desk", "report").Mean)
 	// Output: 0.10
 }
+
+// Guards against a new owner that forgets what the one before has learned, or
+// can no longer unlearn it.
+func TestRestoredEffectsYield(t *testing.T) {
+	prior := Belief{Mean: 0.05, Variance: 0.0144}
+	old := NewChanges(prior, 0.0625)
+	for range 200 {
+		old.Observe("s", map[string]float64{"p": 2}, 0.4)
+	}
+	c := NewChanges(prior, 0.0625)
+	c.Restore(old.Effects())
+	if got := c.Effect("s", "p").Mean; math.Abs(got-0.2) > 0.02 {
+		t.Fatalf("restored effect is %.3f, want 0.2", got)
+	}
+	if got := c.Effects()["s"]["p"].Mean; math.Abs(got-0.2) > 0.02 {
+		t.Fatalf("effect that was not seen again is %.3f in the next model", got)
+	}
+	for range 300 {
+		c.Observe("s", map[string]float64{"p": 2}, 0)
+	}
+	if got := c.Effect("s", "p").Mean; math.Abs(got) > 0.03 {
+		t.Fatalf("effect after 300 samples of another one is %.3f", got)
+	}
+}
--- a/hvinterference/model.go
+++ b/hvinterference/model.go
@@ -5,7 +5,8 @@
 
 // Belief is the estimate of one coefficient and its variance.
 type Belief struct {
-	Mean, Variance float64
+	Mean     float64 `json:"mean"`
+	Variance float64 `json:"variance"`
 }
 
 // Prior is what is assumed before any sample. The model is linear in the
--- a/hvledger/record.go
+++ b/hvledger/record.go
@@ -11,13 +11,14 @@
 	"hibiscusvane.example/hibiscusvane/hvorder"
 )
 
-// Keys of the topic. All but ownerKey are followed by an identifier.
+// Keys of the topic. Those that end in a slash are followed by an identifier.
 const (
 	jobPrefix      = "job/"
 	cancelPrefix   = "cancel/"
 	progressPrefix = "progress/"
 	nodePrefix     = "node/"
 	ownerKey       = "owner"
+	learnedKey     = "learned"
 )
 
 // Node is a process of the system as it registered itself.
@@ -66,6 +67,9 @@
 	return []hv.KeyedRecord{{Key: progressPrefix + id}, {Key: cancelPrefix + id}, {Key: jobPrefix + id}}
 }
 
+// LearnedRecord returns the record of what owners have learned.
+func LearnedRecord(v any) (hv.KeyedRecord, error) { return encode(learnedKey, v) }
+
 func claimRecord(c Claim) (hv.KeyedRecord, error) { return encode(ownerKey, c) }
 
 func encode(key string, v any) (hv.KeyedRecord, error) {
--- a/hvledger/relay.go
+++ b/hvledger/relay.go
@@ -12,8 +12,12 @@
 )
 
 const (
-	// directRetry is how long a store that failed is not called directly.
-	directRetry = 400 * time.Millisecond
+	// probeInterval separates the reads that find out whether a store that
+	// failed is back. All other calls fail at once in the meantime, so that
+	// nobody waits for a store that is known to be silent.
+	probeInterval = 150 * time.Millisecond
+	// probeTimeout bounds such a read; a slow store answers within 300 ms.
+	probeTimeout = 400 * time.Millisecond
 	// maxRelays bounds the peers that are asked for one call.
 	maxRelays = 2
 )
@@ -33,8 +37,10 @@
 	clock  hv.Clock
 	logger log.Logger
 
-	mu      sync.Mutex
-	closed  time.Time
+	mu sync.Mutex
+	// failed is true after a call without an answer until one is answered.
+	failed  bool
+	probed  time.Time
 	relayed bool
 }
 
@@ -47,7 +53,7 @@
 
 // Append implements hibiscusvane.KeyedStore.
 func (r *Relay) Append(ctx context.Context, topic string, recs []hv.KeyedRecord, f hv.Fence) (end int64, err error) {
-	err = r.try(ctx, func(s hv.KeyedStore) error {
+	err = r.try(ctx, r.up, func(ctx context.Context, s hv.KeyedStore) error {
 		end, err = s.Append(ctx, topic, recs, f)
 		return err
 	})
@@ -56,7 +62,7 @@
 
 // Read implements hibiscusvane.KeyedStore.
 func (r *Relay) Read(ctx context.Context, topic string, from int64, wait time.Duration) (page hv.KeyedPage, err error) {
-	err = r.try(ctx, func(s hv.KeyedStore) error {
+	err = r.try(ctx, r.upOrProbe, func(ctx context.Context, s hv.KeyedStore) error {
 		page, err = s.Read(ctx, topic, from, wait)
 		return err
 	})
@@ -65,26 +71,35 @@
 
 // Newest implements hibiscusvane.KeyedStore.
 func (r *Relay) Newest(ctx context.Context, topic string) (page hv.KeyedPage, err error) {
-	err = r.try(ctx, func(s hv.KeyedStore) error {
+	err = r.try(ctx, r.upOrProbe, func(ctx context.Context, s hv.KeyedStore) error {
 		page, err = s.Newest(ctx, topic)
 		return err
 	})
 	return page, err
 }
 
-// Direct returns the store without relays, for calls on behalf of peers. It
-// refuses while the store has just failed.
-func (r *Relay) Direct(call func(s hv.KeyedStore) error) error {
-	if !r.open() {
-		return failure("direct", hv.Unavailable, "the store has just failed")
+type storeCall func(ctx context.Context, s hv.KeyedStore) error
+
+// Direct calls the store on behalf of another gate. It refuses while the store
+// has failed.
+func (r *Relay) Direct(ctx context.Context, call storeCall) error { return r.callDirect(ctx, r.up, call) }
+
+func (r *Relay) callDirect(ctx context.Context, allowed func() bool, call storeCall) error {
+	if !allowed() {
+		return failure("direct", hv.Unavailable, "the store has failed and is not back")
+	}
+	if r.isFailed() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
 	}
-	err := call(r.direct)
+	err := call(ctx, r.direct)
 	r.judge(err)
 	return err
 }
 
-func (r *Relay) try(ctx context.Context, call func(s hv.KeyedStore) error) error {
-	err := r.Direct(call)
+func (r *Relay) try(ctx context.Context, allowed func() bool, call storeCall) error {
+	err := r.callDirect(ctx, allowed, call)
 	if !isOutage(err) {
 		return err
 	}
@@ -93,7 +108,7 @@
 		if i == maxRelays || ctx.Err() != nil {
 			break
 		}
-		again := call(s)
+		again := call(ctx, s)
 		if !isOutage(again) {
 			r.noteRelayed(true)
 			return again
@@ -118,20 +133,41 @@
 	return false
 }
 
-func (r *Relay) open() bool {
+func (r *Relay) isFailed() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.clock.Now().Before(r.closed)
+	return r.failed
+}
+
+func (r *Relay) up() bool { return !r.isFailed() }
+
+// upOrProbe also lets one call through at an interval while the store has
+// failed.
+func (r *Relay) upOrProbe() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.failed {
+		return true
+	}
+	now := r.clock.Now()
+	if now.Sub(r.probed) < probeInterval {
+		return false
+	}
+	r.probed = now
+	return true
 }
 
 func (r *Relay) judge(err error) {
-	if !isOutage(err) {
+	outage := isOutage(err)
+	r.mu.Lock()
+	if outage && !r.failed {
+		r.probed = r.clock.Now()
+	}
+	r.failed = outage
+	r.mu.Unlock()
+	if !outage {
 		r.noteRelayed(false)
-		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.closed = r.clock.Now().Add(directRetry)
 }
 
 // noteRelayed logs when calls begin and stop to go through peers.
--- a/hvledger/replica.go
+++ b/hvledger/replica.go
@@ -68,6 +68,8 @@
 	failing bool
 	// newer holds offsets of keys that were loaded from beyond next.
 	newer map[string]int64
+	// learned is what the last owner has learned, as it was stored.
+	learned []byte
 }
 
 // NewReplica returns an empty replica.
@@ -153,6 +155,12 @@
 		r.applyClaim(rec)
 		return
 	}
+	if rec.Key == learnedKey {
+		r.mu.Lock()
+		r.learned, r.heard = rec.Value, r.clock.Now()
+		r.mu.Unlock()
+		return
+	}
 	switch prefix, id := cutKey(rec.Key); prefix {
 	case jobPrefix:
 		r.applyJob(rec, id)
@@ -296,6 +304,13 @@
 	return r.claim, r.claimed
 }
 
+// Learned returns what the last owner has learned, as it was stored, or nil.
+func (r *Replica) Learned() []byte {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.learned
+}
+
 // Silence is how long nothing has come from the owner although the topic
 // could be read.
 func (r *Replica) Silence() time.Duration {
--- a/hvledger/tail.go
+++ b/hvledger/tail.go
@@ -15,7 +15,7 @@
 const (
 	// tailWait is how long a read waits at the store; a store that has gone
 	// silent is noticed after it and the time of a call.
-	tailWait = 500 * time.Millisecond
+	tailWait = 400 * time.Millisecond
 	// tailRetry separates reads while the store does not answer.
 	tailRetry = 150 * time.Millisecond
 )
@@ -65,7 +65,12 @@
 		return t.note(ctx, err)
 	}
 	from := t.target.Next()
-	page, err := t.store.Read(ctx, t.topic, from, tailWait)
+	wait := tailWait
+	if t.failed {
+		// The answer tells whether the store is back, so it must not wait.
+		wait = 0
+	}
+	page, err := t.store.Read(ctx, t.topic, from, wait)
 	return t.note(ctx, t.take(page, err))
 }
 
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
@@ -24,12 +25,15 @@
 	// between are planned together.
 	planSpacing = 4 * time.Millisecond
 	// flushSpacing is the least time between two appends.
-	flushSpacing = 15 * time.Millisecond
+	flushSpacing = 25 * time.Millisecond
 	// tickInterval is how often leases and due times are looked at.
 	tickInterval = 100 * time.Millisecond
 	// lease is what each report of a node is granted. It outlasts the restart
 	// of a node's process, and a task on a lost host waits for it to pass.
 	lease = 5 * time.Second
+	// learnedInterval is how often what was learned is stored for the next
+	// owner.
+	learnedInterval = 2 * time.Second
 	// authority is how long an owner goes on without an answered append.
 	authority = 10 * time.Second
 )
@@ -39,6 +43,8 @@
 	Writer *hvledger.Writer
 	// Claimed is the offset of the claim.
 	Claimed int64
+	// Learned is what the owner before has learned, as it was stored, or nil.
+	Learned []byte
 	Early   time.Duration
 	Retain  time.Duration
 	Remote  float64
@@ -57,6 +63,9 @@
 	// run is the context of the links; it is nil until Run is called.
 	run context.Context
 
+	// noted is when what was learned was last stored; only flush uses it.
+	noted time.Time
+
 	wakePlan  chan struct{}
 	wakeFlush chan struct{}
 	deposed   context.CancelCauseFunc
@@ -70,9 +79,23 @@
 		Epoch: o.Writer.Claim().Epoch, Claimed: o.Claimed, Now: o.Clock.Now(), Lease: lease, Authority: authority,
 		Early: o.Early, Remote: o.Remote, Retain: o.Retain, Health: health, Logger: o.Logger,
 	})
+	w.restore(o.Learned)
 	return w
 }
 
+// restore goes on with what the owner before has learned.
+func (o *Owner) restore(stored []byte) {
+	if len(stored) == 0 {
+		return
+	}
+	var l hvcell.Learned
+	if err := json.Unmarshal(stored, &l); err != nil {
+		_ = level.Warn(o.options.Logger).Log("msg", "what was learned cannot be decoded", "err", err)
+		return
+	}
+	o.cell.Restore(l)
+}
+
 // fleet is called by the health under the owner's lock.
 func (o *Owner) fleet() int { return len(o.links) }
 
@@ -228,13 +251,21 @@
 }
 
 func (o *Owner) flush(ctx context.Context) error {
+	now := o.options.Clock.Now()
 	o.mu.Lock()
-	batch, ok := o.cell.Batch(o.options.Clock.Now())
+	batch, ok := o.cell.Batch(now)
 	o.mu.Unlock()
 	recs, err := records(batch)
 	if err != nil {
 		return err
 	}
+	if now.Sub(o.noted) > learnedInterval {
+		o.noted = now
+		recs, err = o.addLearned(recs)
+		if err != nil {
+			return err
+		}
+	}
 	switch {
 	case len(recs) > 0:
 		err = o.options.Writer.Append(ctx, recs)
@@ -251,6 +282,18 @@
 	return nil
 }
 
+// addLearned adds what the next owner should go on with.
+func (o *Owner) addLearned(recs []hv.KeyedRecord) ([]hv.KeyedRecord, error) {
+	o.mu.Lock()
+	l := o.cell.Learned()
+	o.mu.Unlock()
+	rec, err := hvledger.LearnedRecord(l)
+	if err != nil {
+		return nil, err
+	}
+	return append(recs, rec), nil
+}
+
 func records(b hvcell.Batch) ([]hv.KeyedRecord, error) {
 	var recs []hv.KeyedRecord
 	for _, p := range b.Progress {
--- a/hvwire/conn.go
+++ b/hvwire/conn.go
@@ -81,7 +81,7 @@
 	}
 	stream := jsonrpc2.NewBufferedStream(&limitedConn{Conn: nc}, frameCodec{})
 	next := jsonrpc2.HandlerWithError(handle).SuppressErrClosed()
-	c.rpc = jsonrpc2.NewConn(context.Background(), stream, &asyncHandler{conn: c, next: next}, jsonrpc2.OnRecv(c.calls.received))
+	c.rpc = jsonrpc2.NewConn(context.Background(), stream, &asyncHandler{conn: c, next: next}, jsonrpc2.OnRecv(c.calls.received), jsonrpc2.SetLogger(quiet{}))
 	close(ready)
 	go c.watch()
 	return c
@@ -225,3 +225,10 @@
 	}
 	return &Error{Op: method, Kind: hv.Uncertain, Err: err}
 }
+
+// quiet drops the lines that the library writes when a connection ends: both
+// ends log that themselves, with what it meant to them.
+type quiet struct{}
+
+// Printf implements jsonrpc2.Logger.
+func (quiet) Printf(string, ...any) {}
