--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -53,6 +53,8 @@
 	// disturb is how fill work slows serving tasks, by image.
 	disturb *hvinterference.Changes
 	seq     int64
+	// kept is when saved states were last marked to be stored.
+	kept    time.Time
 	settled bool
 	// suspended is true while the owner can no longer be sure to be the owner.
 	suspended bool
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -146,9 +146,10 @@
 func (c *Cell) noteSaved(h *host, rows []hv.RunState) {
 	for _, row := range rows {
 		if r := h.runs[hvorder.Run{Task: row.Task, Run: row.Run}]; r != nil {
-			r.listed = true
-			if row.Saved != "" {
+			if row.Saved != "" && row.Saved != r.saved && r.task.step.spec.Checkpoint {
 				r.saved = row.Saved
+				r.task.progress().save(r.task.index, row.Saved)
+				r.task.step.round.job.saved = true
 			}
 		}
 	}
@@ -197,7 +198,6 @@
 // adopt takes over a run that a host lists, or stops it.
 func (c *Cell) adopt(now time.Time, h *host, ref hvorder.Run, saved string) {
 	if known := h.runs[ref]; known != nil {
-		known.listed = true
 		return
 	}
 	t := c.task(ref.Task)
@@ -207,7 +207,7 @@
 		return
 	}
 	r := c.commit(now, h, t, ref.Run)
-	r.listed, r.saved = true, saved
+	r.saved = saved
 	t.next = max(t.next, ref.Run+1)
 	t.step.next = max(t.step.next, ref.Run+1)
 	h.orders.Profiles = append(h.orders.Profiles, profile(r))
@@ -258,10 +258,28 @@
 			c.begin(now, j)
 		}
 	}
+	c.keepSaved(now)
 	c.checkStragglers(now)
 	c.moveSlowed(now)
 }
 
+// saveInterval is how often saved states are stored. A new owner that finds no
+// run of a task starts it from the stored state.
+const saveInterval = time.Second
+
+func (c *Cell) keepSaved(now time.Time) {
+	if now.Sub(c.kept) < saveInterval {
+		return
+	}
+	c.kept = now
+	for _, j := range c.jobs {
+		if j.saved {
+			j.saved = false
+			c.touch(j)
+		}
+	}
+}
+
 // settle lets inherited tasks start once every host has listed what it runs
 // or can run nothing of the owner before.
 func (c *Cell) settle(now time.Time) {
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -26,6 +26,8 @@
 	inherited bool
 	// changed is true while the progress is not stored.
 	changed bool
+	// saved is true while saved states of its runs are not stored.
+	saved bool
 }
 
 type round struct {
@@ -84,9 +86,7 @@
 	phase   runPhase
 	started time.Time
 	commit  hvjob.Size
-	// listed is true once the executor has listed the run.
-	listed bool
-	saved  string
+	saved   string
 }
 
 func (r *run) ref() hvorder.Run { return hvorder.Run{Task: r.task.name, Run: r.number} }
--- a/hvledger/relay.go
+++ b/hvledger/relay.go
@@ -82,7 +82,9 @@
 
 // Direct calls the store on behalf of another gate. It refuses while the store
 // has failed.
-func (r *Relay) Direct(ctx context.Context, call storeCall) error { return r.callDirect(ctx, r.up, call) }
+func (r *Relay) Direct(ctx context.Context, call storeCall) error {
+	return r.callDirect(ctx, r.up, call)
+}
 
 func (r *Relay) callDirect(ctx context.Context, allowed func() bool, call storeCall) error {
 	if !allowed() {
