Test the decisions of a cell, also under random faults

Found by it and mended: a task could not start again when the only host left was one on which it had failed, and a task that is longer than estimated was given up again and again.

--- /dev/null
+++ b/hvcell/cell_test.go
@@ -0,0 +1,391 @@
+package hvcell
+
+import (
+	"testing"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvjob"
+	"hibiscusvane.example/hibiscusvane/hvorder"
+)
+
+// Guards against a step that starts before the steps it depends on, and a job
+// that never becomes complete.
+func TestStepsRunInOrder(t *testing.T) {
+	w := newWorld(t, 2)
+	w.attachAll()
+	second := step1(3, 1000)
+	second.After = []int{0}
+	j := w.submit(steps(step1(4, 1000), second))
+	w.exchange()
+	if n := w.runs(); n != 4 {
+		t.Fatalf("%d runs, want the 4 of the first step", n)
+	}
+	w.finishAll(hv.EndDone)
+	w.exchange()
+	if n := w.runs(); n != 3 {
+		t.Fatalf("%d runs, want the 3 of the second step", n)
+	}
+	w.finishAll(hv.EndDone)
+	w.exchange()
+	if s := w.stored[j.ID].State; s != hvjob.Complete {
+		t.Fatalf("stored state is %q", s)
+	}
+}
+
+// Guards against ends that are acknowledged before their effect is stored.
+func TestEndsAreAcknowledgedAfterTheStore(t *testing.T) {
+	w := newWorld(t, 1)
+	w.attachAll()
+	w.submit(steps(step1(1, 1000)))
+	w.exchange()
+	w.finishAll(hv.EndDone)
+	e := w.hosts["host-0"]
+	g := w.cell.Report(w.now, e.name, e.report(false))
+	if g.Seen != 0 {
+		t.Fatalf("end %d is acknowledged before it is stored", g.Seen)
+	}
+	w.store()
+	if g := w.cell.Report(w.now, e.name, e.report(false)); g.Seen != 1 {
+		t.Fatalf("acknowledged up to %d after the store, want 1", g.Seen)
+	}
+}
+
+// Guards against a job that is retried beyond its attempts, also when a new
+// owner sees a failed end that the one before has counted.
+func TestAttemptsAreCountedOnce(t *testing.T) {
+	w := newWorld(t, 3)
+	w.attachAll()
+	j := w.submit(steps(step1(1, 1000)))
+	for i := 1; i <= 3; i++ {
+		w.exchange()
+		if w.runs() != 1 {
+			t.Fatalf("attempt %d did not start", i)
+		}
+		w.finishAll(hv.EndFailed)
+		if i == 1 {
+			// Stored, but the acknowledgement is lost with the owner.
+			for name, e := range w.hosts {
+				w.cell.Report(w.now, name, e.report(false))
+			}
+			w.store()
+			w.takeOver()
+			w.attachAll()
+		}
+	}
+	w.exchange()
+	if s := w.stored[j.ID].State; s != hvjob.Failed {
+		t.Fatalf("state after 3 failed runs is %q", s)
+	}
+}
+
+// Guards against two runs of one task when an order was lost on its way: the
+// run is barred before the task starts elsewhere.
+func TestLostOrderIsBarredFirst(t *testing.T) {
+	w := newWorld(t, 2)
+	w.attach("host-0")
+	w.submit(steps(step1(1, 1000)))
+	w.cell.Plan(w.now)
+	lost, ok := w.cell.Orders("host-0")
+	if !ok || len(lost.Starts) != 1 {
+		t.Fatalf("orders are %+v", lost)
+	}
+	w.cell.Detached(w.now, "host-0")
+	w.attach("host-1")
+	w.cell.Plan(w.now)
+	if o, _ := w.cell.Orders("host-1"); len(o.Starts) > 0 {
+		t.Fatal("the task starts elsewhere while its order may be on its way")
+	}
+	w.attach("host-0")
+	o := w.deliver("host-0")
+	if len(o.Stops) != 1 || o.Stops[0] != lost.Starts[0].Run {
+		t.Fatalf("stops are %v, want the lost run", o.Stops)
+	}
+	// The late order finds its run barred.
+	w.hosts["host-0"].obey(lost)
+	w.exchange()
+	if w.runs() != 1 {
+		t.Fatalf("%d runs", w.runs())
+	}
+}
+
+// Guards against a new owner that starts a task again while a host that it
+// cannot reach may still run it, and against one that waits for jobs of its
+// own time.
+func TestInheritedTasksWaitForSilentHosts(t *testing.T) {
+	w := newWorld(t, 2)
+	w.attach("host-0")
+	w.submit(steps(step1(2, 1000)))
+	w.attach("host-1")
+	w.exchange()
+	if w.runs() != 2 {
+		t.Fatalf("%d runs", w.runs())
+	}
+	silent, other := "host-0", "host-1"
+	if len(w.hosts[silent].running) == 0 {
+		silent, other = other, silent
+	}
+	w.takeOver()
+	w.attach(other)
+	j := w.submit(steps(step1(1, 1000)))
+	before := w.runs()
+	w.exchange()
+	if w.runs() != before+1 {
+		t.Fatalf("%d runs, want those of before and the one of job %s", w.runs(), j.ID)
+	}
+	for range 16 {
+		w.advance(time.Second)
+		w.exchange()
+	}
+	if w.runs() != 3 {
+		t.Fatalf("%d runs after the leases have passed, want 3", w.runs())
+	}
+}
+
+// Guards against tasks that stay lost with their host, and against restarting
+// them before its lease has passed.
+func TestTasksOfSilentHostStartAfterItsLease(t *testing.T) {
+	w := newWorld(t, 2)
+	w.attachAll()
+	w.submit(steps(step1(8, 1000)))
+	w.exchange()
+	lost := len(w.hosts["host-0"].running)
+	if lost == 0 || w.runs() != 8 {
+		t.Fatalf("%d runs, %d of them on host-0", w.runs(), lost)
+	}
+	w.cell.Detached(w.now, "host-0")
+	w.advance(4 * time.Second)
+	w.exchange()
+	if w.runs() != 8 {
+		t.Fatal("tasks started before the lease has passed")
+	}
+	for range 3 {
+		w.advance(time.Second)
+		w.exchange()
+	}
+	if got := len(w.hosts["host-1"].running); got != 8 {
+		t.Fatalf("%d runs on the other host, want all 8", got)
+	}
+}
+
+// Guards against waiting for the lease of an executor that is known to be gone.
+func TestTasksOfDeadExecutorStartAtOnce(t *testing.T) {
+	w := newWorld(t, 2)
+	w.attachAll()
+	w.submit(steps(step1(8, 1000)))
+	w.exchange()
+	w.hosts["host-0"].crash()
+	w.exchange()
+	if got := len(w.hosts["host-1"].running); got != 8 {
+		t.Fatalf("%d runs on the other host, want all 8", got)
+	}
+}
+
+// Guards against a task that stays with an executor that came back without it
+// under the same identifier.
+func TestNewLifeLosesRuns(t *testing.T) {
+	w := newWorld(t, 1)
+	w.attachAll()
+	w.submit(steps(step1(2, 1000)))
+	w.exchange()
+	w.advance(time.Second)
+	w.hosts["host-0"].start()
+	w.exchange()
+	if w.runs() != 2 {
+		t.Fatalf("%d runs in the new life, want 2", w.runs())
+	}
+}
+
+// Guards against work for a host that leaves.
+func TestDrainingHostGetsNothing(t *testing.T) {
+	w := newWorld(t, 2)
+	w.attachAll()
+	r := w.hosts["host-0"].report(false)
+	r.Host.Draining = true
+	w.cell.Report(w.now, "host-0", r)
+	w.submit(steps(step1(4, 1000)))
+	w.cell.Plan(w.now)
+	if o, _ := w.cell.Orders("host-0"); len(o.Starts) > 0 {
+		t.Fatalf("%d starts on the draining host", len(o.Starts))
+	}
+	w.deliver("host-1")
+	if w.runs() != 4 {
+		t.Fatalf("%d runs on the other host, want 4", w.runs())
+	}
+}
+
+// Guards against runs of a cancelled job that go on or start again.
+func TestCancelStopsRuns(t *testing.T) {
+	w := newWorld(t, 2)
+	w.attachAll()
+	j := w.submit(steps(step1(6, 1000)))
+	w.exchange()
+	w.cancel(j.ID)
+	w.exchange()
+	w.exchange()
+	if w.runs() != 0 {
+		t.Fatalf("%d runs of a cancelled job", w.runs())
+	}
+	w.takeOver()
+	w.attachAll()
+	w.exchange()
+	if w.runs() != 0 {
+		t.Fatalf("%d runs of a cancelled job under a new owner", w.runs())
+	}
+}
+
+// Guards against a gang of which only a part is placed, and against ending its
+// job more than once.
+func TestGangStartsWhole(t *testing.T) {
+	w := newWorld(t, 2)
+	w.attachAll()
+	blocker := w.submit(steps(step1(5, 2000)))
+	w.exchange()
+	gang := step1(4, 2000)
+	gang.Gang = true
+	j := w.submit(steps(gang))
+	w.exchange()
+	if w.runs() != 5 {
+		t.Fatalf("%d runs, want none of the gang beside the 5", w.runs())
+	}
+	w.cancel(blocker.ID)
+	w.exchange()
+	w.exchange()
+	if w.runs() != 4 {
+		t.Fatalf("%d runs, want the 4 of the gang", w.runs())
+	}
+	w.finishAll(hv.EndDone)
+	w.exchange()
+	if s := w.stored[j.ID].State; s != hvjob.Complete {
+		t.Fatalf("state of the gang's job is %q", s)
+	}
+}
+
+// Guards against more tasks of a step on one host than its caller allows.
+func TestSpreadLimitsTasksOnHost(t *testing.T) {
+	w := newWorld(t, 2)
+	w.attachAll()
+	s := step1(6, 500)
+	s.Spread = 2
+	w.submit(steps(s))
+	w.exchange()
+	for name, e := range w.hosts {
+		if len(e.running) > 2 {
+			t.Errorf("%d runs on %s, want at most 2", len(e.running), name)
+		}
+	}
+}
+
+// Guards against a scheduled round that starts early or never.
+func TestRoundsStartWhenDue(t *testing.T) {
+	w := newWorld(t, 1)
+	w.attachAll()
+	j := steps(step1(1, 1000))
+	j.Times, j.First, j.Interval = 2, w.now.Add(3*time.Second).UnixMilli(), 4000
+	j = w.submit(j)
+	w.exchange()
+	w.advance(2500 * time.Millisecond)
+	w.exchange()
+	if w.runs() != 0 {
+		t.Fatal("the round starts before it is due")
+	}
+	for range 2 {
+		w.advance(time.Second)
+		w.exchange()
+		if w.runs() != 1 {
+			t.Fatal("the round that is due does not start")
+		}
+		w.finishAll(hv.EndDone)
+		w.exchange()
+		w.advance(3 * time.Second)
+		w.exchange()
+	}
+	if s := w.stored[j.ID].State; s != hvjob.Complete {
+		t.Fatalf("state after both rounds is %q", s)
+	}
+}
+
+// Guards against an owner that goes on giving orders when another may have
+// replaced it.
+func TestSuspendedOwnerStartsNothing(t *testing.T) {
+	w := newWorld(t, 1)
+	w.attachAll()
+	w.cell.Suspend(true)
+	w.submit(steps(step1(1, 1000)))
+	before := w.hosts["host-0"].until
+	w.advance(time.Second)
+	w.exchange()
+	if w.runs() != 0 || w.hosts["host-0"].until.After(before) {
+		t.Fatal("a suspended owner starts tasks or renews leases")
+	}
+}
+
+// Guards against a run that stands still and is left alone.
+func TestStalledRunStartsElsewhere(t *testing.T) {
+	w := newWorld(t, 2)
+	w.attachAll()
+	w.submit(steps(step1(1, 1000)))
+	w.exchange()
+	name := "host-0"
+	if len(w.hosts[name].running) == 0 {
+		name = "host-1"
+	}
+	r := w.hosts[name].report(false)
+	for task, run := range w.hosts[name].running {
+		r.Stalled = append(r.Stalled, hvorder.Run{Task: task, Run: run})
+	}
+	w.cell.Report(w.now, name, r)
+	w.exchange()
+	w.exchange()
+	if len(w.hosts[name].running) != 0 || w.runs() != 1 {
+		t.Fatalf("%d runs on the host that stands still, %d in all", len(w.hosts[name].running), w.runs())
+	}
+}
+
+// Guards against a task that takes much longer than its caller estimated and
+// is given up again and again.
+func TestLongTaskIsNotGivenUpForEver(t *testing.T) {
+	w := newWorld(t, 2)
+	w.attachAll()
+	s := step1(1, 1000)
+	s.Estimate = 100
+	w.submit(steps(s))
+	longest, running := 0, 0
+	last := map[string]int{}
+	for range 600 {
+		w.exchange()
+		now := map[string]int{}
+		for name, e := range w.hosts {
+			for task, run := range e.running {
+				now[name+task] = run
+			}
+		}
+		for k, run := range now {
+			if last[k] == run {
+				running++
+			} else {
+				running = 1
+			}
+		}
+		last = now
+		longest = max(longest, running)
+		w.advance(100 * time.Millisecond)
+	}
+	if longest < 150 {
+		t.Fatalf("the longest run of a minute lasted %d ms", longest*100)
+	}
+}
+
+// Guards against a task that never starts again because the only host that is
+// left is one on which it failed.
+func TestAvoidedHostIsUsedWhenItIsTheLast(t *testing.T) {
+	w := newWorld(t, 2)
+	w.attach("host-0")
+	w.submit(steps(step1(1, 1000)))
+	w.exchange()
+	w.finishAll(hv.EndFailed)
+	w.exchange()
+	if w.runs() != 1 {
+		t.Fatal("the task does not start again on the only host")
+	}
+}
--- /dev/null
+++ b/hvcell/disturb_test.go
@@ -0,0 +1,128 @@
+package hvcell
+
+import (
+	"testing"
+	"time"
+
+	"hibiscusvane.example/hibiscusvane/hvjob"
+	"hibiscusvane.example/hibiscusvane/hvorder"
+)
+
+// pattern is the load that these tests answer: lasting tasks reserve most of
+// the processors and use half of them, while a flood of batch work fills the
+// rest. One image of it slows one image that serves.
+func pattern(w *world) (serving, flood hvjob.Job) {
+	calm := hvjob.Step{Count: 1, Need: hvjob.Size{CPU: 6000, Memory: 100}, Lasting: true, Image: "calm", Target: 50}
+	touchy := calm
+	touchy.Image = "touchy"
+	serving = w.submit(steps(calm, touchy))
+	w.exchange()
+	press := hvjob.Step{Count: 4, Need: hvjob.Size{CPU: 1000, Memory: 100}, Estimate: 2000, Fill: true, Checkpoint: true, Image: "press"}
+	return serving, steps(press)
+}
+
+// teach reports that the image press slows touchy and not calm.
+func teach(w *world, host string) {
+	for i := range 200 {
+		moved, change := int64(1000), int64(300)
+		if i%2 == 1 {
+			moved, change = -moved, -change
+		}
+		r := w.hosts[host].report(false)
+		r.Moved = map[string]int64{"press": moved}
+		r.Tails = []hvorder.Tail{{Image: "touchy", Change: change}, {Image: "calm", Change: 0}}
+		w.cell.Report(w.now, host, r)
+	}
+}
+
+func (e *executor) serves(image string) bool {
+	for _, r := range e.world.cell.hosts[e.name].runs {
+		if r.task.step.spec.Image == image {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a flood of batch work that only one host takes at a time
+// because the processors are reserved, though not used.
+func TestFillWorkUsesReservedProcessors(t *testing.T) {
+	w := newWorld(t, 2)
+	w.attachAll()
+	_, flood := pattern(w)
+	w.submit(flood)
+	w.exchange()
+	if w.runs() != 6 {
+		t.Fatalf("%d runs, want 2 that serve and 4 that fill", w.runs())
+	}
+}
+
+// Guards against fill work beside the serving tasks that it is known to slow.
+func TestFillWorkGoesWhereItDisturbsLeast(t *testing.T) {
+	w := newWorld(t, 2)
+	w.attachAll()
+	_, flood := pattern(w)
+	teach(w, "host-0")
+	w.submit(flood)
+	w.exchange()
+	for name, e := range w.hosts {
+		if e.serves("touchy") && e.serves("press") {
+			t.Errorf("fill work runs on %s beside the image that it slows", name)
+		}
+	}
+	if w.runs() != 6 {
+		t.Fatalf("%d runs, want 6", w.runs())
+	}
+}
+
+// Guards against fill work that stays where it is slowed to a crawl while
+// another host could run it.
+func TestSlowedFillWorkMoves(t *testing.T) {
+	w := newWorld(t, 2)
+	w.attachAll()
+	_, flood := pattern(w)
+	w.submit(flood)
+	w.exchange()
+	touchy := "host-0"
+	if !w.hosts[touchy].serves("touchy") {
+		touchy = "host-1"
+	}
+	if !w.hosts[touchy].serves("press") {
+		t.Fatal("no fill work beside the image that it slows, though nothing is known yet")
+	}
+	teach(w, touchy)
+	for range 30 {
+		r := w.hosts[touchy].report(false)
+		r.Pace = -80
+		w.cell.Report(w.now, touchy, r)
+		w.store()
+		w.cell.Tick(w.now)
+		w.cell.Plan(w.now)
+		w.deliver("host-0")
+		w.deliver("host-1")
+		w.now = w.now.Add(100 * time.Millisecond)
+	}
+	if w.hosts[touchy].serves("press") {
+		t.Error("fill work is left on the host that slows it")
+	}
+	if w.runs() != 6 {
+		t.Errorf("%d runs after the moves, want 6", w.runs())
+	}
+}
+
+// Guards against nodes that are not told which images to slow, or are told to
+// slow harmless ones.
+func TestGrantNamesDisturbingImages(t *testing.T) {
+	w := newWorld(t, 1)
+	w.attachAll()
+	w.hosts["host-0"].room = 16_000
+	w.cell.Report(w.now, "host-0", w.hosts["host-0"].report(false))
+	_, flood := pattern(w)
+	w.submit(flood)
+	w.exchange()
+	teach(w, "host-0")
+	g := w.cell.Report(w.now, "host-0", w.hosts["host-0"].report(false))
+	if e := g.Effects["press"]; e < 250 || e > 350 {
+		t.Errorf("effect of the image is %d thousandths, want about 300", e)
+	}
+}
--- a/hvcell/ends.go
+++ b/hvcell/ends.go
@@ -72,7 +72,6 @@
 // done completes a task, or the whole gang that it belongs to.
 func (c *Cell) done(now time.Time, h *host, t *task, r *run) {
 	c.counts.Done++
-	h.hung = 0
 	c.options.Health.Record(now, h.name, h.info.Rack, t.name, true)
 	if r != nil {
 		took := now.Sub(r.started)
--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -194,6 +194,7 @@
 	if t.step.spec.Fill {
 		limit = c.bearableFor(t, hosts)
 	}
+	hosts = t.preferred(hosts)
 	for _, h := range hosts {
 		if !c.allowed(now, t, h) || c.hurt(t, h) > limit {
 			continue
@@ -205,6 +206,24 @@
 	return best
 }
 
+// preferred leaves out the hosts on which runs of the task failed, unless all
+// are such.
+func (t *task) preferred(hosts []*host) []*host {
+	if len(t.avoid) == 0 {
+		return hosts
+	}
+	var out []*host
+	for _, h := range hosts {
+		if !t.avoid[h.name] {
+			out = append(out, h)
+		}
+	}
+	if len(out) == 0 {
+		return hosts
+	}
+	return out
+}
+
 // allowed reports whether a host may and can take a task.
 func (c *Cell) allowed(now time.Time, t *task, h *host) bool {
 	s := t.step.spec
@@ -221,8 +240,6 @@
 		return false
 	case s.Spread > 0 && t.step.perHost[h] >= s.Spread:
 		return false
-	case t.avoid[h.name] && len(t.avoid) < len(c.hosts):
-		return false
 	}
 	return c.options.Health.Usable(now, h.name)
 }
--- /dev/null
+++ b/hvcell/random_test.go
@@ -0,0 +1,179 @@
+package hvcell
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvjob"
+	"hibiscusvane.example/hibiscusvane/hvorder"
+)
+
+// machine drives a world by random events.
+type machine struct {
+	*world
+	// late holds orders that were sent and have not arrived.
+	late map[string][]hvorder.Orders
+	// down is true while nothing can be stored.
+	down bool
+}
+
+func (m *machine) host(t *rapid.T) *executor {
+	names := slices.Sorted(maps.Keys(m.hosts))
+	return m.hosts[rapid.SampledFrom(names).Draw(t, "host")]
+}
+
+func (m *machine) report(e *executor) {
+	if h := m.cell.hosts[e.name]; h != nil && h.linked {
+		e.granted(m.cell.Report(m.now, e.name, e.report(false)))
+	}
+}
+
+func (m *machine) run(t *rapid.T) (*executor, string) {
+	e := m.host(t)
+	if len(e.running) == 0 {
+		t.Skip("nothing runs there")
+	}
+	return e, rapid.SampledFrom(slices.Sorted(maps.Keys(e.running))).Draw(t, "task")
+}
+
+// Guards against two runs of a task at once, a start after an acknowledged
+// end, a start out of order, and jobs that never end, under lost and late
+// orders, lost connections, crashes, lapsed leases, an unreachable store and
+// changes of the owner. The model of the executor checks each start.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := &machine{world: newWorld(rt, rapid.IntRange(1, 4).Draw(rt, "hosts")), late: map[string][]hvorder.Orders{}}
+		m.attachAll()
+		rt.Repeat(map[string]func(*rapid.T){
+			"submit": func(t *rapid.T) {
+				second := step1(rapid.IntRange(1, 4).Draw(t, "second"), 1500)
+				second.After = []int{0}
+				second.Checkpoint = true
+				j := steps(step1(rapid.IntRange(1, 5).Draw(t, "first"), 1000), second)
+				j.Queue = rapid.SampledFrom([]string{"urgent", "batch"}).Draw(t, "queue")
+				m.submit(j)
+			},
+			"cancel": func(t *rapid.T) {
+				if len(m.jobs) == 0 {
+					t.Skip("no jobs")
+				}
+				m.cancel(rapid.SampledFrom(m.jobs).Draw(t, "job").ID)
+			},
+			"plan":    func(*rapid.T) { m.cell.Plan(m.now) },
+			"deliver": func(t *rapid.T) { m.deliver(m.host(t).name) },
+			"delay": func(t *rapid.T) {
+				e := m.host(t)
+				if o, ok := m.cell.Orders(e.name); ok {
+					m.late[e.name] = append(m.late[e.name], o)
+					m.cell.Detached(m.now, e.name)
+				}
+			},
+			"arrive": func(t *rapid.T) {
+				e := m.host(t)
+				for _, o := range m.late[e.name] {
+					// The node obeys only its present connection, but a call to the
+					// executor may still be carried out.
+					e.carryOut(o)
+				}
+				delete(m.late, e.name)
+			},
+			"report": func(t *rapid.T) { m.report(m.host(t)) },
+			"detach": func(t *rapid.T) { m.cell.Detached(m.now, m.host(t).name) },
+			"attach": func(t *rapid.T) { m.attach(m.host(t).name) },
+			"crash":  func(t *rapid.T) { m.host(t).crash() },
+			"restart": func(t *rapid.T) {
+				if e := m.host(t); !e.alive {
+					e.start()
+				}
+			},
+			"done": func(t *rapid.T) {
+				e, task := m.run(t)
+				e.end(task, e.running[task], hv.EndDone)
+			},
+			"fail": func(t *rapid.T) {
+				e, task := m.run(t)
+				e.end(task, e.running[task], hv.EndFailed)
+			},
+			"stall": func(t *rapid.T) {
+				e, task := m.run(t)
+				r := e.report(false)
+				r.Stalled = []hvorder.Run{{Task: task, Run: e.running[task]}}
+				if h := m.cell.hosts[e.name]; h.linked {
+					e.granted(m.cell.Report(m.now, e.name, r))
+				}
+			},
+			"outage": func(*rapid.T) { m.down = !m.down },
+			"store": func(*rapid.T) {
+				if !m.down {
+					m.store()
+				}
+			},
+			"owner": func(*rapid.T) { m.takeOver() },
+			"exchange": func(*rapid.T) {
+				if !m.down {
+					m.exchange()
+				}
+			},
+			"replace": func(t *rapid.T) {
+				m.takeOver()
+				m.attach(m.host(t).name)
+				if !m.down {
+					m.exchange()
+				}
+			},
+			"time": func(t *rapid.T) {
+				m.advance(time.Duration(rapid.IntRange(50, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+		})
+		m.settleAll(rt)
+	})
+}
+
+// carryOut starts what late orders ask for, as an executor may do after the
+// connection that brought them has ended.
+func (e *executor) carryOut(o hvorder.Orders) {
+	if !e.alive || o.Life != e.lifeName() || o.Epoch < e.fence {
+		return
+	}
+	for _, s := range o.Starts {
+		e.begin(s)
+	}
+}
+
+// settleAll ends all faults and lets every job end.
+func (m *machine) settleAll(t *rapid.T) {
+	m.late = nil
+	for _, e := range m.hosts {
+		if !e.alive {
+			e.start()
+		}
+	}
+	m.attachAll()
+	for range 60 {
+		m.exchange()
+		m.finishAll(hv.EndDone)
+		m.exchange()
+		m.advance(time.Second)
+	}
+	for _, j := range m.jobs {
+		if !m.cancelled[j.ID] && !m.stored[j.ID].State.Final() {
+			t.Fatalf("job %s is %q after all faults have ended", j.ID, m.stored[j.ID].State)
+		}
+	}
+	if m.runs() > 0 {
+		t.Fatalf("%d runs are left", m.runs())
+	}
+	for _, j := range m.jobs {
+		if m.stored[j.ID].State == hvjob.Complete && m.cancelled[j.ID] {
+			continue
+		}
+		if m.cell.jobs[j.ID] != nil {
+			t.Fatalf("job %s is kept after its end", j.ID)
+		}
+	}
+}
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -66,6 +66,8 @@
 	saved string
 	// avoid holds the hosts on which a run failed or stood still.
 	avoid map[string]bool
+	// abandoned counts the runs that were given up because they stood still.
+	abandoned int
 	// after is the earliest time of the next run.
 	after time.Time
 }
@@ -123,8 +125,6 @@
 	orders          hvorder.Orders
 	// since is when the host was linked.
 	since time.Time
-	// hung counts the runs that stood still since one completed.
-	hung int
 }
 
 func (h *host) free() hvjob.Size { return h.info.Room.Minus(h.used) }
--- a/hvcell/straggler.go
+++ b/hvcell/straggler.go
@@ -8,11 +8,14 @@
 
 const (
 	// stragglerFactor times its expected run time, and stragglerSlack more, is
-	// when a run is taken to stand still.
+	// when a run is taken to stand still. Both double with each run of the task
+	// that was given up, so that a task that is just long completes.
 	stragglerFactor = 3
 	stragglerSlack  = time.Second
 	// guessFactor applies instead while no task of the step is done.
 	guessFactor = 8
+	// maxDoublings bounds the growth.
+	maxDoublings = 10
 )
 
 // checkStragglers starts tasks elsewhere whose runs take much longer than
@@ -38,13 +41,14 @@
 	if s.took.n > 0 {
 		factor = stragglerFactor
 	}
-	return now.Sub(r.started) > factor*expected+stragglerSlack
+	allowed := (factor*expected + stragglerSlack) << min(r.task.abandoned, maxDoublings)
+	return now.Sub(r.started) > allowed
 }
 
 // abandon stops a run; its task starts again once the end is listed.
 func (c *Cell) abandon(now time.Time, r *run) {
 	_ = level.Info(c.options.Logger).Log("msg", "run stands still", "task", r.task.name, "run", r.number, "host", r.host.name, "age", now.Sub(r.started), "expected", c.estimate.task(r.task.step))
-	r.host.hung++
+	r.task.abandoned++
 	c.options.Health.Record(now, r.host.name, r.host.info.Rack, r.task.name, false)
 	r.task.shun(r.host)
 	c.stop(r)
