--- /dev/null
+++ b/hvledger/ledger_test.go
@@ -0,0 +1,241 @@
+package hvledger_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"go.uber.org/goleak"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvjob"
+	"hibiscusvane.example/hibiscusvane/hvledger"
+	"hibiscusvane.example/hibiscusvane/platform"
+	"hibiscusvane.example/hibiscusvane/platform/platformtest"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("net/http.(*persistConn).readLoop"), goleak.IgnoreAnyFunction("net/http.(*persistConn).writeLoop"))
+}
+
+const topic = "keyed.cell"
+
+// observer counts what a replica tells.
+type observer struct {
+	mu   sync.Mutex
+	jobs map[string]int
+}
+
+func (o *observer) JobChanged(e hvledger.Entry) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.jobs[e.Job.ID]++
+}
+func (o *observer) NodeChanged(hvledger.Node, bool) {}
+func (o *observer) ClaimChanged(hvledger.Claim)     {}
+
+// gate is a replica with what follows it.
+type gate struct {
+	observer *observer
+	replica  *hvledger.Replica
+	tail     *hvledger.Tail
+	elector  *hvledger.Elector
+	store    hv.KeyedStore
+}
+
+func serve(t *testing.T) (*platformtest.Store, string) {
+	s := platformtest.NewStore()
+	srv := httptest.NewServer(s)
+	t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return s, strings.TrimPrefix(srv.URL, "http://")
+}
+
+func newGate(store hv.KeyedStore, name string) *gate {
+	g := &gate{observer: &observer{jobs: map[string]int{}}, store: store}
+	logger := log.NewNopLogger()
+	g.replica = hvledger.NewReplica(hv.SystemClock{}, logger, g.observer)
+	g.tail = hvledger.NewTail(store, topic, g.replica, func() time.Duration { return 0 }, logger)
+	self := hvledger.Claim{Name: name, Addr: name, Process: name + "-process"}
+	g.elector = hvledger.NewElector(g.replica, g.tail, store, topic, self, func(hvledger.Claim) bool { return false }, logger)
+	return g
+}
+
+func (g *gate) sync(t *testing.T) {
+	t.Helper()
+	if err := g.tail.Sync(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func job(id int) hvjob.Job {
+	return hvjob.Job{ID: fmt.Sprintf("%016x", id), Queue: "q", Spec: "s", Submitted: 1, Steps: []hvjob.Step{{Count: 2, Need: hvjob.Size{CPU: 100}}}}
+}
+
+func put(t *testing.T, s hv.KeyedStore, recs ...hv.KeyedRecord) {
+	t.Helper()
+	if _, err := s.Append(t.Context(), topic, recs, hv.Fence{At: -1}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func jobRecord(t *testing.T, id int) hv.KeyedRecord {
+	t.Helper()
+	rec, err := hvledger.JobRecord(job(id))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rec
+}
+
+// Guards against several gates that take the claim of one epoch as theirs: the
+// store answers a repeated sequence of an epoch like the first.
+func TestOneOfSeveralClaimsWins(t *testing.T) {
+	_, addr := serve(t)
+	const gates = 4
+	ctx, cancel := context.WithTimeout(t.Context(), 1200*time.Millisecond)
+	defer cancel()
+	won := make(chan *hvledger.Writer, gates)
+	var all sync.WaitGroup
+	for i := range gates {
+		all.Go(func() {
+			g := newGate(platform.NewStore(addr), fmt.Sprint("gate-", i))
+			if err := g.tail.Sync(ctx); err != nil {
+				t.Error(err)
+				return
+			}
+			if w := g.elector.Wait(ctx); w != nil {
+				won <- w
+				// The owner beats, so that the others do not find it silent.
+				for ctx.Err() == nil {
+					_ = w.Beat(ctx)
+					time.Sleep(100 * time.Millisecond)
+				}
+			}
+		})
+	}
+	all.Wait()
+	close(won)
+	n := 0
+	for range won {
+		n++
+	}
+	if n != 1 {
+		t.Fatalf("%d gates own the cell, want 1", n)
+	}
+}
+
+// Guards against an old owner whose records count after another gate has
+// claimed the cell.
+func TestNewerOwnerFencesOlderOne(t *testing.T) {
+	_, addr := serve(t)
+	old := newGate(platform.NewStore(addr), "old")
+	old.sync(t)
+	w := old.elector.Wait(t.Context())
+	if err := w.Release(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	next := newGate(platform.NewStore(addr), "next")
+	next.sync(t)
+	w2 := next.elector.Wait(t.Context())
+	if w2.Claim().Epoch != w.Claim().Epoch+1 {
+		t.Fatalf("epoch %d follows %d", w2.Claim().Epoch, w.Claim().Epoch)
+	}
+	rec, err := hvledger.ProgressRecord(job(1).ID, hvjob.Progress{State: hvjob.Complete})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := w.Append(t.Context(), []hv.KeyedRecord{rec}); hv.KindOf(err) != hv.Conflict {
+		t.Fatalf("append of the old owner: %v, want a conflict", err)
+	}
+	if err := w2.Append(t.Context(), []hv.KeyedRecord{rec}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against effects that are stored twice when the answer of an append is
+// lost.
+func TestLostAnswersAreRepeatedOnce(t *testing.T) {
+	s, addr := serve(t)
+	g := newGate(platform.NewStore(addr), "gate")
+	g.sync(t)
+	w := g.elector.Wait(t.Context())
+	s.SetFaults(platformtest.Faults{Lost: true})
+	done := make(chan error, 1)
+	rec, err := hvledger.ProgressRecord(job(1).ID, hvjob.Progress{State: hvjob.Running})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { done <- w.Append(t.Context(), []hv.KeyedRecord{rec}) }()
+	time.Sleep(250 * time.Millisecond)
+	s.SetFaults(platformtest.Faults{})
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if n := s.Count(topic, rec.Key); n != 1 {
+		t.Fatalf("the record is stored %d times", n)
+	}
+}
+
+// Guards against jobs that are lost or told twice when the store forgets its
+// history, or when a job is submitted twice.
+func TestReplicaOutlivesHistory(t *testing.T) {
+	s, addr := serve(t)
+	store := platform.NewStore(addr)
+	g := newGate(store, "gate")
+	put(t, store, jobRecord(t, 1))
+	g.sync(t)
+	put(t, store, jobRecord(t, 1), jobRecord(t, 2), hvledger.CancelRecord(job(2).ID))
+	s.Forget()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go g.tail.Run(ctx)
+	waitFor(t, "the second job", func() bool {
+		e, ok := g.replica.Job(job(2).ID)
+		return ok && e.State() == hvjob.Cancelled
+	})
+	if n := g.observer.jobs[job(1).ID]; n != 1 {
+		t.Errorf("the first job was told %d times, want once", n)
+	}
+}
+
+// Guards against a new owner elected because the store was away, and against
+// none when the owner is silent while the store answers.
+func TestSilenceCountsWhileTheStoreAnswers(t *testing.T) {
+	s, addr := serve(t)
+	g := newGate(platform.NewStore(addr), "gate")
+	g.sync(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go g.tail.Run(ctx)
+	s.SetFaults(platformtest.Faults{Busy: true})
+	time.Sleep(700 * time.Millisecond)
+	if got := g.replica.Silence(); got > 0 {
+		t.Errorf("silence of %v while the store is away", got)
+	}
+	s.SetFaults(platformtest.Faults{})
+	time.Sleep(500 * time.Millisecond)
+	if got := g.replica.Silence(); got > 600*time.Millisecond {
+		t.Errorf("silence of %v right after the store is back", got)
+	}
+	time.Sleep(700 * time.Millisecond)
+	if got := g.replica.Silence(); got < 600*time.Millisecond {
+		t.Errorf("silence of %v although nothing has come since the store is back", got)
+	}
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s did not come within 5 s", what)
+		}
+	}
+}
