--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -210,3 +210,6 @@
 		o.SetCatalog(c)
 	}
 }
+
+// Owning reports whether this gate owns the cell.
+func (g *Gate) Owning() bool { return g.current() != nil }
