Do not lose a release, wait for ended owners or keep silent nodes

After the loss of all machines, inherited tasks waited 15.5 s for one host that had been removed: the owner before was known to have ended, and its registration was kept for ever. Watchers missed 90 of 251 intervals. Ruled out: slow restarts (all sides attached 0.2 s after the start). Silence of an owner now counts from 1.0 s instead of 1.5 s.

--- a/hvcell/cell_test.go
+++ b/hvcell/cell_test.go
@@ -389,3 +389,44 @@
 		t.Fatal("the task does not start again on the only host")
 	}
 }
+
+// Guards against tasks that wait for the authority of an owner that is known to
+// have ended: after the loss of all machines one host that stays away would
+// hold back all others for 15 s.
+func TestEndedOwnerIsNotWaitedFor(t *testing.T) {
+	w := newWorld(t, 2)
+	w.authority = 0
+	w.attachAll()
+	w.submit(steps(step1(2, 1000)))
+	w.takeOver()
+	w.attach("host-1")
+	w.exchange()
+	if w.runs() != 0 {
+		t.Fatal("inherited tasks start while a lease may be left")
+	}
+	w.advance(5500 * time.Millisecond)
+	w.exchange()
+	if w.runs() != 2 {
+		t.Fatalf("%d runs after the last lease, want 2", w.runs())
+	}
+}
+
+// Guards against registrations of hosts that are gone, which every later owner
+// would wait for.
+func TestSilentNodeIsDropped(t *testing.T) {
+	w := newWorld(t, 2)
+	w.attachAll()
+	w.cell.Detached(w.now, "host-0")
+	w.advance(10 * time.Second)
+	if b, _ := w.cell.Batch(w.now); len(b.Dropped) != 0 {
+		t.Fatalf("%v are dropped at once", b.Dropped)
+	}
+	w.advance(5 * time.Second)
+	b, ok := w.cell.Batch(w.now)
+	if !ok || len(b.Dropped) != 1 || b.Dropped[0] != "host-0" {
+		t.Fatalf("%v are dropped, want host-0", b.Dropped)
+	}
+	if b, _ := w.cell.Batch(w.now); len(b.Dropped) != 0 {
+		t.Fatalf("%v are dropped again", b.Dropped)
+	}
+}
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -23,6 +23,7 @@
 	if h == nil {
 		h = &host{name: name, runs: map[hvorder.Run]*run{}, pace: fullPace}
 		c.hosts[name] = h
+		h.lapse = now
 		if !c.settled {
 			h.lapse = c.options.Now.Add(c.options.Authority + c.leaseBound())
 		}
@@ -47,7 +48,7 @@
 func (c *Cell) Attached(now time.Time, name string, r hvorder.Report) hvorder.Grant {
 	c.AddHost(now, name, nil)
 	h := c.hosts[name]
-	h.linked, h.since = true, now
+	h.linked, h.dropped, h.since = true, false, now
 	_ = level.Info(c.options.Logger).Log("msg", "node is attached", "host", name, "life", r.Life, "full", r.Full, "running", len(r.Running), "pending", len(r.Pending), "ended", len(r.Ended))
 	return c.Report(now, name, r)
 }
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -108,8 +108,10 @@
 	// lapse is when everything on the host has surely ended if no further
 	// lease is granted.
 	lapse time.Time
-	runs  map[hvorder.Run]*run
-	used  hvjob.Size
+	// dropped is true once the registration of the node is to be removed.
+	dropped bool
+	runs    map[hvorder.Run]*run
+	used    hvjob.Size
 	// filled is the processor demand of the fill work, serving what the tasks
 	// with a latency target have reserved.
 	filled, serving int64
--- a/hvcell/store.go
+++ b/hvcell/store.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"hibiscusvane.example/hibiscusvane/hvjob"
 )
 
@@ -11,7 +13,9 @@
 	Progress []JobProgress
 	// Forgotten lists jobs whose records can be removed.
 	Forgotten []string
-	seen      map[*host]seenEnd
+	// Dropped lists nodes that are gone and can run nothing any more.
+	Dropped []string
+	seen    map[*host]seenEnd
 }
 
 type seenEnd struct {
@@ -47,7 +51,24 @@
 		}
 	}
 	b.Forgotten = c.forget(now, n)
-	return b, len(b.Progress)+len(b.Forgotten)+len(b.seen) > 0
+	b.Dropped = c.dropHosts(now)
+	return b, len(b.Progress)+len(b.Forgotten)+len(b.Dropped)+len(b.seen) > 0
+}
+
+// dropAfter is how long after its leases have passed a silent node is dropped,
+// so that no later owner waits for it. A node that is back registers again.
+const dropAfter = 8 * time.Second
+
+func (c *Cell) dropHosts(now time.Time) []string {
+	var out []string
+	for name, h := range c.hosts {
+		if !h.linked && !h.dropped && len(h.runs) == 0 && now.Sub(h.lapse) > dropAfter {
+			h.dropped = true
+			out = append(out, name)
+			_ = level.Info(c.options.Logger).Log("msg", "node is dropped", "host", name, "life", h.life, "silent", now.Sub(h.lapse))
+		}
+	}
+	return out
 }
 
 // forget returns ended jobs that no caller may ask for any more.
--- a/hvcell/world_test.go
+++ b/hvcell/world_test.go
@@ -25,6 +25,8 @@
 	stored    map[string]hvjob.Progress
 	cancelled map[string]bool
 	epoch     int64
+	// authority is how long the owner before may have granted leases.
+	authority time.Duration
 	// done holds the tasks with a done end that was acknowledged.
 	done map[string]bool
 }
@@ -49,7 +51,7 @@
 }
 
 func newWorld(t rapid.TB, hosts int) *world {
-	w := &world{t: t, now: time.Unix(1_000_000, 0), hosts: map[string]*executor{}, stored: map[string]hvjob.Progress{}, cancelled: map[string]bool{}, done: map[string]bool{}}
+	w := &world{t: t, now: time.Unix(1_000_000, 0), hosts: map[string]*executor{}, stored: map[string]hvjob.Progress{}, cancelled: map[string]bool{}, done: map[string]bool{}, authority: 10 * time.Second}
 	for i := range hosts {
 		e := &executor{world: w, name: fmt.Sprintf("host-%d", i), room: 8000}
 		e.start()
@@ -69,7 +71,7 @@
 func (w *world) takeOver() {
 	w.epoch++
 	w.cell = New(Options{
-		Epoch: w.epoch, Claimed: int64(len(w.jobs)), Now: w.now, Lease: 5 * time.Second, Authority: 10 * time.Second,
+		Epoch: w.epoch, Claimed: int64(len(w.jobs)), Now: w.now, Lease: 5 * time.Second, Authority: w.authority,
 		Retain: time.Minute, Remote: 1.5, Logger: log.NewNopLogger(),
 		Health: hvhealth.New(hvhealth.Options{Fleet: func() int { return len(w.hosts) }}),
 	})
--- a/hvledger/elect.go
+++ b/hvledger/elect.go
@@ -17,9 +17,9 @@
 	electInterval = 150 * time.Millisecond
 	// ownerSilence is the silence after which the owner is taken as lost; an
 	// owner appends at least every BeatInterval.
-	ownerSilence = 1500 * time.Millisecond
+	ownerSilence = time.Second
 	// BeatInterval is the longest time between two appends of an owner.
-	BeatInterval = 500 * time.Millisecond
+	BeatInterval = 300 * time.Millisecond
 	// rankDelay separates the attempts of the candidates.
 	rankDelay = 200 * time.Millisecond
 	// claimTries bounds the appends of one attempt; other gates append
@@ -65,7 +65,7 @@
 	}
 	c, _ := e.replica.Claim()
 	if c.Epoch == 0 || c.Released || c.Name == e.self.Name {
-		// An earlier process of this gate cannot be the owner any more.
+		// An earlier process of this gate has ended, as this one runs.
 		return true
 	}
 	wait := time.Duration(e.rank(c)) * rankDelay
@@ -73,6 +73,11 @@
 	return silence > ownerSilence+wait || silence > wait && e.gone(c)
 }
 
+// hasEnded reports whether an owner is known to give no further orders.
+func (e *Elector) hasEnded(c Claim) bool {
+	return c.Epoch == 0 || c.Released || c.Name == e.self.Name || e.gone(c)
+}
+
 // rank orders the candidates by a hash, so that they do not all try at once.
 func (e *Elector) rank(c Claim) int {
 	own := weight(e.self.Name, c)
@@ -123,8 +128,9 @@
 				continue
 			}
 		}
+		w := &Writer{store: e.store, topic: e.topic, claim: c, sequence: first, stored: at, ended: e.hasEnded(last)}
 		_ = level.Info(e.logger).Log("msg", "cell is claimed", "epoch", c.Epoch, "before", last.Name, "silence", e.replica.Silence())
-		return &Writer{store: e.store, topic: e.topic, claim: c, sequence: first, stored: at}
+		return w
 	}
 	return nil
 }
--- a/hvledger/ledger_test.go
+++ b/hvledger/ledger_test.go
@@ -239,3 +239,33 @@
 		}
 	}
 }
+
+// Guards against a release that is lost because the store takes it for the
+// repeat of an append whose answer the owner did not wait for.
+func TestReleaseAfterCancelledAppend(t *testing.T) {
+	s, addr := serve(t)
+	g := newGate(platform.NewStore(addr), "gate")
+	g.sync(t)
+	w := g.elector.Wait(t.Context())
+	s.SetFaults(platformtest.Faults{Lost: true})
+	rec, err := hvledger.ProgressRecord(job(1).ID, hvjob.Progress{State: hvjob.Running})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	if err := w.Append(ctx, []hv.KeyedRecord{rec}); err == nil {
+		t.Fatal("an append without an answer succeeded")
+	}
+	s.SetFaults(platformtest.Faults{})
+	if err := w.Release(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	g.sync(t)
+	if c, _ := g.replica.Claim(); !c.Released {
+		t.Fatalf("the topic does not hold the release: %+v", c)
+	}
+	if n := s.Count(topic, rec.Key); n != 1 {
+		t.Errorf("the cancelled append is stored %d times", n)
+	}
+}
--- a/hvledger/writer.go
+++ b/hvledger/writer.go
@@ -22,6 +22,13 @@
 	topic    string
 	claim    Claim
 	sequence int64
+	// pending holds the records of an append that got no answer. They may be
+	// stored under the next sequence, so they must be sent again before others:
+	// the store would take others for a repeat and drop them.
+	pending []hv.KeyedRecord
+
+	// ended is true if the owner before was known to have ended at the claim.
+	ended bool
 
 	mu sync.Mutex
 	// stored is when the last answered append was sent.
@@ -32,11 +39,22 @@
 // until ctx ends. An error of kind Conflict means that the cell has another
 // owner.
 func (w *Writer) Append(ctx context.Context, recs []hv.KeyedRecord) error {
+	if w.pending != nil {
+		if err := w.send(ctx, w.pending); err != nil {
+			return err
+		}
+	}
+	return w.send(ctx, recs)
+}
+
+func (w *Writer) send(ctx context.Context, recs []hv.KeyedRecord) error {
+	w.pending = recs
 	for {
 		at := now()
 		_, err := w.store.Append(ctx, w.topic, recs, hv.Fence{Producer: producer, Epoch: w.claim.Epoch, Sequence: w.sequence + 1, At: -1})
 		if err == nil {
 			w.sequence++
+			w.pending = nil
 			w.mu.Lock()
 			w.stored = at
 			w.mu.Unlock()
@@ -72,6 +90,10 @@
 // Claim returns the claim that the writer appends under.
 func (w *Writer) Claim() Claim { return w.claim }
 
+// OwnerEnded reports whether the owner before was known to have ended when the
+// cell was claimed, so that it has granted no lease since.
+func (w *Writer) OwnerEnded() bool { return w.ended }
+
 // Age is the time since the last answered append was sent. It counts the time
 // in which the machine was suspended.
 func (w *Writer) Age() time.Duration {
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -74,9 +74,13 @@
 // New returns an owner without jobs and nodes.
 func New(o Options) *Owner {
 	w := &Owner{options: o, links: map[string]*link{}, wakePlan: make(chan struct{}, 1), wakeFlush: make(chan struct{}, 1)}
+	before := authority
+	if o.Writer.OwnerEnded() {
+		before = 0
+	}
 	health := hvhealth.New(hvhealth.Options{Fleet: w.fleet})
 	w.cell = hvcell.New(hvcell.Options{
-		Epoch: o.Writer.Claim().Epoch, Claimed: o.Claimed, Now: o.Clock.Now(), Lease: lease, Authority: authority,
+		Epoch: o.Writer.Claim().Epoch, Claimed: o.Claimed, Now: o.Clock.Now(), Lease: lease, Authority: before,
 		Early: o.Early, Remote: o.Remote, Retain: o.Retain, Health: health, Logger: o.Logger,
 	})
 	w.restore(o.Learned)
@@ -303,6 +307,9 @@
 		}
 		recs = append(recs, rec)
 	}
+	for _, name := range b.Dropped {
+		recs = append(recs, hvledger.DropNode(name))
+	}
 	for _, id := range b.Forgotten {
 		recs = append(recs, hvledger.DropJob(id)...)
 	}
