--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -250,11 +250,26 @@
 	scoreFree = 1.0
 	// scoreHurt is taken off for a task that multiplies a tail by e.
 	scoreHurt = 2.0
-	// scoreAlike is added for a serving task beside others of its image: the
-	// fewer images serve on a host, the more fill work suits it.
-	scoreAlike = 0.3
+	// scoreAlike is added for a serving task beside others of its image, and
+	// scoreMixed taken off beside those of other images: the fewer images serve
+	// on a host, the more fill work suits it.
+	scoreAlike = 1.0
+	scoreMixed = 1.0
 )
 
+// company rates the images that serve on a host for one more of an image.
+func company(image string, serving []string) float64 {
+	switch {
+	case len(serving) == 0:
+		return 0
+	case !slices.Contains(serving, image):
+		return -scoreMixed
+	case len(serving) == 1:
+		return scoreAlike
+	}
+	return 0
+}
+
 func (c *Cell) score(t *task, h *host) float64 {
 	s := t.step.spec
 	score := 0.0
@@ -264,8 +279,8 @@
 	if h.info.Room.CPU > 0 {
 		score += scoreFree * float64(h.unused()-h.filled) / float64(h.info.Room.CPU)
 	}
-	if s.Target > 0 && slices.Contains(h.images(serves), s.Image) {
-		score += scoreAlike
+	if s.Target > 0 {
+		score += company(s.Image, h.images(serves))
 	}
 	return score - scoreHurt*c.hurt(t, h)
 }
