--- a/hvcell/move.go
+++ b/hvcell/move.go
@@ -9,13 +9,13 @@
 const (
 	// slowPace is the share in percent below which a host is no place for fill
 	// work that disturbs what serves there.
-	slowPace = 50
+	slowPace = 80
 	// movePace is the share below which such work moves to another host: the
 	// stop and the restore take about as long as a third of a usual task.
-	movePace = 35
+	movePace = 50
 	// moveAfter is how long the share must have been that low, as single
 	// measurements swing.
-	moveAfter = 900 * time.Millisecond
+	moveAfter = 600 * time.Millisecond
 	// moveSpacing is the least time between two moves off one host, so that
 	// the effect of one shows before the next.
 	moveSpacing = 300 * time.Millisecond
