--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -24,6 +25,16 @@
 	useNone
 )
 
+func (u use) String() string {
+	switch u {
+	case useInTime:
+		return "in time"
+	case useLate:
+		return "late"
+	}
+	return "none"
+}
+
 // candidate is a step with tasks that wait.
 type candidate struct {
 	step *step
@@ -115,23 +126,54 @@
 
 // place starts the waiting tasks of a step as far as hosts have room.
 func (c *Cell) place(now time.Time, s *step, hosts []*host) {
+	placed := 0
 	for _, t := range s.tasks {
 		if s.waiting == 0 {
-			return
+			break
 		}
 		if t.done || len(t.runs) > 0 || now.Before(t.after) {
 			continue
 		}
 		h := c.pick(now, t, hosts)
 		if h == nil {
+			c.noteWait(now, t, hosts)
 			if len(t.avoid) == 0 {
-				return
+				break
 			}
 			continue
 		}
 		c.launch(now, h, t, t.next)
 		t.next++
+		placed++
 	}
+	if placed > 0 {
+		c.notePlaced(now, s, placed)
+	}
+}
+
+// notePlaced logs the starts of a step that were ordered together.
+func (c *Cell) notePlaced(now time.Time, s *step, placed int) {
+	r := s.round
+	_ = level.Info(c.options.Logger).Log("msg", "tasks are ordered", "job", r.job.ID, "round", r.number, "step", s.index, "tasks", placed, "waiting", s.waiting, "use", c.use(now, r), "left_ms", r.goal-now.UnixMilli())
+	s.waited = false
+}
+
+// noteWait logs once why a step waits: how many hosts each obstacle rules out.
+func (c *Cell) noteWait(now time.Time, t *task, hosts []*host) {
+	s := t.step
+	if s.waited {
+		return
+	}
+	s.waited = true
+	why := map[string]int{}
+	for _, h := range hosts {
+		obstacle := c.obstacle(now, t, h)
+		if obstacle == "" {
+			obstacle = "disturbs"
+		}
+		why[obstacle]++
+	}
+	_ = level.Info(c.options.Logger).Log("msg", "tasks wait", "job", s.round.job.ID, "step", s.index, "waiting", s.waiting, "hosts", len(hosts), "why", fmt.Sprint(why), "use", c.use(now, s.round))
 }
 
 // placeGang starts all tasks of a gang at once or none.
@@ -225,23 +267,28 @@
 }
 
 // allowed reports whether a host may and can take a task.
-func (c *Cell) allowed(now time.Time, t *task, h *host) bool {
+func (c *Cell) allowed(now time.Time, t *task, h *host) bool { return c.obstacle(now, t, h) == "" }
+
+// obstacle names what keeps a task off a host, or is empty.
+func (c *Cell) obstacle(now time.Time, t *task, h *host) string {
 	s := t.step.spec
 	switch {
 	case h.info.Service != t.step.round.job.queue.Service:
-		return false
+		return "service"
 	case !s.Commit().Fits(h.free()):
-		return false
+		return "room"
 	case s.Fill && h.filled+s.Need.CPU > h.unused():
-		return false
+		return "busy"
 	case s.Fill && c.crowdedOut(t, h):
-		return false
+		return "slowed"
 	case s.Label != "" && !slices.Contains(h.info.Labels, s.Label):
-		return false
+		return "label"
 	case s.Spread > 0 && t.step.perHost[h] >= s.Spread:
-		return false
+		return "spread"
+	case !c.options.Health.Usable(now, h.name):
+		return "quarantine"
 	}
-	return c.options.Health.Usable(now, h.name)
+	return ""
 }
 
 // Weights of a score. A full host scores 0 and an empty one 1 for its room.
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -54,6 +54,8 @@
 	perHost map[*host]int
 	// next is the number of the next run of a gang.
 	next int
+	// waited is true once it was logged why tasks wait.
+	waited bool
 }
 
 type task struct {
