Keep an owner alive when a failed job's run lists a saved state

Cause: since saved states are stored, a report of a run whose job has failed reached into progress that was replaced by its last state. TestSavedStateOfFailedJob panics without the change.

--- a/hvcell/cell_test.go
+++ b/hvcell/cell_test.go
@@ -430,3 +430,28 @@
 		t.Fatalf("%v are dropped again", b.Dropped)
 	}
 }
+
+// Guards against a panic when a host lists the saved state of a run whose job
+// has failed and which has not stopped yet.
+func TestSavedStateOfFailedJob(t *testing.T) {
+	w := newWorld(t, 1)
+	w.savedStates = true
+	w.attachAll()
+	s := step1(2, 1000)
+	s.Checkpoint = true
+	j := w.submit(steps(s))
+	e := w.hosts["host-0"]
+	doomed := hvjob.Task{Job: j.ID}.String()
+	for range 3 {
+		w.exchange()
+		e.end(doomed, e.running[doomed], hv.EndFailed)
+	}
+	w.cell.Report(w.now, e.name, e.report(false))
+	w.advance(time.Second)
+	w.cell.Report(w.now, e.name, e.report(false))
+	w.exchange()
+	w.exchange()
+	if s := w.stored[j.ID].State; s != hvjob.Failed || w.runs() != 0 {
+		t.Fatalf("state %q with %d runs", s, w.runs())
+	}
+}
--- a/hvcell/ends.go
+++ b/hvcell/ends.go
@@ -44,10 +44,15 @@
 	_ = level.Info(c.options.Logger).Log("msg", "run has ended", "task", e.Task, "run", e.Run, "host", h.name, "how", e.How, "number", e.Number)
 }
 
-// progress returns the stored part of a task's step.
+// progress returns the stored part of a task's step, or nil once its round has
+// ended.
 func (t *task) progress() *stepProgress {
 	r := t.step.round
-	return (*stepProgress)(&r.job.progress.Rounds[r.number].Steps[t.step.index])
+	stored, ok := r.job.progress.Rounds[r.number]
+	if !ok {
+		return nil
+	}
+	return (*stepProgress)(&stored.Steps[t.step.index])
 }
 
 type stepProgress hvjob.StepProgress
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -146,12 +146,15 @@
 // noteSaved keeps the saved states of runs in case their host is lost.
 func (c *Cell) noteSaved(h *host, rows []hv.RunState) {
 	for _, row := range rows {
-		if r := h.runs[hvorder.Run{Task: row.Task, Run: row.Run}]; r != nil {
-			if row.Saved != "" && row.Saved != r.saved && r.task.step.spec.Checkpoint {
-				r.saved = row.Saved
-				r.task.progress().save(r.task.index, row.Saved)
-				r.task.step.round.job.saved = true
-			}
+		r := h.runs[hvorder.Run{Task: row.Task, Run: row.Run}]
+		if r == nil || row.Saved == "" || row.Saved == r.saved || !r.task.step.spec.Checkpoint {
+			continue
+		}
+		r.saved = row.Saved
+		// Runs of a job that has ended are listed until they have stopped.
+		if p := r.task.progress(); p != nil {
+			p.save(r.task.index, row.Saved)
+			r.task.step.round.job.saved = true
 		}
 	}
 }
--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -49,7 +49,7 @@
 	if len(hosts) == 0 || c.suspended {
 		return
 	}
-	for _, cand := range c.candidates(now) {
+	for _, cand := range c.candidates(now, hosts) {
 		if cand.step.spec.Gang {
 			c.placeGang(now, cand.step, hosts)
 			continue
@@ -58,8 +58,9 @@
 	}
 }
 
-func (c *Cell) candidates(now time.Time) []candidate {
+func (c *Cell) candidates(now time.Time, hosts []*host) []candidate {
 	var out []candidate
+	late := c.triage(now, hosts)
 	c.counts.Waiting = 0
 	for _, j := range c.jobs {
 		if j.inherited && !c.settled {
@@ -69,10 +70,14 @@
 			if j.Times > 0 && now.Add(c.options.Early/2).UnixMilli() < r.due {
 				continue
 			}
+			u := c.use(now, r)
+			if late[r] {
+				u = useLate
+			}
 			for _, s := range r.steps {
 				if s.open && s.waiting > 0 {
 					c.counts.Waiting += int64(s.waiting)
-					out = append(out, candidate{step: s, use: c.use(now, r), lasting: s.spec.Lasting})
+					out = append(out, candidate{step: s, use: u, lasting: s.spec.Lasting})
 				}
 			}
 		}
--- a/hvcell/random_test.go
+++ b/hvcell/random_test.go
@@ -48,6 +48,7 @@
 func TestRandomFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		m := &machine{world: newWorld(rt, rapid.IntRange(1, 4).Draw(rt, "hosts")), late: map[string][]hvorder.Orders{}}
+		m.savedStates = true
 		m.attachAll()
 		rt.Repeat(map[string]func(*rapid.T){
 			"submit": func(t *rapid.T) {
--- a/hvcell/world_test.go
+++ b/hvcell/world_test.go
@@ -27,6 +27,8 @@
 	epoch     int64
 	// authority is how long the owner before may have granted leases.
 	authority time.Duration
+	// savedStates makes every report list the runs with their saved states.
+	savedStates bool
 	// done holds the tasks with a done end that was acknowledged.
 	done map[string]bool
 }
@@ -149,14 +151,17 @@
 	}
 	r.Life, r.Clock, r.Full = e.lifeName(), e.clock(), full
 	r.Ended = append(r.Ended, e.ended...)
-	if full {
+	if full || e.world.savedStates {
 		for task, run := range e.running {
-			r.Running = append(r.Running, hv.RunState{Task: task, Run: run})
+			r.Running = append(r.Running, hv.RunState{Task: task, Run: run, Saved: e.saved(task)})
 		}
 	}
 	return r
 }
 
+// saved is a new state for each report, as of a task that makes progress.
+func (e *executor) saved(task string) string { return fmt.Sprint(task, e.clock()) }
+
 func (e *executor) lifeName() string { return fmt.Sprint(e.life) }
 
 func (e *executor) granted(g hvorder.Grant) {
