Keep the terms of a queue with each job

Ruled out: an end that was acknowledged before its effect was stored. The same holds jobs whose queue operators drop.

--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -101,9 +101,11 @@
 		return
 	}
 	c.seq++
-	entry := &job{Job: j, offset: offset, seq: c.seq, progress: p.Clone(), rounds: map[int]*round{}, inherited: offset < c.options.Claimed}
+	entry := &job{Job: j, offset: offset, seq: c.seq, progress: p.Clone(), rounds: map[int]*round{}, inherited: offset < c.options.Claimed, queue: j.Terms}
 	if c.catalog != nil {
-		entry.queue, _ = c.catalog.Queue(j.Queue)
+		if q, ok := c.catalog.Queue(j.Queue); ok {
+			entry.queue = q
+		}
 	}
 	c.jobs[j.ID] = entry
 	c.begin(now, entry)
--- a/hvcell/cell_test.go
+++ b/hvcell/cell_test.go
@@ -455,3 +455,25 @@
 		t.Fatalf("state %q with %d runs", s, w.runs())
 	}
 }
+
+// Guards against a start beyond the attempts of a queue by an owner that has
+// not read the queues yet, or whose queue was dropped.
+func TestAttemptsHoldWithoutCatalog(t *testing.T) {
+	w := newWorld(t, 2)
+	w.attachAll()
+	j := w.submit(steps(step1(1, 1000)))
+	for range 2 {
+		w.exchange()
+		w.finishAll(hv.EndFailed)
+	}
+	w.exchange()
+	w.noCatalog = true
+	w.takeOver()
+	w.finishAll(hv.EndFailed)
+	w.attachAll()
+	w.exchange()
+	w.exchange()
+	if s := w.stored[j.ID].State; s != hvjob.Failed || w.runs() != 0 {
+		t.Fatalf("state %q with %d runs after 3 failed runs", s, w.runs())
+	}
+}
--- a/hvjob/job.go
+++ b/hvjob/job.go
@@ -119,6 +119,9 @@
 	Times int `json:"times,omitempty"`
 	// Submitted is the Unix time in milliseconds at which a gate took the job.
 	Submitted int64 `json:"submitted"`
+	// Terms are the settings of the queue when the job was accepted. They hold
+	// when the queue is dropped, and while the catalog is not known.
+	Terms Queue `json:"terms"`
 }
 
 // Rounds returns how often the steps run.
--- a/hvjob/queue.go
+++ b/hvjob/queue.go
@@ -4,26 +4,28 @@
 
 // Queue takes jobs of one kind of request.
 type Queue struct {
-	Name   string
-	Host   string
-	Prefix string
+	Name   string `json:"name"`
+	Host   string `json:"host,omitempty"`
+	Prefix string `json:"prefix,omitempty"`
 	// Service names the pool of hosts that run the tasks.
-	Service  string
-	Priority int
+	Service  string `json:"service"`
+	Priority int    `json:"priority,omitempty"`
 	// Attempts is the number of failed runs after which a task has failed.
-	Attempts int
+	Attempts int `json:"attempts,omitempty"`
 	// Stretch times the longest chain of work, plus Slack in milliseconds, is
 	// the time in which a job should complete.
-	Stretch float64
-	Slack   int64
+	Stretch float64 `json:"stretch,omitempty"`
+	Slack   int64   `json:"slack,omitempty"`
 	// Advice is set if only some hosts may run a step of the queue.
-	Advice *Advice
+	Advice *Advice `json:"advice,omitempty"`
 }
 
 // Advice tells what a call for advice costs and how long a ticket is valid,
 // in milliseconds.
 type Advice struct {
-	Decide, Each, Valid int64
+	Decide int64 `json:"decide"`
+	Each   int64 `json:"each"`
+	Valid  int64 `json:"valid"`
 }
 
 // Service is a pool of hosts.
