--- a/docs/lines_test.go
+++ b/docs/lines_test.go
@@ -6,6 +6,7 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
+	"os"
 	"path/filepath"
 	"regexp"
 	"strconv"
@@ -110,3 +111,29 @@
 		t.Fatal(err)
 	}
 }
+
+var quotedLine = regexp.MustCompile(`msg="([^"]+)"`)
+
+// TestOperationsLines fails when OPERATIONS.md shows a line that no process
+// writes.
+func TestOperationsLines(t *testing.T) {
+	page, err := os.ReadFile("OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	written := map[string]bool{}
+	inspect(t, func(n ast.Node) {
+		if text, ok := literal(n); ok {
+			written[text] = true
+		}
+	})
+	shown := quotedLine.FindAllStringSubmatch(string(page), -1)
+	if len(shown) == 0 {
+		t.Fatal("the page shows no lines")
+	}
+	for _, m := range shown {
+		if !written[m[1]] {
+			t.Errorf("OPERATIONS.md shows %q, which no process writes", m[1])
+		}
+	}
+}
