Soak real processes under faults; load what expired before a sync

Found by the first seed: a gate that was cut off while the store dropped its history asked the store whether a job exists, was told that the records had expired, and answered 410 for an accepted job. Ruled out: a lost submission (the other gates knew the job). TestSyncLoadsWhatHasExpired fails without the change; seed 1 passes with it.

--- a/hvledger/ledger_test.go
+++ b/hvledger/ledger_test.go
@@ -269,3 +269,18 @@
 		t.Errorf("the cancelled append is stored %d times", n)
 	}
 }
+
+// Guards against a job that is said not to exist by a gate whose copy is older
+// than the history that the store keeps.
+func TestSyncLoadsWhatHasExpired(t *testing.T) {
+	s, addr := serve(t)
+	store := platform.NewStore(addr)
+	g := newGate(store, "gate")
+	g.sync(t)
+	put(t, store, jobRecord(t, 1))
+	s.Forget()
+	g.sync(t)
+	if _, ok := g.replica.Job(job(1).ID); !ok {
+		t.Fatal("the job is not known after a sync without an error")
+	}
+}
--- a/hvledger/tail.go
+++ b/hvledger/tail.go
@@ -80,7 +80,11 @@
 		return err
 	}
 	page, err := t.store.Read(ctx, t.topic, t.target.Next(), 0)
-	return t.take(page, err)
+	if err := t.take(page, err); err != nil {
+		return err
+	}
+	// Records that expired before they were read are loaded.
+	return t.load(ctx)
 }
 
 func (t *Tail) load(ctx context.Context) error {
--- /dev/null
+++ b/hvsoak/oracle_test.go
@@ -0,0 +1,130 @@
+package hvsoak_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"hibiscusvane.example/hibiscusvane/platform/platformtest"
+)
+
+// oracle checks what executors and callers see.
+type oracle struct {
+	t    *testing.T
+	seed uint64
+
+	mu      sync.Mutex
+	running map[string]string
+	seen    map[string]bool
+	jobs    map[string]*tracked
+}
+
+// tracked is what callers were told of a job.
+type tracked struct {
+	accepted, unknown, refused, complete bool
+	started                              bool
+}
+
+func newOracle(t *testing.T, seed uint64) *oracle {
+	return &oracle{t: t, seed: seed, running: map[string]string{}, seen: map[string]bool{}, jobs: map[string]*tracked{}}
+}
+
+func (o *oracle) fail(format string, args ...any) {
+	o.t.Errorf("seed %d: %s", o.seed, fmt.Sprintf(format, args...))
+}
+
+func (o *oracle) job(id string) *tracked {
+	if o.jobs[id] == nil {
+		o.jobs[id] = &tracked{}
+	}
+	return o.jobs[id]
+}
+
+// note takes an event of the executor of a host.
+func (o *oracle) note(host string, e platformtest.Event) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch e.What {
+	case "seen":
+		o.seen[e.Task] = true
+		return
+	case "start":
+	default:
+		delete(o.running, e.Task)
+		return
+	}
+	o.job(e.Task[:strings.IndexByte(e.Task, '.')]).started = true
+	if at, ok := o.running[e.Task]; ok {
+		o.fail("task %s starts as run %d on %s while it runs on %s", e.Task, e.Run, host, at)
+	}
+	if o.seen[e.Task] {
+		o.fail("task %s starts as run %d on %s after its end was acknowledged", e.Task, e.Run, host)
+	}
+	o.running[e.Task] = host
+}
+
+// submitted notes the answer to a submission.
+func (o *oracle) submitted(id string, status int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	j := o.job(id)
+	switch status {
+	case http.StatusOK:
+		j.accepted = true
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		j.refused = true
+	default:
+		j.unknown = true
+	}
+}
+
+// answered notes the answer to a question for the state of an accepted job.
+func (o *oracle) answered(id string, status int, state string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	j := o.job(id)
+	switch {
+	case status == http.StatusGone:
+		o.fail("accepted job %s does not exist", id)
+	case status == http.StatusOK && (state == "failed" || state == "cancelled"):
+		o.fail("job %s is shown as %s", id, state)
+	case status == http.StatusOK && state == "complete":
+		j.complete = true
+	}
+}
+
+// open returns the accepted jobs that were not seen as complete.
+func (o *oracle) open() (out []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for id, j := range o.jobs {
+		if j.accepted && !j.complete {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// finish checks what must hold in the end.
+func (o *oracle) finish() {
+	for _, id := range o.open() {
+		o.fail("accepted job %s is not complete after all faults have ended", id)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	accepted := 0
+	for id, j := range o.jobs {
+		if j.started && j.refused && !j.accepted && !j.unknown {
+			o.fail("job %s ran although all its submissions were refused", id)
+		}
+		if j.accepted {
+			accepted++
+		}
+	}
+	if accepted == 0 {
+		o.fail("no job was accepted")
+	}
+	o.t.Logf("seed %d: %d jobs, %d accepted, %d tasks acknowledged", o.seed, len(o.jobs), accepted, len(o.seen))
+}
--- /dev/null
+++ b/hvsoak/soak_test.go
@@ -0,0 +1,389 @@
+package hvsoak_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"hibiscusvane.example/hibiscusvane/platform/platformtest"
+)
+
+const (
+	gates = 3
+	hosts = 4
+	// faultTime is how long faults are injected, and settleTime how long the
+	// system has to complete all jobs after them: the authority of an owner, a
+	// lease and the work itself.
+	faultTime  = 12 * time.Second
+	settleTime = 40 * time.Second
+)
+
+const settings = `node_name: %q
+ip: %q
+zone: "z"
+listen_addrs: {front: "%s:8161", ready: "%s:8167", control: "%s:8166"}
+port_range: [7720, 7735]
+app: %q
+platform: {address: %q}
+timing_bounds: {grace_s: 6, hold_max_ms: 10000, status_s: 120}
+`
+
+const catalog = `{"version":1,"routes":[{"name":"q","host":"h.example","path_prefix":"/q/","service":"desk","max_attempts":9,"stretch":1.5,"slo_ms":250}],
+"services":[{"name":"desk","admission_control":true}],"limits":{"max_body_bytes":100000}}`
+
+// process is one of the real programs.
+type process struct {
+	name, program, config, log string
+	proxy                      *proxy
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+}
+
+func (p *process) start(t *testing.T) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out, err := os.OpenFile(p.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	p.cmd = exec.Command(p.program, "--platform")
+	p.cmd.Env = append(os.Environ(), "HIBISCUSVANE"+"_CONFIG="+p.config)
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	if err := p.cmd.Start(); err != nil {
+		t.Error(err)
+	}
+	_ = out.Close()
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	// The process may have ended already.
+	_ = p.cmd.Process.Signal(s)
+}
+
+// end sends a signal, waits for the end of the process and starts it again.
+func (p *process) end(t *testing.T, s syscall.Signal, away time.Duration) {
+	p.signal(syscall.SIGCONT)
+	p.signal(s)
+	_ = p.cmd.Wait()
+	time.Sleep(away)
+	p.start(t)
+}
+
+type soak struct {
+	t         *testing.T
+	seed      uint64
+	random    *rand.Rand
+	oracle    *oracle
+	store     *platformtest.Store
+	processes []*process
+	executors []*platformtest.Executor
+	subnet    int
+}
+
+// address is that of a process; each has one of its own on the loopback net.
+func (s *soak) address(i int) string { return fmt.Sprintf("127.%d.0.%d", s.subnet, i+1) }
+
+func build(t *testing.T) string {
+	dir := t.TempDir()
+	for _, p := range []string{"hvgate", "hvside"} {
+		cmd := exec.Command("go", "build", "-o", filepath.Join(dir, p), "../cmd/"+p)
+		if out, err := cmd.CombinedOutput(); err != nil {
+			t.Fatalf("build %s: %v\n%s", p, err, out)
+		}
+	}
+	return dir
+}
+
+func newSoak(t *testing.T, bin string, seed uint64, subnet int) *soak {
+	s := &soak{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), oracle: newOracle(t, seed), store: platformtest.NewStore(), subnet: subnet}
+	srv := httptest.NewServer(s.store)
+	t.Cleanup(func() {
+		s.store.SetFaults(platformtest.Faults{})
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	s.store.Put("keyed.op", "config", []byte(catalog))
+	storeAddr := strings.TrimPrefix(srv.URL, "http://")
+	for i := range gates + hosts {
+		s.add(bin, i, storeAddr)
+	}
+	return s
+}
+
+func (s *soak) add(bin string, i int, storeAddr string) {
+	ip := s.address(i)
+	p := &process{name: fmt.Sprint("gate-", i), program: filepath.Join(bin, "hvgate"), proxy: newProxy(s.t, storeAddr)}
+	app := ""
+	if i >= gates {
+		p.name, p.program = fmt.Sprint("side-", i), filepath.Join(bin, "hvside")
+		e := platformtest.NewExecutor(fmt.Sprint("i-", i), 8000, func(e platformtest.Event) { s.oracle.note(p.name, e) })
+		s.executors = append(s.executors, e)
+		srv := httptest.NewServer(e)
+		app = strings.TrimPrefix(srv.URL, "http://")
+		ctx, cancel := context.WithCancel(context.Background())
+		go beat(ctx, e, fmt.Sprint("i-", i), "http://"+ip+":8166")
+		s.t.Cleanup(func() {
+			cancel()
+			srv.CloseClientConnections()
+			srv.Close()
+		})
+	}
+	dir := s.t.TempDir()
+	p.config, p.log = filepath.Join(dir, "settings.yaml"), filepath.Join(dir, "log")
+	text := fmt.Sprintf(settings, p.name, ip, ip, ip, ip, app, p.proxy.addr())
+	if err := os.WriteFile(p.config, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	p.start(s.t)
+	s.t.Cleanup(func() { s.stop(p) })
+	s.processes = append(s.processes, p)
+}
+
+// stop ends a process at the end of a play, and keeps its log if it failed.
+func (s *soak) stop(p *process) {
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+	_ = p.cmd.Wait()
+	if s.t.Failed() {
+		s.keepLog(p)
+	}
+}
+
+func (s *soak) keepLog(p *process) {
+	b, err := os.ReadFile(p.log)
+	if err != nil {
+		s.t.Log(err)
+		return
+	}
+	path := filepath.Join(os.TempDir(), fmt.Sprintf("hvsoak-%d-%s.log", s.seed, p.name))
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		s.t.Log(err)
+	}
+}
+
+// beat sends the heartbeats of an executor to its side.
+func beat(ctx context.Context, e *platformtest.Executor, id, to string) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, time.Second)
+		r, err := http.NewRequestWithContext(call, http.MethodPut, to+"/instances/"+id, bytes.NewReader(e.Beat("desk", "z", "ready")))
+		if err == nil {
+			if resp, err := http.DefaultClient.Do(r); err == nil {
+				_ = resp.Body.Close()
+			}
+		}
+		cancel()
+		select {
+		case <-ctx.Done():
+		case <-time.After(300 * time.Millisecond):
+		}
+	}
+}
+
+// ask sends a caller's request to a gate; status 0 is no answer.
+func (s *soak) ask(gate int, method, id, body string) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+s.address(gate)+":8161/q/"+id, strings.NewReader(body))
+	if err != nil {
+		return 0, ""
+	}
+	r.Host = "h.example"
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	var got struct {
+		State string `json:"state"`
+	}
+	// Answers without a state have none.
+	_ = json.Unmarshal(b, &got)
+	return resp.StatusCode, got.State
+}
+
+// load submits jobs until ctx ends; a submission without an answer is sent
+// again to another gate.
+func (s *soak) load(ctx context.Context, r *rand.Rand) {
+	var calls sync.WaitGroup
+	for n := 0; ctx.Err() == nil; n++ {
+		id := fmt.Sprintf("%08x%08x", uint32(s.seed), n)
+		body := fmt.Sprintf(`{"spec":"ms=%d","steps":[{"count":%d,"cpu":500,"estimate_ms":300},{"count":1,"cpu":500,"after":[0],"estimate_ms":300}]}`, 50+r.IntN(1200), 1+r.IntN(4))
+		first := r.IntN(gates)
+		calls.Go(func() {
+			for try := range 4 {
+				status, _ := s.ask((first+try)%gates, http.MethodPost, id, body)
+				s.oracle.submitted(id, status)
+				if status == http.StatusOK || status == http.StatusServiceUnavailable {
+					return
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+		})
+		time.Sleep(time.Duration(80+r.IntN(120)) * time.Millisecond)
+	}
+	calls.Wait()
+}
+
+// look asks for the states of the jobs that are open.
+func (s *soak) look(gate int) {
+	for _, id := range s.oracle.open() {
+		status, state := s.ask(gate, http.MethodGet, id, "")
+		s.oracle.answered(id, status, state)
+	}
+}
+
+// fault injects one fault and returns when it is over.
+func (s *soak) fault(kind int, r *rand.Rand) string {
+	p := s.processes[r.IntN(len(s.processes))]
+	e := s.executors[r.IntN(len(s.executors))]
+	d := time.Duration(200+r.IntN(3000)) * time.Millisecond
+	switch kind {
+	case 0, 1:
+		p.end(s.t, syscall.SIGKILL, d/4)
+		return "kill " + p.name
+	case 2:
+		p.end(s.t, syscall.SIGTERM, d/4)
+		return "stop " + p.name
+	case 3, 4:
+		p.signal(syscall.SIGSTOP)
+		time.Sleep(d)
+		p.signal(syscall.SIGCONT)
+		return "pause " + p.name
+	case 5, 6:
+		p.proxy.set([]way{silence, oneWay, reset}[r.IntN(3)])
+		time.Sleep(d)
+		p.proxy.set(reset)
+		p.proxy.set(pass)
+		return "cut from store " + p.name
+	case 7:
+		s.store.SetFaults([]platformtest.Faults{{Busy: true}, {Silent: true}, {Lost: true}, {Delay: 150 * time.Millisecond}}[r.IntN(4)])
+		time.Sleep(d)
+		s.store.SetFaults(platformtest.Faults{})
+		return "store"
+	case 8:
+		s.store.Forget()
+		return "history"
+	case 9:
+		e.Restart()
+		return "executor anew"
+	}
+	e.SetMute(true)
+	time.Sleep(d / 2)
+	e.SetMute(false)
+	return "executor mute"
+}
+
+const faultKinds = 11
+
+// inject runs two series of faults that overlap.
+func (s *soak) inject() {
+	var series sync.WaitGroup
+	for i := range 2 {
+		r := rand.New(rand.NewPCG(s.seed, uint64(10+i)))
+		series.Go(func() {
+			for end := time.Now().Add(faultTime); time.Now().Before(end); {
+				began := time.Now()
+				what := s.fault(r.IntN(faultKinds), r)
+				s.t.Logf("seed %d: %s for %v", s.seed, what, time.Since(began).Round(time.Millisecond))
+				time.Sleep(time.Duration(r.IntN(700)) * time.Millisecond)
+			}
+		})
+	}
+	series.Wait()
+}
+
+func (s *soak) play() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var duties sync.WaitGroup
+	loadRandom := rand.New(rand.NewPCG(s.seed, 2))
+	duties.Go(func() { s.load(ctx, loadRandom) })
+	duties.Go(func() {
+		for i := 0; ctx.Err() == nil; i++ {
+			s.look(i % gates)
+			time.Sleep(500 * time.Millisecond)
+		}
+	})
+	time.Sleep(2 * time.Second)
+	s.inject()
+	cancel()
+	duties.Wait()
+	for end := time.Now().Add(settleTime); len(s.oracle.open()) > 0 && time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
+		s.look(int(time.Now().UnixMilli()) % gates)
+	}
+	s.oracle.finish()
+}
+
+// seeds returns those to play: of the environment or of testdata/seeds.
+func seeds(t *testing.T) (out []uint64) {
+	if text := os.Getenv("HV_SEED"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return []uint64{n}
+	}
+	if n, err := strconv.Atoi(os.Getenv("HV_SOAK")); err == nil {
+		for range n {
+			out = append(out, rand.Uint64N(1<<31))
+		}
+		return out
+	}
+	b, err := os.ReadFile("testdata/seeds")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(b)) {
+		if f := strings.Fields(line); len(f) > 0 && f[0] != "#" {
+			n, err := strconv.ParseUint(f[0], 10, 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// subnets keeps plays that run at once apart.
+const subnets = 4
+
+// Guards against tasks that run twice at once or after an acknowledged end, jobs
+// that are lost, and refused jobs that run, under random faults of real
+// processes.
+func TestSoak(t *testing.T) {
+	bin := build(t)
+	free := make(chan int, subnets)
+	for i := range subnets {
+		free <- i + 1
+	}
+	for _, seed := range seeds(t) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			subnet := <-free
+			defer func() { free <- subnet }()
+			newSoak(t, bin, seed, subnet).play()
+		})
+	}
+}
