Keep runs that an order started in an unknown life of the executor

Found by the soak: the executor started anew under its name; an order that was sent before the owner knew was carried out by the new incarnation; the owner then took all runs as lost and started the task on another host while it ran. Now the full lists of the new incarnation decide, runs that they lack are barred first, and a node lists them only after its calls have ended. TestRunInUnknownLifeIsKept fails without the change. Also found: the last log lines of a process were lost with it; two overlapping series of faults left a process of the soak behind, whose answers the next play took for its own (a fault of the soak, not of the system).

--- a/hvcell/cell_test.go
+++ b/hvcell/cell_test.go
@@ -190,6 +190,8 @@
 	w.exchange()
 	w.advance(time.Second)
 	w.hosts["host-0"].start()
+	// The runs are barred in the new life before their tasks start again.
+	w.exchange()
 	w.exchange()
 	if w.runs() != 2 {
 		t.Fatalf("%d runs in the new life, want 2", w.runs())
@@ -477,3 +479,29 @@
 		t.Fatalf("state %q with %d runs after 3 failed runs", s, w.runs())
 	}
 }
+
+// Guards against a second run of a task whose order reached an incarnation of
+// the executor that the owner did not know yet.
+func TestRunInUnknownLifeIsKept(t *testing.T) {
+	w := newWorld(t, 2)
+	w.attach("host-0")
+	w.submit(steps(step1(1, 1000)))
+	w.cell.Plan(w.now)
+	o, ok := w.cell.Orders("host-0")
+	if !ok || len(o.Starts) != 1 {
+		t.Fatalf("orders are %+v", o)
+	}
+	w.attach("host-1")
+	e := w.hosts["host-0"]
+	e.start()
+	e.carryOut(o)
+	if len(e.running) != 1 {
+		t.Fatal("the order was not carried out in the new life")
+	}
+	for range 3 {
+		w.exchange()
+	}
+	if w.runs() != 1 || len(e.running) != 1 {
+		t.Fatalf("%d runs, %d of them in the new life", w.runs(), len(e.running))
+	}
+}
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -80,8 +80,8 @@
 		c.lose(now, h, "the executor is gone")
 		h.life, h.answered, h.lapse = "", true, now
 	}
-	if r.Life != "" && !c.newLife(now, h, r) {
-		return hvorder.Grant{}
+	if r.Life != "" && r.Life != h.life {
+		h.begin(r.Life)
 	}
 	for _, e := range r.Ended {
 		if e.Number > h.got {
@@ -112,18 +112,14 @@
 	return c.grant(now, h, r)
 }
 
-// newLife notes the incarnation of the executor. It reports false for a list
-// that is older than what is known.
-func (c *Cell) newLife(now time.Time, h *host, r hvorder.Report) bool {
-	if h.life == r.Life {
-		return true
-	}
-	if h.life != "" {
-		c.lose(now, h, "the executor started anew")
-	}
-	h.life, h.clock, h.until = r.Life, 0, 0
+// begin notes a new incarnation of the executor. A run that was ordered around
+// the change may run in it, so the runs stay until the lists of the new
+// incarnation tell.
+func (h *host) begin(life string) {
+	h.life, h.clock, h.until = life, 0, 0
 	h.got, h.kept, h.told = 0, 0, 0
-	return true
+	h.answered = false
+	h.orders = hvorder.Orders{}
 }
 
 // grant renews the lease of everything on the host.
@@ -188,8 +184,9 @@
 	}
 	for ref, known := range h.runs {
 		if !listed[ref] {
-			// The order may have been lost, or may still be carried out: a stop
-			// bars the run before its task starts elsewhere.
+			// The order may have been lost with its connection or with an earlier
+			// incarnation, or may still be carried out: a stop bars the run
+			// before its task starts elsewhere.
 			known.phase = phaseActive
 			c.stop(known)
 		} else if known.phase == phaseStopping {
--- a/hvcell/random_test.go
+++ b/hvcell/random_test.go
@@ -83,10 +83,17 @@
 				}
 				delete(m.late, e.name)
 			},
-			"report": func(t *rapid.T) { m.report(m.host(t)) },
+			"report": func(t *rapid.T) {
+				m.callsEnd()
+				m.report(m.host(t))
+			},
 			"detach": func(t *rapid.T) { m.cell.Detached(m.now, m.host(t).name) },
-			"attach": func(t *rapid.T) { m.attach(m.host(t).name) },
-			"crash":  func(t *rapid.T) { m.host(t).crash() },
+			"attach": func(t *rapid.T) {
+				e := m.host(t)
+				delete(m.late, e.name)
+				m.attach(e.name)
+			},
+			"crash": func(t *rapid.T) { m.host(t).crash() },
 			"restart": func(t *rapid.T) {
 				if e := m.host(t); !e.alive {
 					e.start()
@@ -117,11 +124,13 @@
 			"owner": func(*rapid.T) { m.takeOver() },
 			"exchange": func(*rapid.T) {
 				if !m.down {
+					m.callsEnd()
 					m.exchange()
 				}
 			},
 			"replace": func(t *rapid.T) {
 				m.takeOver()
+				m.callsEnd()
 				m.attach(m.host(t).name)
 				if !m.down {
 					m.exchange()
@@ -135,12 +144,24 @@
 	})
 }
 
+// callsEnd drops late orders for hosts whose executor has ended or started
+// anew: a node reports that only after its calls have ended.
+func (m *machine) callsEnd() {
+	for name, e := range m.hosts {
+		if h := m.cell.hosts[name]; !e.alive || h != nil && h.life != e.lifeName() {
+			delete(m.late, name)
+		}
+	}
+}
+
 // carryOut starts what late orders ask for, as an executor may do after the
 // connection that brought them has ended.
 func (e *executor) carryOut(o hvorder.Orders) {
-	if !e.alive || o.Life != e.lifeName() || o.Epoch < e.fence {
+	if !e.alive || o.Epoch < e.fence {
 		return
 	}
+	// The call does not name the incarnation, so a new one may carry it out.
+	e.granted(hvorder.Grant{Until: e.clock() + 4000})
 	for _, s := range o.Starts {
 		e.begin(s)
 	}
--- a/hvcell/world_test.go
+++ b/hvcell/world_test.go
@@ -158,6 +158,10 @@
 	if !e.alive {
 		return r
 	}
+	if h := e.world.cell.hosts[e.name]; h != nil && h.life != e.lifeName() {
+		// A node tells the full lists of a new incarnation.
+		full = true
+	}
 	r.Life, r.Clock, r.Full = e.lifeName(), e.clock(), full
 	r.Ended = append(r.Ended, e.ended...)
 	if full || e.world.savedStates {
--- a/hvdaemon/daemon.go
+++ b/hvdaemon/daemon.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/go-kit/log/level"
 	"github.com/jessevdk/go-flags"
@@ -66,10 +67,18 @@
 		fmt.Println(p.Version)
 		return exitOK
 	}
-	logs := hvlogger.New(os.Stderr)
 	if opts.Platform {
-		logs = hvlogger.New(hvlogger.NewQueue(os.Stdout))
+		queue := hvlogger.NewQueue(os.Stdout)
+		defer queue.Flush(flushTimeout)
+		return p.run(opts, hvlogger.New(queue))
 	}
+	return p.run(opts, hvlogger.New(os.Stderr))
+}
+
+// flushTimeout bounds the wait for the last lines of the log.
+const flushTimeout = 200 * time.Millisecond
+
+func (p Program) run(opts options, logs *hvlogger.Root) int {
 	logger := logs.Part(p.Part)
 	d, err := p.build(opts, logs)
 	if err != nil {
--- a/hvlogger/queue.go
+++ b/hvlogger/queue.go
@@ -18,13 +18,14 @@
 // drops lines and counts them; it never blocks the caller.
 type Queue struct {
 	lines   chan []byte
+	flushes chan chan struct{}
 	dropped atomic.Int64
 	out     io.Writer
 }
 
 // NewQueue returns a queue that writes to out.
 func NewQueue(out io.Writer) *Queue {
-	q := &Queue{lines: make(chan []byte, queueLines), out: out}
+	q := &Queue{lines: make(chan []byte, queueLines), flushes: make(chan chan struct{}), out: out}
 	go q.run()
 	return q
 }
@@ -39,15 +40,39 @@
 	return len(b), nil
 }
 
+// Flush writes what waits, for up to limit.
+func (q *Queue) Flush(limit time.Duration) {
+	written := make(chan struct{})
+	timeout := time.After(limit)
+	select {
+	case q.flushes <- written:
+	case <-timeout:
+		return
+	}
+	select {
+	case <-written:
+	case <-timeout:
+	}
+}
+
 func (q *Queue) run() {
 	noted := time.Now()
-	for b := range q.lines {
-		// Nobody can be told that the log cannot be written.
-		_, _ = q.out.Write(b)
-		if n := q.dropped.Load(); n > 0 && time.Since(noted) > noteInterval {
-			q.dropped.Add(-n)
+	for {
+		select {
+		case b := <-q.lines:
+			q.write(b)
+		case written := <-q.flushes:
+			for len(q.lines) > 0 {
+				q.write(<-q.lines)
+			}
+			close(written)
+		}
+		if time.Since(noted) > noteInterval && q.dropped.Load() > 0 {
 			noted = time.Now()
-			_, _ = fmt.Fprintf(q.out, "part=log level=warn msg=\"lines were dropped\" lines=%d\n", n)
+			q.write(fmt.Appendf(nil, "part=log level=warn msg=\"lines were dropped\" lines=%d\n", q.dropped.Swap(0)))
 		}
 	}
 }
+
+// write ignores errors: nobody can be told that the log cannot be written.
+func (q *Queue) write(b []byte) { _, _ = q.out.Write(b) }
--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -79,6 +79,9 @@
 	// paces holds the shares that runs were slowed to.
 	paces    map[hvorder.Run]int
 	advances map[hvorder.Run]*progress
+	// calling counts the starts that are being called. Their calls may reach an
+	// incarnation that began after they were ordered.
+	calling  int
 	refused  []hvorder.Refusal
 	stopped  []hvorder.Run
 	hostTold bool
@@ -198,9 +201,9 @@
 func (n *Node) fullReport() hvorder.Report {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	r := hvorder.Report{Epoch: n.epoch, Node: n.name, Host: n.host, Dead: n.dead}
+	r := hvorder.Report{Epoch: n.epoch, Node: n.name, Host: n.host, Dead: n.dead && n.calling == 0}
 	n.hostTold = n.host != nil
-	if n.known {
+	if n.known && n.calling == 0 {
 		n.fill(&r)
 	}
 	return r
@@ -236,6 +239,7 @@
 	}
 	if h.Life != n.lists.Life {
 		n.seen, n.told, n.until = 0, 0, 0
+		n.fullTold = false
 		n.pending = map[hvorder.Run]bool{}
 		n.saved = map[hvorder.Run]string{}
 	}
--- a/hvnode/obey.go
+++ b/hvnode/obey.go
@@ -72,8 +72,9 @@
 // harmless, as the executor knows the run by its number.
 func (n *Node) start(ctx context.Context, s hv.StartRun) {
 	run := hvorder.Run{Task: s.Task, Run: s.Run}
-	for try := 1; n.wanted(run, s.Epoch) && ctx.Err() == nil; try++ {
+	for try := 1; ctx.Err() == nil && n.wanted(run, s.Epoch); try++ {
 		err := n.deps.Executor.Start(ctx, s)
+		n.called()
 		if err == nil {
 			n.settle(run, nil)
 			n.paceStarted(ctx, run, s.Epoch)
@@ -89,10 +90,25 @@
 	}
 }
 
+// wanted reports whether a start is still to be called, and counts the call.
 func (n *Node) wanted(run hvorder.Run, epoch int64) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.pending[run] && n.epoch == epoch
+	if !n.pending[run] || n.epoch != epoch {
+		return false
+	}
+	n.calling++
+	return true
+}
+
+// called notes the end of a call.
+func (n *Node) called() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.calling--
+	if n.calling == 0 && (n.dead || !n.fullTold) {
+		hvtick.Wake(n.wakeReport)
+	}
 }
 
 // settle ends a pending start. Without a refusal the run is on the executor.
--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -68,12 +68,15 @@
 	if n.owner == nil {
 		return nil, hvorder.Report{}, false
 	}
-	r := hvorder.Report{Epoch: n.epoch, Node: n.name, Dead: n.dead}
+	r := hvorder.Report{Epoch: n.epoch, Node: n.name, Dead: n.dead && n.calling == 0}
 	if !n.hostTold && n.host != nil {
 		r.Host = n.host
 		n.hostTold = true
 	}
 	switch {
+	case n.known && !n.fullTold && n.calling > 0:
+		// The lists can be complete only after the calls have ended.
+		r.Life, r.Clock = n.lists.Life, n.lists.Clock
 	case n.known && !n.fullTold:
 		n.fill(&r)
 	case n.known:
--- a/hvsoak/soak_test.go
+++ b/hvsoak/soak_test.go
@@ -50,6 +50,10 @@
 	name, program, config, log string
 	proxy                      *proxy
 
+	// ending is held while the process ends and starts, as series of faults
+	// overlap.
+	ending sync.Mutex
+
 	mu  sync.Mutex
 	cmd *exec.Cmd
 }
@@ -80,6 +84,8 @@
 
 // end sends a signal, waits for the end of the process and starts it again.
 func (p *process) end(t *testing.T, s syscall.Signal, away time.Duration) {
+	p.ending.Lock()
+	defer p.ending.Unlock()
 	p.signal(syscall.SIGCONT)
 	p.signal(s)
 	_ = p.cmd.Wait()
@@ -139,6 +145,7 @@
 		srv := httptest.NewServer(e)
 		app = strings.TrimPrefix(srv.URL, "http://")
 		ctx, cancel := context.WithCancel(context.Background())
+		go e.Run(ctx)
 		go beat(ctx, e, fmt.Sprint("i-", i), "http://"+ip+":8166")
 		s.t.Cleanup(func() {
 			cancel()
@@ -382,7 +389,8 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			subnet := <-free
-			defer func() { free <- subnet }()
+			// Registered first, so that it runs after all processes have ended.
+			t.Cleanup(func() { free <- subnet })
 			newSoak(t, bin, seed, subnet).play()
 		})
 	}
