Ask for the lists before a used-up run number counts as a refusal

Found by the soak: an executor carried a start out without an answer, the run ended within 0.4 s, and the repeat of the start was refused because its number was used up; the owner took that for a start that never ran and started the task again before it read the end. TestEndedRunIsNotRefused fails without the change.

--- a/hvcell/cell_test.go
+++ b/hvcell/cell_test.go
@@ -498,6 +498,12 @@
 	if len(e.running) != 1 {
 		t.Fatal("the order was not carried out in the new life")
 	}
+	// A report that does not list the new life tells nothing about its runs.
+	r := e.report(false)
+	r.Full, r.Running = false, nil
+	w.cell.Report(w.now, "host-0", r)
+	w.cell.Plan(w.now)
+	w.deliver("host-1")
 	for range 3 {
 		w.exchange()
 	}
--- a/hvnode/node_test.go
+++ b/hvnode/node_test.go
@@ -191,3 +191,20 @@
 		t.Fatal("an older list replaced a newer one")
 	}
 }
+
+// Guards against a task that starts again although the run of a call without an
+// answer has ended: the executor refuses the repeat, as its number is used up.
+func TestEndedRunIsNotRefused(t *testing.T) {
+	e := &fakeExecutor{errs: []error{kinded(hv.Uncertain), kinded(hv.Expired)}}
+	n := newNode(t, e)
+	e.holding.Ended = []hv.RunEnd{{Number: 1, Task: one.Task, Run: one.Run, How: hv.EndDone}}
+	if err := n.obey(t.Context(), startOrder(3)); err != nil {
+		t.Fatal(err)
+	}
+	n.waitSettled(t)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.refused) != 0 {
+		t.Fatalf("refused %v although the run has ended", n.refused)
+	}
+}
--- a/hvnode/obey.go
+++ b/hvnode/obey.go
@@ -81,6 +81,14 @@
 			return
 		}
 		kind := hv.KindOf(err)
+		if kind == hv.Expired {
+			err = n.afterAll(ctx, run, s.Epoch, err)
+			kind = hv.KindOf(err)
+		}
+		if err == nil {
+			n.settle(run, nil)
+			return
+		}
 		if kind != hv.Uncertain && (kind != hv.Unavailable || try >= unhealthyTries) {
 			_ = level.Info(n.deps.Logger).Log("msg", "start is refused", "task", s.Task, "run", s.Run, "epoch", s.Epoch, "err", err)
 			n.settle(run, &hvorder.Refusal{Run: run, Kind: kind})
@@ -90,6 +98,20 @@
 	}
 }
 
+// afterAll tells what became of a start whose number is used up: an earlier
+// call without an answer may have started the run, and it may have ended since.
+// It returns nil if the executor lists the run, and refusal if it does not.
+func (n *Node) afterAll(ctx context.Context, run hvorder.Run, epoch int64, refusal error) error {
+	lists, err := n.deps.Executor.Hold(ctx, hv.Hold{Epoch: epoch})
+	switch {
+	case err != nil:
+		return failure("start", hv.Uncertain, "no lists after %v: %v", refusal, err)
+	case listed(lists, run):
+		return nil
+	}
+	return refusal
+}
+
 // wanted reports whether a start is still to be called, and counts the call.
 func (n *Node) wanted(run hvorder.Run, epoch int64) bool {
 	n.mu.Lock()
