--- a/cmd/hvgate/platform.go
+++ b/cmd/hvgate/platform.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"time"
 
@@ -47,7 +46,7 @@
 		Name: s.Node, Zone: s.Zone, Addr: s.Peers, Process: uuid.NewString(),
 		Store: platform.NewStore(s.Store), Topic: platform.CellTopic,
 		Published: platform.OperatorsTopic, Key: platform.ConfigKey, Decode: platform.DecodeCatalog,
-		Early: s.Early, Retain: s.Retain, Remote: s.Remote,
+		Early: s.Early, Retain: s.Retain,
 		Clock: hv.SystemClock{}, Metrics: metrics, Logger: logger,
 	})
 	return &platformGate{settings: s, gate: gate, metrics: metrics, logger: logger}, nil
@@ -84,11 +83,7 @@
 	for addr, h := range map[string]http.Handler{
 		p.settings.Callers: platform.CallerHandler(p.gate),
 		p.settings.Ready:   platform.ReadyHandler(p.gate.Ready),
-		metricsAddr(p.settings.Peers): http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			if err := p.metrics.Write(w); err != nil {
-				_ = level.Debug(p.logger).Log("msg", "metrics are cut", "err", err)
-			}
-		}),
+		p.settings.Metrics: hvdaemon.MetricsHandler(p.metrics, p.logger),
 	} {
 		if addr == "" {
 			continue
@@ -120,19 +115,5 @@
 	}
 }
 
-// Reload implements hvdaemon.Daemon. Addresses do not change while a process
-// runs, so a changed file is only checked.
-func (p *platformGate) Reload(string) {
-	if _, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable)); err != nil {
-		_ = level.Error(p.logger).Log("msg", "settings are invalid", "err", err)
-		return
-	}
-	_ = level.Info(p.logger).Log("msg", "settings were read again")
-}
-
-// metricsPort is the port of the metrics; deploy/system.toml names it too.
-const metricsPort = "7799"
-
-func metricsAddr(peers string) string {
-	return peers[:strings.LastIndexByte(peers, ':')+1] + metricsPort
-}
+// Reload implements hvdaemon.Daemon.
+func (p *platformGate) Reload(string) { platform.CheckSettings(p.logger) }
--- a/cmd/hvside/platform.go
+++ b/cmd/hvside/platform.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"net/http"
 	"os"
-	"strings"
 	"sync"
 
 	"github.com/go-kit/log"
@@ -58,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	metrics, err := hvdaemon.Listen(metricsAddr(p.settings.Peers), http.HandlerFunc(p.writeMetrics), p.logger)
+	metrics, err := hvdaemon.Listen(p.settings.Metrics, hvdaemon.MetricsHandler(p.metrics, p.logger), p.logger)
 	if err != nil {
 		return err
 	}
@@ -74,25 +72,5 @@
 	return nil
 }
 
-func (p *platformSide) writeMetrics(w http.ResponseWriter, _ *http.Request) {
-	if err := p.metrics.Write(w); err != nil {
-		_ = level.Debug(p.logger).Log("msg", "metrics are cut", "err", err)
-	}
-}
-
-// Reload implements hvdaemon.Daemon. Addresses do not change while a process
-// runs, so a changed file is only checked.
-func (p *platformSide) Reload(string) {
-	if _, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable)); err != nil {
-		_ = level.Error(p.logger).Log("msg", "settings are invalid", "err", err)
-		return
-	}
-	_ = level.Info(p.logger).Log("msg", "settings were read again")
-}
-
-// metricsPort is the port of the metrics; deploy/system.toml names it too.
-const metricsPort = "7799"
-
-func metricsAddr(peers string) string {
-	return peers[:strings.LastIndexByte(peers, ':')+1] + metricsPort
-}
+// Reload implements hvdaemon.Daemon.
+func (p *platformSide) Reload(string) { platform.CheckSettings(p.logger) }
--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -31,8 +31,6 @@
 	Authority time.Duration
 	// Early is how long before its due time a round may start.
 	Early time.Duration
-	// Remote is the factor of a run time away from its data.
-	Remote float64
 	// Retain is how long the state of an ended job stays readable.
 	Retain time.Duration
 	Health hv.Health
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -48,7 +48,7 @@
 func (c *Cell) Attached(now time.Time, name string, r hvorder.Report) hvorder.Grant {
 	c.AddHost(now, name, nil)
 	h := c.hosts[name]
-	h.linked, h.dropped, h.since = true, false, now
+	h.linked, h.dropped = true, false
 	_ = level.Info(c.options.Logger).Log("msg", "node is attached", "host", name, "life", r.Life, "full", r.Full, "running", len(r.Running), "pending", len(r.Pending), "ended", len(r.Ended))
 	return c.Report(now, name, r)
 }
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -127,8 +127,6 @@
 	// last one whose effect is stored, and told what the node knows of kept.
 	got, kept, told int64
 	orders          hvorder.Orders
-	// since is when the host was linked.
-	since time.Time
 }
 
 func (h *host) free() hvjob.Size { return h.info.Room.Minus(h.used) }
--- a/hvcell/world_test.go
+++ b/hvcell/world_test.go
@@ -83,7 +83,7 @@
 	w.epoch++
 	w.cell = New(Options{
 		Epoch: w.epoch, Claimed: int64(len(w.jobs)), Now: w.now, Lease: 5 * time.Second, Authority: w.authority,
-		Retain: time.Minute, Remote: 1.5, Logger: log.NewNopLogger(),
+		Retain: time.Minute, Logger: log.NewNopLogger(),
 		Health: hvhealth.New(hvhealth.Options{Fleet: func() int { return len(w.hosts) }}),
 	})
 	if !w.noCatalog {
--- a/hvdaemon/serve.go
+++ b/hvdaemon/serve.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"hibiscusvane.example/hibiscusvane/hvmetric"
 	"hibiscusvane.example/hibiscusvane/hvwire"
 )
 
@@ -79,3 +80,12 @@
 	}()
 	return nil
 }
+
+// MetricsHandler serves the metrics of a process.
+func MetricsHandler(m *hvmetric.Registry, logger log.Logger) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if err := m.Write(w); err != nil {
+			_ = level.Debug(logger).Log("msg", "metrics are cut", "err", err)
+		}
+	})
+}
--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -51,7 +51,6 @@
 	Decode  func([]byte) (*hvjob.Catalog, error)
 	Early   time.Duration
 	Retain  time.Duration
-	Remote  float64
 	Clock   hv.Clock
 	Metrics *hvmetric.Registry
 	Logger  log.Logger
@@ -153,7 +152,7 @@
 		return
 	}
 	owner := hvowner.New(hvowner.Options{
-		Writer: w, Claimed: claimed, Learned: g.replica.Learned(), Early: g.options.Early, Retain: g.options.Retain, Remote: g.options.Remote,
+		Writer: w, Claimed: claimed, Learned: g.replica.Learned(), Early: g.options.Early, Retain: g.options.Retain,
 		Clock: g.options.Clock, Metrics: g.options.Metrics, Logger: g.options.Logger,
 	})
 	if c := g.Catalog(); c != nil {
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -47,7 +47,6 @@
 	Learned []byte
 	Early   time.Duration
 	Retain  time.Duration
-	Remote  float64
 	Clock   hv.Clock
 	Metrics *hvmetric.Registry
 	Logger  log.Logger
@@ -81,7 +80,7 @@
 	health := hvhealth.New(hvhealth.Options{Fleet: w.fleet})
 	w.cell = hvcell.New(hvcell.Options{
 		Epoch: o.Writer.Claim().Epoch, Claimed: o.Claimed, Now: o.Clock.Now(), Lease: lease, Authority: before,
-		Early: o.Early, Remote: o.Remote, Retain: o.Retain, Health: health, Logger: o.Logger,
+		Early: o.Early, Retain: o.Retain, Health: health, Logger: o.Logger,
 	})
 	w.restore(o.Learned)
 	return w
