Confirm a life before acknowledging its ends; start fill work that starves

After a call without an answer a node now only looks until the executor has listed its runs. Fill work that has waited 1.5 s with nothing running now starts wherever it has room. TestFillWorkLeavesHostThatFailedIt and TestStarvedFillWorkStarts fail without the change.

--- a/hvcell/disturb_test.go
+++ b/hvcell/disturb_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvjob"
 	"hibiscusvane.example/hibiscusvane/hvorder"
 )
@@ -126,3 +127,56 @@
 		t.Errorf("effect of the image is %d thousandths, want about 300", e)
 	}
 }
+
+// Guards against fill work that waits for ever because the only host that it
+// would not disturb is one on which it failed.
+func TestFillWorkLeavesHostThatFailedIt(t *testing.T) {
+	w := newWorld(t, 2)
+	serving, empty := w.hosts["host-0"], w.hosts["host-1"]
+	serving.room = 16_000
+	w.attach("host-0")
+	_, flood := pattern(w)
+	teach(w, "host-0")
+	w.attach("host-1")
+	flood.Steps[0].Count = 1
+	w.submit(flood)
+	w.exchange()
+	if !empty.serves("press") {
+		t.Fatal("fill work does not go to the empty host")
+	}
+	for task, run := range empty.running {
+		empty.end(task, run, hv.EndFailed)
+	}
+	w.exchange()
+	if !serving.serves("press") {
+		t.Fatal("the task does not start on the host that is left")
+	}
+}
+
+// Guards against a step that never starts because all hosts slow fill work.
+func TestStarvedFillWorkStarts(t *testing.T) {
+	w := newWorld(t, 1)
+	w.hosts["host-0"].room = 16_000
+	w.attachAll()
+	_, flood := pattern(w)
+	teach(w, "host-0")
+	slow := func() {
+		r := w.hosts["host-0"].report(false)
+		r.Pace = -100
+		w.cell.Report(w.now, "host-0", r)
+	}
+	slow()
+	w.submit(flood)
+	w.cell.Plan(w.now)
+	w.deliver("host-0")
+	if w.hosts["host-0"].serves("press") {
+		t.Fatal("fill work starts at once where it is paused")
+	}
+	w.advance(2 * time.Second)
+	slow()
+	w.cell.Plan(w.now)
+	w.deliver("host-0")
+	if !w.hosts["host-0"].serves("press") {
+		t.Fatal("the step has not started after 2 s")
+	}
+}
--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -132,6 +132,7 @@
 // place starts the waiting tasks of a step as far as hosts have room.
 func (c *Cell) place(now time.Time, s *step, hosts []*host) {
 	placed := 0
+	starved := s.starved(now)
 	for _, t := range s.tasks {
 		if s.waiting == 0 {
 			break
@@ -140,6 +141,9 @@
 			continue
 		}
 		h := c.pick(now, t, hosts)
+		if h == nil && starved {
+			h, starved = c.pickAnyway(t, hosts), false
+		}
 		if h == nil {
 			c.noteWait(now, t, hosts)
 			if len(t.avoid) == 0 {
@@ -169,7 +173,7 @@
 	if s.waited {
 		return
 	}
-	s.waited = true
+	s.waited, s.waitSince = true, now
 	why := map[string]int{}
 	for _, h := range hosts {
 		obstacle := c.obstacle(now, t, h)
@@ -238,10 +242,10 @@
 	var best *host
 	bestScore := 0.0
 	limit := math.Inf(1)
+	hosts = t.preferred(hosts)
 	if t.step.spec.Fill {
 		limit = c.bearableFor(t, hosts)
 	}
-	hosts = t.preferred(hosts)
 	for _, h := range hosts {
 		if !c.allowed(now, t, h) || c.hurt(t, h) > limit {
 			continue
@@ -253,6 +257,28 @@
 	return best
 }
 
+// patience is how long a step may wait with nothing of it running while hosts
+// have room, because its tasks would disturb or be slowed there.
+const patience = 1500 * time.Millisecond
+
+// starved reports whether one task of the step is to start where it fits, if
+// only slowed.
+func (s *step) starved(now time.Time) bool {
+	return s.waited && now.Sub(s.waitSince) > patience && s.waiting+s.done == len(s.tasks)
+}
+
+// pickAnyway returns the host with the best score of those that have room and
+// may run a task, or nil.
+func (c *Cell) pickAnyway(t *task, hosts []*host) *host {
+	var best *host
+	for _, h := range t.preferred(hosts) {
+		if c.forbidden(t, h) == "" && (best == nil || c.score(t, h) > c.score(t, best)) {
+			best = h
+		}
+	}
+	return best
+}
+
 // preferred leaves out the hosts on which runs of the task failed, unless all
 // are such.
 func (t *task) preferred(hosts []*host) []*host {
@@ -276,22 +302,32 @@
 
 // obstacle names what keeps a task off a host, or is empty.
 func (c *Cell) obstacle(now time.Time, t *task, h *host) string {
+	s := t.step.spec
+	switch why := c.forbidden(t, h); {
+	case why != "":
+		return why
+	case s.Fill && h.filled+s.Need.CPU > h.unused():
+		return "busy"
+	case s.Fill && c.crowdedOut(t, h):
+		return "slowed"
+	case !c.options.Health.Usable(now, h.name):
+		return "quarantine"
+	}
+	return ""
+}
+
+// forbidden names why a host must not run a task, or is empty.
+func (c *Cell) forbidden(t *task, h *host) string {
 	s := t.step.spec
 	switch {
 	case h.info.Service != t.step.round.job.queue.Service:
 		return "service"
 	case !s.Commit().Fits(h.free()):
 		return "room"
-	case s.Fill && h.filled+s.Need.CPU > h.unused():
-		return "busy"
-	case s.Fill && c.crowdedOut(t, h):
-		return "slowed"
 	case s.Label != "" && !slices.Contains(h.info.Labels, s.Label):
 		return "label"
 	case s.Spread > 0 && t.step.perHost[h] >= s.Spread:
 		return "spread"
-	case !c.options.Health.Usable(now, h.name):
-		return "quarantine"
 	}
 	return ""
 }
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -54,8 +54,9 @@
 	perHost map[*host]int
 	// next is the number of the next run of a gang.
 	next int
-	// waited is true once it was logged why tasks wait.
-	waited bool
+	// waited is true once it was logged why tasks wait, at waitSince.
+	waited    bool
+	waitSince time.Time
 }
 
 type task struct {
--- a/hvnode/hold.go
+++ b/hvnode/hold.go
@@ -62,7 +62,12 @@
 func (n *Node) nextHold() (hv.Hold, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	h := hv.Hold{Epoch: n.epoch, Until: n.until, Seen: n.seen, WaitMS: holdWaitMS}
+	h := hv.Hold{Epoch: n.epoch, WaitMS: holdWaitMS}
+	if !n.confirmed {
+		h.WaitMS = 0
+		return h, n.epoch > 0
+	}
+	h.Until, h.Seen = n.until, n.seen
 	if n.serving() {
 		h.WaitMS = paceWaitMS
 	}
--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -58,9 +58,13 @@
 	lists hv.Holding
 	// known is false while the executor does not answer.
 	known bool
-	dead  bool
-	until int64
-	seen  int64
+	// confirmed is false after a call without an answer until the executor has
+	// listed its runs again: a new incarnation must not be told to forget ends
+	// by the numbers of the one before.
+	confirmed bool
+	dead      bool
+	until     int64
+	seen      int64
 	// told is the number of the last end in a report on this connection.
 	told     int64
 	saved    map[hvorder.Run]string
@@ -184,10 +188,9 @@
 	}
 	n.epoch, n.owner, n.attached = req.Epoch, c, n.deps.Clock.Now()
 	n.refused, n.stopped, n.fullTold = nil, nil, false
-	seen := n.seen
 	n.mu.Unlock()
 	_ = level.Info(n.deps.Logger).Log("msg", "owner attached", "epoch", req.Epoch, "owner", req.Owner)
-	lists, err := n.deps.Executor.Hold(ctx, hv.Hold{Epoch: req.Epoch, Seen: seen})
+	lists, err := n.deps.Executor.Hold(ctx, hv.Hold{Epoch: req.Epoch})
 	if err == nil {
 		n.take(lists)
 	} else if n.holdFailed(err) {
@@ -243,13 +246,16 @@
 		n.pending = map[hvorder.Run]bool{}
 		n.saved = map[hvorder.Run]string{}
 	}
-	n.lists, n.known, n.dead = h, true, false
+	n.lists, n.known, n.confirmed, n.dead = h, true, true, false
 	n.advance(n.deps.Clock.Now(), h.Running)
 }
 
 // holdFailed notes that the executor did not answer and reports whether the
 // owner has lost its authority.
 func (n *Node) holdFailed(err error) bool {
+	n.mu.Lock()
+	n.confirmed = false
+	n.mu.Unlock()
 	kind := hv.KindOf(err)
 	if kind == hv.Conflict {
 		return true
--- a/hvnode/node_test.go
+++ b/hvnode/node_test.go
@@ -208,3 +208,22 @@
 		t.Fatalf("refused %v although the run has ended", n.refused)
 	}
 }
+
+// Guards against a new incarnation of the executor that is told to forget ends
+// by the numbers of the one before: after a call without an answer the next
+// one only looks.
+func TestHoldAfterFailureOnlyLooks(t *testing.T) {
+	n := newNode(t, &fakeExecutor{})
+	n.seen, n.until = 20, 9000
+	if h, _ := n.nextHold(); h.Seen != 20 || h.Until != 9000 {
+		t.Fatalf("hold is %+v", h)
+	}
+	n.missed(kinded(hv.Uncertain), 0)
+	if h, _ := n.nextHold(); h.Seen != 0 || h.Until != 0 || h.WaitMS != 0 {
+		t.Fatalf("hold after a failure is %+v", h)
+	}
+	n.take(hv.Holding{Life: "1", Clock: 700})
+	if h, _ := n.nextHold(); h.Seen != 20 {
+		t.Fatalf("hold after the same life answered is %+v", h)
+	}
+}
