Bar a doubtful start before it is given back

Cause, found in review: a start that got no answer and was then refused for room or health went back to the owner at once, while its first call could still be carried out late beside the run elsewhere. TestDoubtfulStartIsBarredBefore... fails without the change.

--- a/hvnode/node_test.go
+++ b/hvnode/node_test.go
@@ -227,3 +227,33 @@
 		t.Fatalf("hold after the same life answered is %+v", h)
 	}
 }
+
+// Guards against a start that is given back although an earlier call of it may
+// still be carried out: it is barred first.
+func TestDoubtfulStartIsBarredBeforeItIsGivenBack(t *testing.T) {
+	for _, kind := range []hv.ErrorKind{hv.Full, hv.Invalid} {
+		e := &fakeExecutor{errs: []error{kinded(hv.Uncertain), kinded(kind)}}
+		n := newNode(t, e)
+		if err := n.obey(t.Context(), startOrder(3)); err != nil {
+			t.Fatal(err)
+		}
+		n.waitSettled(t)
+		for deadline := time.Now().Add(2 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+			n.mu.Lock()
+			stopped, refused := len(n.stopped), len(n.refused)
+			n.mu.Unlock()
+			if refused > 0 {
+				t.Fatalf("%s: the start is refused without a stop", kind)
+			}
+			if stopped == 1 {
+				break
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("%s: the start is not given back", kind)
+			}
+		}
+		if len(e.stops) != 1 || e.stops[0] != one {
+			t.Errorf("%s: stops are %v", kind, e.stops)
+		}
+	}
+}
--- a/hvnode/obey.go
+++ b/hvnode/obey.go
@@ -72,6 +72,8 @@
 // harmless, as the executor knows the run by its number.
 func (n *Node) start(ctx context.Context, s hv.StartRun) {
 	run := hvorder.Run{Task: s.Task, Run: s.Run}
+	// doubt is true once a call got no answer: it may still be carried out.
+	doubt := false
 	for try := 1; ctx.Err() == nil && n.wanted(run, s.Epoch); try++ {
 		err := n.deps.Executor.Start(ctx, s)
 		n.called()
@@ -90,14 +92,26 @@
 			return
 		}
 		if kind != hv.Uncertain && (kind != hv.Unavailable || try >= unhealthyTries) {
-			_ = level.Info(n.deps.Logger).Log("msg", "start is refused", "task", s.Task, "run", s.Run, "epoch", s.Epoch, "err", err)
-			n.settle(run, &hvorder.Refusal{Run: run, Kind: kind})
+			_ = level.Info(n.deps.Logger).Log("msg", "start is refused", "task", s.Task, "run", s.Run, "epoch", s.Epoch, "doubt", doubt, "err", err)
+			n.giveBack(ctx, run, s.Epoch, kind, doubt)
 			return
 		}
+		doubt = doubt || kind == hv.Uncertain
 		hvtick.Sleep(ctx, callRetry)
 	}
 }
 
+// giveBack returns a start to the owner. While an earlier call of it may still be
+// carried out, the run is barred first.
+func (n *Node) giveBack(ctx context.Context, run hvorder.Run, epoch int64, kind hv.ErrorKind, doubt bool) {
+	if doubt && kind != hv.Conflict {
+		n.settle(run, nil)
+		n.stop(ctx, run, epoch)
+		return
+	}
+	n.settle(run, &hvorder.Refusal{Run: run, Kind: kind})
+}
+
 // afterAll tells what became of a start whose number is used up: an earlier
 // call without an answer may have started the run, and it may have ended since.
 // It returns nil if the executor lists the run, and refusal if it does not.
