Drop the host of an executor that left

The owner now drops the registration as soon as nothing can run there, and an owner's authority without the store is 6 s instead of 10 s. TestHostOfExecutorThatLeftIsDropped fails without the change.

--- a/hvcell/cell_test.go
+++ b/hvcell/cell_test.go
@@ -511,3 +511,28 @@
 		t.Fatalf("%d runs, %d of them in the new life", w.runs(), len(e.running))
 	}
 }
+
+// Guards against a registration that outlasts an executor that has left: the
+// next owner would wait for its host, and lasting tasks with it.
+func TestHostOfExecutorThatLeftIsDropped(t *testing.T) {
+	w := newWorld(t, 2)
+	w.attachAll()
+	w.submit(steps(step1(8, 1000)))
+	w.exchange()
+	r := w.hosts["host-0"].report(false)
+	r.Host.Draining, r.Host.Left = true, true
+	w.cell.Report(w.now, "host-0", r)
+	if b, _ := w.cell.Batch(w.now); len(b.Dropped) != 0 {
+		t.Fatalf("%v are dropped while runs may be left", b.Dropped)
+	}
+	w.hosts["host-0"].crash()
+	r.Life, r.Full, r.Dead, r.Ended = "", false, true, nil
+	w.cell.Report(w.now, "host-0", r)
+	if b, _ := w.cell.Batch(w.now); len(b.Dropped) != 1 || b.Dropped[0] != "host-0" {
+		t.Fatalf("%v are dropped, want host-0", b.Dropped)
+	}
+	w.exchange()
+	if w.runs() != 8 {
+		t.Fatalf("%d runs elsewhere, want 8", w.runs())
+	}
+}
--- a/hvcell/store.go
+++ b/hvcell/store.go
@@ -59,10 +59,22 @@
 // so that no later owner waits for it. A node that is back registers again.
 const dropAfter = 8 * time.Second
 
+// isGone reports whether a host can be forgotten: its executor has left and
+// nothing of it is left, or its node has been silent for long.
+func (h *host) isGone(now time.Time) bool {
+	if len(h.runs) > 0 {
+		return false
+	}
+	if h.info.Left {
+		return h.life == "" || now.After(h.lapse)
+	}
+	return !h.linked && now.Sub(h.lapse) > dropAfter
+}
+
 func (c *Cell) dropHosts(now time.Time) []string {
 	var out []string
 	for name, h := range c.hosts {
-		if !h.linked && !h.dropped && len(h.runs) == 0 && now.Sub(h.lapse) > dropAfter {
+		if !h.dropped && h.isGone(now) {
 			h.dropped = true
 			out = append(out, name)
 			_ = level.Info(c.options.Logger).Log("msg", "node is dropped", "host", name, "life", h.life, "silent", now.Sub(h.lapse))
--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -164,7 +164,7 @@
 	}
 	if n.host != nil {
 		h := *n.host
-		h.Draining = true
+		h.Draining, h.Left = true, true
 		n.host = &h
 	}
 	n.hostTold = false
--- a/hvorder/order.go
+++ b/hvorder/order.go
@@ -76,6 +76,8 @@
 	Labels   []string   `json:"labels,omitempty"`
 	Room     hvjob.Size `json:"room"`
 	Draining bool       `json:"draining,omitempty"`
+	// Left is true once the executor has said that it ends.
+	Left bool `json:"left,omitempty"`
 	// Leaves is the least time in milliseconds until a draining executor ends.
 	Leaves int64 `json:"leaves,omitempty"`
 }
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -34,8 +34,10 @@
 	// learnedInterval is how often what was learned is stored for the next
 	// owner.
 	learnedInterval = 2 * time.Second
-	// authority is how long an owner goes on without an answered append.
-	authority = 10 * time.Second
+	// authority is how long an owner goes on without an answered append. Outages
+	// of the store last up to about 6 s; a new owner waits for it if a host is
+	// silent.
+	authority = 6 * time.Second
 )
 
 // Options are what an Owner works with.
