--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -34,6 +34,8 @@
 	// Retain is how long the state of an ended job stays readable.
 	Retain time.Duration
 	Health hv.Health
+	// Ended is told how long a job took until it ended; it may be nil.
+	Ended  func(queue string, s hvjob.State, took time.Duration)
 	Logger log.Logger
 }
 
--- a/hvcell/ends.go
+++ b/hvcell/ends.go
@@ -137,6 +137,9 @@
 // finish ends a job in a state that is stored.
 func (c *Cell) finish(now time.Time, j *job, s hvjob.State) {
 	_ = level.Info(c.options.Logger).Log("msg", "job has ended", "job", j.ID, "queue", j.Queue, "state", s, "took_ms", now.UnixMilli()-j.Submitted)
+	if c.options.Ended != nil {
+		c.options.Ended(j.Queue, s, time.Duration(now.UnixMilli()-j.Submitted)*time.Millisecond)
+	}
 	c.drop(now, j)
 	j.progress = hvjob.Progress{State: s, At: now.UnixMilli()}
 	c.touch(j)
--- a/hventry/jobs.go
+++ b/hventry/jobs.go
@@ -28,8 +28,10 @@
 
 // Submit stores a job. A repeated submission is the same job.
 func (g *Gate) Submit(ctx context.Context, j hvjob.Job) (time.Duration, error) {
+	began := g.options.Clock.Now()
+	defer func() { g.options.Metrics.Observe("hv_submit_us", j.Queue, "", g.options.Clock.Now().Sub(began)) }()
 	if _, ok := g.replica.Job(j.ID); ok {
-		g.decided("submit", j.ID, "outcome", "known")
+		g.decided("submit", j.ID, "known")
 		return 0, nil
 	}
 	rec, err := hvledger.JobRecord(j)
@@ -38,10 +40,10 @@
 	}
 	err = g.put(ctx, rec)
 	if err != nil {
-		g.decided("submit", j.ID, "outcome", "refused", "kind", hv.KindOf(err), "age", g.replica.Age(), "err", err)
+		g.decided("submit", j.ID, "refused", "kind", hv.KindOf(err), "age", g.replica.Age(), "err", err)
 		return outageRetry, err
 	}
-	g.decided("submit", j.ID, "outcome", "accepted", "queue", j.Queue, "catalog", g.Catalog().Version)
+	g.decided("submit", j.ID, "accepted", "queue", j.Queue, "catalog", g.Catalog().Version)
 	return 0, nil
 }
 
@@ -75,7 +77,7 @@
 func (g *Gate) State(ctx context.Context, id string) (hvjob.State, error) {
 	e, err := g.find(ctx, id)
 	if err != nil {
-		g.decided("state", id, "outcome", "unknown", "kind", hv.KindOf(err), "age", g.replica.Age())
+		g.decided("state", id, "unknown", "kind", hv.KindOf(err), "age", g.replica.Age())
 		return "", err
 	}
 	return e.State(), nil
@@ -85,18 +87,18 @@
 func (g *Gate) Cancel(ctx context.Context, id string) error {
 	e, err := g.find(ctx, id)
 	if err != nil {
-		g.decided("cancel", id, "outcome", "unknown", "kind", hv.KindOf(err), "age", g.replica.Age())
+		g.decided("cancel", id, "unknown", "kind", hv.KindOf(err), "age", g.replica.Age())
 		return err
 	}
 	if e.Cancelled || e.Progress.State.Final() {
-		g.decided("cancel", id, "outcome", "ended before", "state", e.State())
+		g.decided("cancel", id, "ended", "state", e.State())
 		return nil
 	}
 	if err := g.put(ctx, hvledger.CancelRecord(id)); err != nil {
-		g.decided("cancel", id, "outcome", "refused", "kind", hv.KindOf(err), "err", err)
+		g.decided("cancel", id, "refused", "kind", hv.KindOf(err), "err", err)
 		return err
 	}
-	g.decided("cancel", id, "outcome", "accepted")
+	g.decided("cancel", id, "accepted")
 	return nil
 }
 
@@ -122,6 +124,7 @@
 }
 
 // decided logs a decision about a job and counts it.
-func (g *Gate) decided(what, id string, outcome string, value any, more ...any) {
-	_ = level.Info(g.options.Logger).Log(append([]any{"msg", "request is decided", "call", what, "job", id, outcome, value}, more...)...)
+func (g *Gate) decided(call, id, outcome string, pairs ...any) {
+	g.options.Metrics.Add("hv_calls_total", 1, "call", call, "outcome", outcome)
+	_ = level.Info(g.options.Logger).Log(append([]any{"msg", "request is decided", "call", call, "job", id, "outcome", outcome}, pairs...)...)
 }
--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -30,9 +30,24 @@
 		if conn, r, ok := n.nextReport(); ok {
 			n.send(ctx, conn, r)
 		}
+		n.count()
 	}
 }
 
+// count sets the gauges of what this node believes.
+func (n *Node) count() {
+	if n.deps.Metrics == nil {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.deps.Metrics.Set("hv_node_epoch", n.epoch)
+	n.deps.Metrics.Set("hv_node_running", int64(len(n.lists.Running)))
+	n.deps.Metrics.Set("hv_node_pending", int64(len(n.pending)))
+	n.deps.Metrics.Set("hv_node_unseen", int64(len(n.lists.Ended)))
+	n.deps.Metrics.Set("hv_node_pace", int64(fullPace-n.pace.cut))
+}
+
 func (n *Node) send(ctx context.Context, conn *hvwire.Conn, r hvorder.Report) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -82,12 +82,17 @@
 	health := hvhealth.New(hvhealth.Options{Fleet: w.fleet})
 	w.cell = hvcell.New(hvcell.Options{
 		Epoch: o.Writer.Claim().Epoch, Claimed: o.Claimed, Now: o.Clock.Now(), Lease: lease, Authority: before,
-		Early: o.Early, Retain: o.Retain, Health: health, Logger: o.Logger,
+		Early: o.Early, Retain: o.Retain, Health: health, Ended: w.ended, Logger: o.Logger,
 	})
 	w.restore(o.Learned)
 	return w
 }
 
+// ended measures how long jobs took, by queue and state.
+func (o *Owner) ended(queue string, s hvjob.State, took time.Duration) {
+	o.options.Metrics.Observe("hv_job_us", queue, hv.Class(s), took)
+}
+
 // restore goes on with what the owner before has learned.
 func (o *Owner) restore(stored []byte) {
 	if len(stored) == 0 {
