Let a lasting task go back to the only host with room

A host on which a task failed was left out as long as any other host was usable, also when only that one had room. TestLastingTaskReturnsToTheOnlyRoom fails without the change.

--- a/hvcell/cell_test.go
+++ b/hvcell/cell_test.go
@@ -536,3 +536,26 @@
 		t.Fatalf("%d runs elsewhere, want 8", w.runs())
 	}
 }
+
+// Guards against a lasting task that stays away because only the host on which
+// it failed has room.
+func TestLastingTaskReturnsToTheOnlyRoom(t *testing.T) {
+	w := newWorld(t, 2)
+	w.attachAll()
+	s := step1(4, 4000)
+	s.Lasting = true
+	w.submit(steps(s))
+	w.exchange()
+	if w.runs() != 4 {
+		t.Fatalf("%d runs fill both hosts, want 4", w.runs())
+	}
+	e := w.hosts["host-0"]
+	for task, run := range e.running {
+		e.end(task, run, hv.EndFailed)
+		break
+	}
+	w.exchange()
+	if w.runs() != 4 {
+		t.Fatalf("%d runs after one has failed, want 4", w.runs())
+	}
+}
--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -237,12 +237,21 @@
 	return true
 }
 
-// pick returns the host for a task, or nil.
+// pick returns the host for a task, or nil. A lasting task rather goes back to a
+// host on which it failed than stays away.
 func (c *Cell) pick(now time.Time, t *task, hosts []*host) *host {
+	h := c.pickAmong(now, t, t.preferred(hosts))
+	if h == nil && t.step.spec.Lasting && len(t.avoid) > 0 {
+		return c.pickAmong(now, t, hosts)
+	}
+	return h
+}
+
+// pickAmong returns the allowed host with the best score, or nil.
+func (c *Cell) pickAmong(now time.Time, t *task, hosts []*host) *host {
 	var best *host
 	bestScore := 0.0
 	limit := math.Inf(1)
-	hosts = t.preferred(hosts)
 	if t.step.spec.Fill {
 		limit = c.bearableFor(t, hosts)
 	}
@@ -271,7 +280,7 @@
 // may run a task, or nil.
 func (c *Cell) pickAnyway(t *task, hosts []*host) *host {
 	var best *host
-	for _, h := range t.preferred(hosts) {
+	for _, h := range hosts {
 		if c.forbidden(t, h) == "" && (best == nil || c.score(t, h) > c.score(t, best)) {
 			best = h
 		}
