Connect again to a node that is attached and reports nothing

A side was paused for 2.3 s; the owner's attempts to attach waited in its queue of connections. When it went on it attached two at once, the closed one last, failed to report on it and reported nowhere, while the owner held the other connection to be attached. Its leases lapsed and its 16 runs were never started elsewhere. Ruled out: lost stops (the orders arrived). The owner now gives up a link without a report for 2.5 s.

--- a/hvowner/link.go
+++ b/hvowner/link.go
@@ -19,6 +19,10 @@
 	callTimeout = 1500 * time.Millisecond
 	// redialPause separates attempts to reach a node.
 	redialPause = 250 * time.Millisecond
+	// reportSilence is after what an attached node that reports nothing is given
+	// up; nodes report every 0.7 s. A node that was paused may obey a connection
+	// that the owner has already closed, and then reports on none.
+	reportSilence = 2500 * time.Millisecond
 	// attachWait is how long a report waits until its connection is attached.
 	attachWait = 50 * time.Millisecond
 )
@@ -31,8 +35,10 @@
 	wake  chan struct{}
 
 	cancel context.CancelFunc
-	// conn is the attached connection; the owner's lock protects it.
-	conn *hvwire.Conn
+	// conn is the attached connection and reported when the last report came on
+	// it; the owner's lock protects both.
+	conn     *hvwire.Conn
+	reported time.Time
 }
 
 func (l *link) start(ctx context.Context) {
@@ -63,12 +69,20 @@
 		return err
 	}
 	defer l.detach(conn)
+	silence := time.NewTicker(reportSilence / 4)
+	defer silence.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-conn.Done():
 			return nil
+		case <-silence.C:
+			if l.isSilent() {
+				_ = level.Info(l.owner.options.Logger).Log("msg", "node reports nothing", "host", l.name, "limit", reportSilence)
+				return failure("link", hv.Unavailable, "node %s reports nothing", l.name)
+			}
+			continue
 		case <-l.wake:
 		}
 		if err := l.send(ctx, conn); err != nil {
@@ -88,7 +102,7 @@
 	}
 	o := l.owner
 	o.mu.Lock()
-	l.conn = conn
+	l.conn, l.reported = conn, o.options.Clock.Now()
 	o.cell.Attached(o.options.Clock.Now(), l.name, r)
 	o.mu.Unlock()
 	hvtick.Wake(o.wakePlan)
@@ -96,6 +110,13 @@
 	return nil
 }
 
+func (l *link) isSilent() bool {
+	o := l.owner
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.options.Clock.Now().Sub(l.reported) > reportSilence
+}
+
 func (l *link) detach(conn *hvwire.Conn) {
 	o := l.owner
 	o.mu.Lock()
@@ -134,6 +155,7 @@
 	for deadline := o.options.Clock.Now().Add(attachWait); ; {
 		o.mu.Lock()
 		if l.conn == c {
+			l.reported = o.options.Clock.Now()
 			grant := o.cell.Report(o.options.Clock.Now(), l.name, r)
 			o.mu.Unlock()
 			hvtick.Wake(o.wakePlan)
--- /dev/null
+++ b/hvowner/link_test.go
@@ -0,0 +1,89 @@
+package hvowner_test
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvledger"
+	"hibiscusvane.example/hibiscusvane/hvmetric"
+	"hibiscusvane.example/hibiscusvane/hvorder"
+	"hibiscusvane.example/hibiscusvane/hvowner"
+	"hibiscusvane.example/hibiscusvane/hvwire"
+	"hibiscusvane.example/hibiscusvane/platform"
+	"hibiscusvane.example/hibiscusvane/platform/platformtest"
+)
+
+// ignore is an observer of a replica that does nothing.
+type ignore struct{}
+
+func (ignore) JobChanged(hvledger.Entry)       {}
+func (ignore) NodeChanged(hvledger.Node, bool) {}
+func (ignore) ClaimChanged(hvledger.Claim)     {}
+
+func claim(t *testing.T) *hvledger.Writer {
+	t.Helper()
+	srv := httptest.NewServer(platformtest.NewStore())
+	t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	store, logger := platform.NewStore(strings.TrimPrefix(srv.URL, "http://")), log.NewNopLogger()
+	replica := hvledger.NewReplica(hv.SystemClock{}, logger, ignore{})
+	tail := hvledger.NewTail(store, platform.CellTopic, replica, func() time.Duration { return 0 }, logger)
+	if err := tail.Sync(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	never := func(hvledger.Claim) bool { return false }
+	return hvledger.NewElector(replica, tail, store, platform.CellTopic, hvledger.Claim{Name: "gate", Process: "p"}, never, logger).Wait(t.Context())
+}
+
+// Guards against a node that is attached for ever without a report, as one that
+// was paused and obeys a connection that was closed in the meantime: its leases
+// lapse, and its tasks start nowhere.
+func TestSilentNodeIsAttachedAgain(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var attached atomic.Int64
+	mux := hvwire.Mux{}
+	hvwire.Handle(mux, hvorder.MethodAttach, func(context.Context, *hvwire.Conn, hvorder.Attach) (hvorder.Report, error) {
+		attached.Add(1)
+		return hvorder.Report{Node: "side", Life: "1", Full: true}, nil
+	})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			hvwire.NewConn(c, mux)
+		}
+	}()
+	o := hvowner.New(hvowner.Options{Writer: claim(t), Retain: time.Minute, Clock: hv.SystemClock{}, Metrics: hvmetric.New(4), Logger: log.NewNopLogger()})
+	o.NodeChanged(hvledger.Node{Name: "side", Addr: l.Addr().String()}, false)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		o.Run(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	for deadline := time.Now().Add(6 * time.Second); attached.Load() < 2; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("attached %d times in 6 s although it reports nothing", attached.Load())
+		}
+	}
+}
