--- a/hvcell/disturb.go
+++ b/hvcell/disturb.go
@@ -23,8 +23,6 @@
 	calmEffect = 0.03
 	// calmDeviations is how sure this must be, in standard deviations.
 	calmDeviations = 0.7
-	// coreUnit is the number of units of load in a processor.
-	coreUnit = 1000.0
 )
 
 // Learned is what an owner hands to the next one.
@@ -56,17 +54,14 @@
 	moved := make(map[string]float64, len(r.Moved))
 	for image, load := range r.Moved {
 		if load != 0 {
-			moved[image] = float64(load) / coreUnit
+			moved[image] = float64(load) / hvorder.CoreUnit
 		}
 	}
 	for _, t := range r.Tails {
-		c.disturb.Observe(t.Image, moved, float64(t.Change)/changeUnit)
+		c.disturb.Observe(t.Image, moved, float64(t.Change)/hvorder.LogUnit)
 	}
 }
 
-// changeUnit is the unit of a logarithm in reports.
-const changeUnit = 1000
-
 // effects returns the images of fill work on a host that disturb what serves
 // there.
 func (c *Cell) effects(h *host) map[string]int64 {
@@ -77,7 +72,7 @@
 	out := map[string]int64{}
 	for _, image := range h.images(fills) {
 		if e := c.worstEffect(serving, image); e >= calmEffect {
-			out[image] = int64(e * changeUnit)
+			out[image] = int64(e * hvorder.LogUnit)
 		}
 	}
 	return out
@@ -132,7 +127,7 @@
 
 // effect is what a fill task at its full pace does to a serving image.
 func (c *Cell) effect(serving string, fill *hvjob.Step) float64 {
-	return max(c.disturb.Effect(serving, fill.Image).Mean, 0) * float64(fill.Need.CPU) / coreUnit
+	return max(c.disturb.Effect(serving, fill.Image).Mean, 0) * float64(fill.Need.CPU) / hvorder.CoreUnit
 }
 
 // bearable is the greatest effect of one fill task on a host that takes it
--- a/hvnode/pace.go
+++ b/hvnode/pace.go
@@ -101,9 +101,6 @@
 	pull float64
 }
 
-// coreUnit is the number of units of load in a processor.
-const coreUnit = 1000
-
 func (n *Node) measure(h hv.Holding) measurement {
 	m := measurement{calm: map[hvorder.Run]bool{}}
 	tails, loads := map[hvorder.Run]int{}, map[string]int64{}
@@ -118,7 +115,7 @@
 			m.fill = append(m.fill, r)
 			effect, known := n.effects[p.Image]
 			m.calm[runOf(r)] = !known && n.effects != nil
-			m.pull += float64(effect) / changeUnit * float64(r.Load) / coreUnit
+			m.pull += float64(effect) / hvorder.LogUnit * float64(r.Load) / hvorder.CoreUnit
 			loads[p.Image] += int64(r.Load)
 		}
 	}
@@ -128,9 +125,6 @@
 	return m
 }
 
-// changeUnit is the unit of a logarithm in reports.
-const changeUnit = 1000
-
 // compare notes what has changed since the last measurement.
 func (n *Node) compare(tails map[hvorder.Run]int, loads map[string]int64) {
 	now := n.deps.Clock.Now()
@@ -145,7 +139,7 @@
 		n.changes = n.changes[:0]
 		for run, tail := range tails {
 			if old := n.tails[run]; old > 0 && tail > 0 {
-				change := changeUnit * math.Log(float64(tail)/float64(old))
+				change := hvorder.LogUnit * math.Log(float64(tail)/float64(old))
 				n.changes = append(n.changes, hvorder.Tail{Image: n.profiles[run].Image, Change: int64(change)})
 			}
 		}
--- a/hvorder/order.go
+++ b/hvorder/order.go
@@ -122,6 +122,14 @@
 	Dead bool `json:"dead,omitempty"`
 }
 
+// Units of the numbers in reports and grants.
+const (
+	// CoreUnit is the number of units of load in a processor.
+	CoreUnit = 1000
+	// LogUnit is the unit of a logarithm.
+	LogUnit = 1000
+)
+
 // Tail is the change of the tail latency of a serving task.
 type Tail struct {
 	Image string `json:"image"`
