Report full lists only if the executor gave them to the owner's epoch

Cause: soak started tasks twice at once after a takeover. A node whose hold for the new epoch got no answer sent its last lists as full. They were older than starts that the executor had carried out without an answer, so the new owner took those runs for gone and started their tasks on other hosts. The same happened when an owner attached again in its own epoch.

A full report now needs lists that were asked for in the epoch of the owner and with no start called since.

Ruled out: the lease of the stand-in (the first run goes on under a valid lease) and an overtaken list (the clocks of the lists rise).

The new test of hvnode fails without the change.

--- a/hvnode/hold.go
+++ b/hvnode/hold.go
@@ -32,7 +32,7 @@
 func (n *Node) holdLoop(ctx context.Context) {
 	missing := 0
 	for ctx.Err() == nil {
-		h, ready := n.nextHold()
+		h, at, ready := n.nextHold()
 		if !ready {
 			n.pause(ctx, failedPause)
 			continue
@@ -44,7 +44,7 @@
 			continue
 		}
 		missing = 0
-		n.take(lists)
+		n.take(lists, at)
 		n.protect(ctx, lists)
 		if n.hasNews() {
 			hvtick.Wake(n.wakeReport)
@@ -59,13 +59,15 @@
 	hvtick.Wait(ctx, n.wakeHold, d)
 }
 
-func (n *Node) nextHold() (hv.Hold, bool) {
+// nextHold returns the next hold, when it is sent, and whether there is an owner
+// to hold for.
+func (n *Node) nextHold() (hv.Hold, moment, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	h := hv.Hold{Epoch: n.epoch, WaitMS: holdWaitMS}
+	h, at := hv.Hold{Epoch: n.epoch, WaitMS: holdWaitMS}, n.nowLocked()
 	if !n.confirmed {
 		h.WaitMS = 0
-		return h, n.epoch > 0
+		return h, at, n.epoch > 0
 	}
 	h.Until, h.Seen = n.until, n.seen
 	if n.serving() {
@@ -74,7 +76,11 @@
 	if len(n.lists.Ended) > 0 && lastEnd(n.lists.Ended, 0) > n.seen {
 		h.WaitMS = 0
 	}
-	return h, n.epoch > 0
+	if !n.fullTold && n.calling == 0 {
+		// The owner waits for the lists.
+		h.WaitMS = 0
+	}
+	return h, at, n.epoch > 0
 }
 
 // serving reports whether a task with a latency target runs.
@@ -124,5 +130,5 @@
 func (n *Node) hasNews() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return lastEnd(n.lists.Ended, 0) > n.told || !n.hostTold && n.host != nil
+	return lastEnd(n.lists.Ended, 0) > n.told || !n.hostTold && n.host != nil || !n.fullTold && n.complete()
 }
--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -54,8 +54,9 @@
 	epoch int64
 	// attached is when the owner last attached or answered.
 	attached time.Time
-	// lists is the last answer of the executor.
+	// lists is the last answer of the executor and asked what it was asked at.
 	lists hv.Holding
+	asked moment
 	// known is false while the executor does not answer.
 	known bool
 	// confirmed is false after a call without an answer until the executor has
@@ -83,9 +84,10 @@
 	// paces holds the shares that runs were slowed to.
 	paces    map[hvorder.Run]int
 	advances map[hvorder.Run]*progress
-	// calling counts the starts that are being called. Their calls may reach an
-	// incarnation that began after they were ordered.
+	// calling counts the starts that are being called and calls all calls of
+	// starts. A call may reach an incarnation that began after it was ordered.
 	calling  int
+	calls    int64
 	refused  []hvorder.Refusal
 	stopped  []hvorder.Run
 	hostTold bool
@@ -190,9 +192,10 @@
 	n.refused, n.stopped, n.fullTold = nil, nil, false
 	n.mu.Unlock()
 	_ = level.Info(n.deps.Logger).Log("msg", "owner attached", "epoch", req.Epoch, "owner", req.Owner)
+	at := n.now()
 	lists, err := n.deps.Executor.Hold(ctx, hv.Hold{Epoch: req.Epoch})
 	if err == nil {
-		n.take(lists)
+		n.take(lists, at)
 	} else if n.holdFailed(err) {
 		return hvorder.Report{}, err
 	}
@@ -200,13 +203,41 @@
 	return n.fullReport(), nil
 }
 
-// fullReport lists everything on the host.
+// moment places a question to the executor among epochs and calls of starts.
+type moment struct {
+	epoch int64
+	// calls is the number of calls before the question, or -1 if one of them had
+	// no answer yet.
+	calls int64
+}
+
+func (n *Node) now() moment {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.nowLocked()
+}
+
+func (n *Node) nowLocked() moment {
+	if n.calling > 0 {
+		return moment{n.epoch, -1}
+	}
+	return moment{n.epoch, n.calls}
+}
+
+// complete reports whether the lists hold every run that may be on the host: the
+// executor was asked in the epoch of the owner and no start was called since.
+// The lock is held.
+func (n *Node) complete() bool {
+	return n.known && n.calling == 0 && n.asked == n.nowLocked()
+}
+
+// fullReport lists everything on the host, if that is known.
 func (n *Node) fullReport() hvorder.Report {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	r := hvorder.Report{Epoch: n.epoch, Node: n.name, Host: n.host, Dead: n.dead && n.calling == 0}
 	n.hostTold = n.host != nil
-	if n.known && n.calling == 0 {
+	if n.complete() {
 		n.fill(&r)
 	}
 	return r
@@ -232,8 +263,8 @@
 	return last
 }
 
-// take keeps an answer of the executor.
-func (n *Node) take(h hv.Holding) {
+// take keeps an answer of the executor to a question.
+func (n *Node) take(h hv.Holding, at moment) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.known && h.Life == n.lists.Life && h.Clock < n.lists.Clock {
@@ -246,7 +277,7 @@
 		n.pending = map[hvorder.Run]bool{}
 		n.saved = map[hvorder.Run]string{}
 	}
-	n.lists, n.known, n.confirmed, n.dead = h, true, true, false
+	n.lists, n.asked, n.known, n.confirmed, n.dead = h, at, true, true, false
 	n.advance(n.deps.Clock.Now(), h.Running)
 }
 
--- a/hvnode/node_test.go
+++ b/hvnode/node_test.go
@@ -26,6 +26,8 @@
 	stops   []hvorder.Run
 	errs    []error
 	holding hv.Holding
+	// holdErr is the answer to holds if it is set.
+	holdErr error
 }
 
 func (e *fakeExecutor) Expect(string) {}
@@ -49,7 +51,9 @@
 	return nil
 }
 
-func (e *fakeExecutor) Hold(context.Context, hv.Hold) (hv.Holding, error) { return e.holding, nil }
+func (e *fakeExecutor) Hold(context.Context, hv.Hold) (hv.Holding, error) {
+	return e.holding, e.holdErr
+}
 
 func (e *fakeExecutor) Pace(context.Context, string, int, int, int64) error { return nil }
 
@@ -176,8 +180,8 @@
 func TestNewLifeForgetsAcknowledgements(t *testing.T) {
 	n := newNode(t, &fakeExecutor{})
 	n.seen, n.until = 40, 9000
-	n.take(hv.Holding{Life: "2", Clock: 1})
-	if h, _ := n.nextHold(); h.Seen != 0 || h.Until != 0 {
+	n.take(hv.Holding{Life: "2", Clock: 1}, n.now())
+	if h, _, _ := n.nextHold(); h.Seen != 0 || h.Until != 0 {
 		t.Fatalf("next hold is %+v", h)
 	}
 }
@@ -185,8 +189,8 @@
 // Guards against an older answer that replaces a newer one.
 func TestOvertakenListIsIgnored(t *testing.T) {
 	n := newNode(t, &fakeExecutor{})
-	n.take(hv.Holding{Life: "1", Clock: 500, Running: []hv.RunState{{Task: "new", Run: 1}}})
-	n.take(hv.Holding{Life: "1", Clock: 400})
+	n.take(hv.Holding{Life: "1", Clock: 500, Running: []hv.RunState{{Task: "new", Run: 1}}}, n.now())
+	n.take(hv.Holding{Life: "1", Clock: 400}, n.now())
 	if len(n.lists.Running) != 1 {
 		t.Fatal("an older list replaced a newer one")
 	}
@@ -215,15 +219,15 @@
 func TestHoldAfterFailureOnlyLooks(t *testing.T) {
 	n := newNode(t, &fakeExecutor{})
 	n.seen, n.until = 20, 9000
-	if h, _ := n.nextHold(); h.Seen != 20 || h.Until != 9000 {
+	if h, _, _ := n.nextHold(); h.Seen != 20 || h.Until != 9000 {
 		t.Fatalf("hold is %+v", h)
 	}
 	n.missed(kinded(hv.Uncertain), 0)
-	if h, _ := n.nextHold(); h.Seen != 0 || h.Until != 0 || h.WaitMS != 0 {
+	if h, _, _ := n.nextHold(); h.Seen != 0 || h.Until != 0 || h.WaitMS != 0 {
 		t.Fatalf("hold after a failure is %+v", h)
 	}
-	n.take(hv.Holding{Life: "1", Clock: 700})
-	if h, _ := n.nextHold(); h.Seen != 20 {
+	n.take(hv.Holding{Life: "1", Clock: 700}, n.now())
+	if h, _, _ := n.nextHold(); h.Seen != 20 {
 		t.Fatalf("hold after the same life answered is %+v", h)
 	}
 }
@@ -257,3 +261,24 @@
 		}
 	}
 }
+
+// Guards against a task that starts twice at once: a full report that is made of
+// lists from before a start tells the owner that the run is not on the host.
+func TestFullReportNeedsListsOfTheEpoch(t *testing.T) {
+	e := &fakeExecutor{}
+	n := newNode(t, e)
+	if err := n.obey(t.Context(), startOrder(3)); err != nil {
+		t.Fatal(err)
+	}
+	n.waitSettled(t)
+	e.holdErr = kinded(hv.Uncertain)
+	for _, epoch := range []int64{3, 4} {
+		r, err := n.attach(t.Context(), nil, hvorder.Attach{Epoch: epoch, Owner: "gate"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Full {
+			t.Errorf("epoch %d: lists from before the start are reported as full", epoch)
+		}
+	}
+}
--- a/hvnode/obey.go
+++ b/hvnode/obey.go
@@ -134,6 +134,7 @@
 		return false
 	}
 	n.calling++
+	n.calls++
 	return true
 }
 
--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -89,11 +89,10 @@
 		n.hostTold = true
 	}
 	switch {
-	case n.known && !n.fullTold && n.calling > 0:
-		// The lists can be complete only after the calls have ended.
-		r.Life, r.Clock = n.lists.Life, n.lists.Clock
-	case n.known && !n.fullTold:
+	case n.known && !n.fullTold && n.complete():
 		n.fill(&r)
+	case n.known && !n.fullTold:
+		r.Life, r.Clock = n.lists.Life, n.lists.Clock
 	case n.known:
 		r.Life, r.Clock = n.lists.Life, n.lists.Clock
 		r.Running = n.newlySaved()
