Ask for tickets of queues whose steps only some hosts may run

Jobs of a queue with a hint were accepted, and the executors refused all their starts, so they never ran. The owner now asks the service for advice, one question at a time and about 30 hosts at most, starts tasks only on hosts with a valid ticket and sends the ticket with the start. Hosts that may not run a step are not asked about again in their life; expired tickets of good hosts are replaced first; a step without an answer does not hold up the others.

--- a/cmd/hvgate/platform.go
+++ b/cmd/hvgate/platform.go
@@ -42,9 +42,13 @@
 	}
 	logger := log.With(logs.Part("gate"), "node", s.Node)
 	metrics := hvmetric.New(hvmetric.DefaultCallers)
+	var adviser hv.Adviser
+	if s.Adviser != "" {
+		adviser = platform.NewAdviser(s.Adviser)
+	}
 	gate := hventry.New(hventry.Options{
 		Name: s.Node, Zone: s.Zone, Addr: s.Peers, Process: uuid.NewString(),
-		Store: platform.NewStore(s.Store), Topic: platform.CellTopic,
+		Store: platform.NewStore(s.Store), Topic: platform.CellTopic, Adviser: adviser,
 		Published: platform.OperatorsTopic, Key: platform.ConfigKey, Decode: platform.DecodeCatalog,
 		Early: s.Early, Retain: s.Retain,
 		Clock: hv.SystemClock{}, Metrics: metrics, Logger: logger,
--- a/executor.go
+++ b/executor.go
@@ -1,6 +1,9 @@
 package hibiscusvane
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Executor runs tasks on one host under a lease. An error of kind Uncertain
 // means that the call may have been carried out or may be carried out later.
@@ -18,6 +21,14 @@
 	Pace(ctx context.Context, task string, run, percent int, epoch int64) error
 }
 
+// Adviser knows which hosts may run a step of a queue with such a rule.
+type Adviser interface {
+	// Advise returns a ticket for each of the executors, by identifier, that may
+	// run the step, and how long the tickets are valid. An error of kind Full
+	// means that too many questions wait.
+	Advise(ctx context.Context, step string, executors []string) (tickets map[string]string, valid time.Duration, err error)
+}
+
 // StartRun asks for one run of a task.
 type StartRun struct {
 	Task  string
--- /dev/null
+++ b/hvcell/advice.go
@@ -0,0 +1,156 @@
+package hvcell
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"hibiscusvane.example/hibiscusvane/hvjob"
+)
+
+const (
+	// questionHosts bounds the hosts in one question: the answer takes time for
+	// each, and the goals of jobs allow for this many.
+	questionHosts = 30
+	// ticketMargin is how long before its end a ticket is used last, so that the
+	// order reaches the executor in time. Short tickets get a quarter of their
+	// validity.
+	ticketMargin = 250 * time.Millisecond
+	// questionPause separates questions about one step that nobody answered.
+	questionPause = 200 * time.Millisecond
+)
+
+// advice is what is known about the hosts that may run a step.
+type advice struct {
+	// tickets holds the newest ticket by host.
+	tickets map[string]ticket
+	// denied holds the lives of the hosts that must not run the step.
+	denied map[string]string
+	// after is the earliest time of the next question.
+	after time.Time
+}
+
+// ticket allows a step on one life of a host.
+type ticket struct {
+	text, life string
+	until      time.Time
+}
+
+// Question asks which hosts may run a step.
+type Question struct {
+	// Step names the step with its round and job.
+	Step string
+	// Hosts holds the names of the hosts and IDs those of their executors.
+	Hosts, IDs []string
+	// Terms tell how long the answer takes.
+	Terms hvjob.Advice
+
+	step  *step
+	lives []string
+}
+
+// Limit is how long the answer to the question takes at most if no other
+// question is before it.
+func (q Question) Limit() time.Duration {
+	return time.Duration(q.Terms.Decide+q.Terms.Each*int64(len(q.IDs))) * time.Millisecond
+}
+
+// needsAdvice reports whether only some hosts may run the step.
+func (s *step) needsAdvice() bool { return s.round.job.queue.Advice != nil }
+
+// ticket returns a valid ticket for a host.
+func (s *step) ticket(now time.Time, h *host) (string, bool) {
+	t, ok := s.advice.tickets[h.name]
+	if !ok || t.life != h.life || !now.Before(t.until) {
+		return "", false
+	}
+	return t.text, true
+}
+
+// Question returns the next question to ask: that of the first step in the
+// order of the plan that waits and lacks tickets.
+func (c *Cell) Question(now time.Time) (Question, bool) {
+	for _, s := range c.unadvised {
+		if s.waiting == 0 || now.Before(s.advice.after) {
+			continue
+		}
+		if q := c.question(now, s); len(q.IDs) > 0 {
+			return q, true
+		}
+	}
+	return Question{}, false
+}
+
+// question asks about hosts that are known to be good first, as one of them is
+// enough for a start, and then about others with the most room.
+func (c *Cell) question(now time.Time, s *step) Question {
+	q := Question{Step: s.name(), Terms: *s.round.job.queue.Advice, step: s}
+	hosts := c.usable(now)
+	slices.SortStableFunc(hosts, func(a, b *host) int {
+		return cmp.Or(cmp.Compare(s.standing(a), s.standing(b)), cmp.Compare(b.free().CPU, a.free().CPU))
+	})
+	good := 0
+	for _, h := range hosts {
+		if len(q.IDs) == questionHosts || good >= s.waiting {
+			break
+		}
+		if _, ok := s.ticket(now, h); ok || s.standing(h) == hostDenied || c.unfit(s, h) != "" {
+			continue
+		}
+		if s.standing(h) == hostGood {
+			good++
+		}
+		q.Hosts, q.IDs, q.lives = append(q.Hosts, h.name), append(q.IDs, h.info.ID), append(q.lives, h.life)
+	}
+	return q
+}
+
+// Standings of a host with respect to a step.
+const (
+	hostGood = iota
+	hostUnknown
+	hostDenied
+)
+
+func (s *step) standing(h *host) int {
+	switch {
+	case s.advice.denied[h.name] == h.life:
+		return hostDenied
+	case s.advice.tickets[h.name].life == h.life:
+		return hostGood
+	}
+	return hostUnknown
+}
+
+func (s *step) name() string {
+	return fmt.Sprintf("%s.%d.%d", s.round.job.ID, s.round.number, s.index)
+}
+
+// Advised takes the answer to a question that was sent at a time: the tickets
+// by the identifiers of executors. The validity counts from the time of the
+// answer.
+func (c *Cell) Advised(now time.Time, q Question, tickets map[string]string, valid time.Duration) {
+	a := &q.step.advice
+	if a.tickets == nil {
+		a.tickets, a.denied = map[string]ticket{}, map[string]string{}
+	}
+	until := now.Add(valid - min(ticketMargin, valid/4))
+	for i, name := range q.Hosts {
+		text, ok := tickets[q.IDs[i]]
+		if !ok {
+			a.denied[name] = q.lives[i]
+			continue
+		}
+		a.tickets[name] = ticket{text: text, life: q.lives[i], until: until}
+	}
+	_ = level.Info(c.options.Logger).Log("msg", "hosts are advised", "step", q.Step, "asked", len(q.IDs), "good", len(tickets), "valid_ms", valid.Milliseconds())
+}
+
+// Unadvised notes that a question got no answer.
+func (c *Cell) Unadvised(now time.Time, q Question, err error) {
+	q.step.advice.after = now.Add(questionPause)
+	_ = level.Warn(c.options.Logger).Log("msg", "advice is missing", "step", q.Step, "asked", len(q.IDs), "err", err)
+}
--- /dev/null
+++ b/hvcell/advice_test.go
@@ -0,0 +1,158 @@
+package hvcell
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvjob"
+	"hibiscusvane.example/hibiscusvane/hvorder"
+)
+
+const ticketTime = 3 * time.Second
+
+// advisedWorld has hosts and one job whose tasks need tickets.
+func advisedWorld(t *testing.T, hosts, tasks int) *world {
+	t.Helper()
+	w := newWorld(t, hosts)
+	w.attachAll()
+	w.submit(hvjob.Job{Queue: "advised", Steps: []hvjob.Step{step1(tasks, 4000)}})
+	w.exchange()
+	return w
+}
+
+// answer answers the next question: the good hosts get a ticket.
+func (w *world) answer(t *testing.T, good ...string) Question {
+	t.Helper()
+	q, ok := w.cell.Question(w.now)
+	if !ok {
+		t.Fatal("nothing is asked")
+	}
+	tickets := map[string]string{}
+	for _, host := range good {
+		if slices.Contains(q.IDs, idOf(host)) {
+			tickets[idOf(host)] = "ticket of " + host
+		}
+	}
+	w.cell.Advised(w.now, q, tickets, ticketTime)
+	return q
+}
+
+// Guards against starts without a ticket, which executors refuse, and against
+// starts on hosts that must not run the step.
+func TestAdvisedStepStartsOnlyWithTickets(t *testing.T) {
+	w := advisedWorld(t, 4, 3)
+	if n := w.runs(); n != 0 {
+		t.Fatalf("%d runs without a ticket", n)
+	}
+	if q := w.answer(t, "host-1"); q.Step != "0000000000000001.0.0" || len(q.IDs) != 4 {
+		t.Fatalf("question is %+v", q)
+	}
+	w.cell.Plan(w.now)
+	for name := range w.hosts {
+		for _, s := range w.deliver(name).Starts {
+			if name != "host-1" || s.Ticket != "ticket of host-1" {
+				t.Errorf("start on %s with ticket %q", name, s.Ticket)
+			}
+		}
+	}
+	if n := w.runs(); n != 2 {
+		t.Fatalf("%d runs, want the 2 that the good host has room for", n)
+	}
+}
+
+// Guards against questions that are asked again although their answer does not
+// change, which delays those of other steps.
+func TestDeniedHostsAreNotAskedAgain(t *testing.T) {
+	w := advisedWorld(t, 3, 1)
+	w.answer(t)
+	w.exchange()
+	if q, ok := w.cell.Question(w.now); ok {
+		t.Fatalf("asked again: %+v", q)
+	}
+	e := w.hosts["host-2"]
+	e.crash()
+	e.start()
+	w.exchange()
+	if q := w.answer(t, "host-2"); !slices.Equal(q.Hosts, []string{"host-2"}) {
+		t.Fatalf("asked about %v, want the new life only", q.Hosts)
+	}
+	w.exchange()
+	if w.runs() != 1 {
+		t.Fatal("the task does not run on the new life")
+	}
+}
+
+// Guards against tickets that are used after their validity: only hosts that
+// are known to be good are asked about again.
+func TestExpiredTicketIsReplaced(t *testing.T) {
+	w := advisedWorld(t, 3, 3)
+	w.answer(t, "host-0")
+	w.exchange()
+	w.advance(ticketTime)
+	w.finishAll(hv.EndDone)
+	w.exchange()
+	if n := w.runs(); n != 0 {
+		t.Fatalf("%d runs with an expired ticket", n)
+	}
+	if q := w.answer(t, "host-0"); !slices.Equal(q.Hosts, []string{"host-0"}) {
+		t.Fatalf("asked about %v, want the good host only", q.Hosts)
+	}
+	w.exchange()
+	if n := w.runs(); n != 1 {
+		t.Fatalf("%d runs, want 1", n)
+	}
+}
+
+// Guards against a start that is repeated with a ticket that the executor has
+// refused.
+func TestRefusedTicketIsDropped(t *testing.T) {
+	w := advisedWorld(t, 1, 1)
+	w.answer(t, "host-0")
+	w.cell.Plan(w.now)
+	o, _ := w.cell.Orders("host-0")
+	r := w.hosts["host-0"].report(false)
+	r.Refused = []hvorder.Refusal{{Run: o.Starts[0].Profile.Run, Kind: hv.Expired}}
+	w.cell.Report(w.now, "host-0", r)
+	w.advance(time.Second)
+	w.cell.Plan(w.now)
+	if o, _ := w.cell.Orders("host-0"); len(o.Starts) > 0 {
+		t.Fatalf("started again: %+v", o.Starts)
+	}
+	w.answer(t, "host-0")
+	w.exchange()
+	if w.runs() != 1 {
+		t.Fatal("the task does not run with the new ticket")
+	}
+}
+
+// Guards against one step without an answer that holds up the questions of the
+// others.
+func TestUnansweredQuestionLetsOthersPass(t *testing.T) {
+	w := advisedWorld(t, 2, 1)
+	w.submit(hvjob.Job{Queue: "advised", Steps: []hvjob.Step{step1(1, 1000)}})
+	w.exchange()
+	first, _ := w.cell.Question(w.now)
+	w.cell.Unadvised(w.now, first, errors.New("no answer"))
+	second, ok := w.cell.Question(w.now)
+	if !ok || second.Step == first.Step {
+		t.Fatalf("next question is %q after %q got no answer", second.Step, first.Step)
+	}
+	w.advance(questionPause)
+	if again, ok := w.cell.Question(w.now); !ok || again.Step != first.Step {
+		t.Fatalf("%q is not asked again", first.Step)
+	}
+}
+
+// Guards against questions without a bound, whose answers come after the goal.
+func TestQuestionsAreBounded(t *testing.T) {
+	w := advisedWorld(t, questionHosts+10, 1)
+	if q := w.answer(t); len(q.IDs) != questionHosts || q.Limit() != 350*time.Millisecond {
+		t.Fatalf("%d hosts, limit %v", len(q.IDs), q.Limit())
+	}
+	if q := w.answer(t); len(q.IDs) != 10 {
+		t.Fatalf("then %d hosts, want the other 10", len(q.IDs))
+	}
+}
--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -59,6 +59,9 @@
 	// suspended is true while the owner can no longer be sure to be the owner.
 	suspended bool
 	counts    Counts
+	// unadvised holds the steps that wait and need advice, in the order of the
+	// last plan.
+	unadvised []*step
 }
 
 // Counts are totals since the cell was claimed.
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -163,6 +163,10 @@
 	}
 	c.counts.Refused++
 	r.task.after = now.Add(retryPause)
+	if f.Kind == hv.Expired {
+		// The ticket may be the reason; a new one is asked for.
+		delete(r.task.step.advice.tickets, h.name)
+	}
 	if f.Kind == hv.Unavailable || f.Kind == hv.Invalid {
 		r.task.shun(h)
 	}
--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -62,6 +62,7 @@
 	var out []candidate
 	late := c.triage(now, hosts)
 	c.counts.Waiting = 0
+	c.unadvised = nil
 	for _, j := range c.jobs {
 		if j.inherited && !c.settled {
 			continue
@@ -83,6 +84,11 @@
 		}
 	}
 	slices.SortFunc(out, compare)
+	for _, cand := range out {
+		if cand.step.needsAdvice() {
+			c.unadvised = append(c.unadvised, cand.step)
+		}
+	}
 	return out
 }
 
@@ -142,7 +148,7 @@
 		}
 		h := c.pick(now, t, hosts)
 		if h == nil && starved {
-			h, starved = c.pickAnyway(t, hosts), false
+			h, starved = c.pickAnyway(now, t, hosts), false
 		}
 		if h == nil {
 			c.noteWait(now, t, hosts)
@@ -278,10 +284,10 @@
 
 // pickAnyway returns the host with the best score of those that have room and
 // may run a task, or nil.
-func (c *Cell) pickAnyway(t *task, hosts []*host) *host {
+func (c *Cell) pickAnyway(now time.Time, t *task, hosts []*host) *host {
 	var best *host
 	for _, h := range hosts {
-		if c.forbidden(t, h) == "" && (best == nil || c.score(t, h) > c.score(t, best)) {
+		if c.forbidden(now, t, h) == "" && (best == nil || c.score(t, h) > c.score(t, best)) {
 			best = h
 		}
 	}
@@ -312,7 +318,7 @@
 // obstacle names what keeps a task off a host, or is empty.
 func (c *Cell) obstacle(now time.Time, t *task, h *host) string {
 	s := t.step.spec
-	switch why := c.forbidden(t, h); {
+	switch why := c.forbidden(now, t, h); {
 	case why != "":
 		return why
 	case s.Fill && h.filled+s.Need.CPU > h.unused():
@@ -326,17 +332,31 @@
 }
 
 // forbidden names why a host must not run a task, or is empty.
-func (c *Cell) forbidden(t *task, h *host) string {
-	s := t.step.spec
+func (c *Cell) forbidden(now time.Time, t *task, h *host) string {
+	s := t.step
+	if why := c.unfit(s, h); why != "" {
+		return why
+	}
+	if s.spec.Spread > 0 && s.perHost[h] >= s.spec.Spread {
+		return "spread"
+	}
+	if s.needsAdvice() {
+		if _, ok := s.ticket(now, h); !ok {
+			return "advice"
+		}
+	}
+	return ""
+}
+
+// unfit names why a host cannot run any task of a step, or is empty.
+func (c *Cell) unfit(s *step, h *host) string {
 	switch {
-	case h.info.Service != t.step.round.job.queue.Service:
+	case h.info.Service != s.round.job.queue.Service:
 		return "service"
-	case !s.Commit().Fits(h.free()):
+	case !s.spec.Commit().Fits(h.free()):
 		return "room"
-	case s.Label != "" && !slices.Contains(h.info.Labels, s.Label):
+	case s.spec.Label != "" && !slices.Contains(h.info.Labels, s.spec.Label):
 		return "label"
-	case s.Spread > 0 && t.step.perHost[h] >= s.Spread:
-		return "spread"
 	}
 	return ""
 }
@@ -394,6 +414,9 @@
 	if t.step.spec.Checkpoint {
 		start.Saved = t.saved
 	}
+	if t.step.needsAdvice() {
+		start.Ticket, _ = t.step.ticket(now, h)
+	}
 	h.orders.Starts = append(h.orders.Starts, start)
 	if h.orders.Specs == nil {
 		h.orders.Specs = map[string]string{}
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -57,6 +57,8 @@
 	// waited is true once it was logged why tasks wait, at waitSince.
 	waited    bool
 	waitSince time.Time
+	// advice is used if only some hosts may run the step.
+	advice advice
 }
 
 type task struct {
--- a/hvcell/world_test.go
+++ b/hvcell/world_test.go
@@ -59,6 +59,8 @@
 var queues = map[string]hvjob.Queue{
 	"urgent": {Name: "urgent", Service: "desk", Attempts: 3, Stretch: 1.5, Slack: 250},
 	"batch":  {Name: "batch", Service: "desk", Priority: 2, Attempts: 2, Stretch: 2, Slack: 1000},
+	// Tasks of this queue start only with a ticket.
+	"advised": {Name: "advised", Service: "desk", Attempts: 2, Stretch: 2, Slack: 1000, Advice: &hvjob.Advice{Decide: 50, Each: 10, Valid: 3000}},
 }
 
 func newWorld(t rapid.TB, hosts int) *world {
@@ -154,7 +156,7 @@
 
 // report lists everything, as a node does when the owner attaches.
 func (e *executor) report(full bool) hvorder.Report {
-	r := hvorder.Report{Node: e.name, Dead: !e.alive, Host: &hvorder.Host{Life: e.lifeName(), Service: "desk", Rack: "r1-1", Room: hvjob.Size{CPU: e.room, Memory: 1 << 20}}}
+	r := hvorder.Report{Node: e.name, Dead: !e.alive, Host: &hvorder.Host{ID: idOf(e.name), Life: e.lifeName(), Service: "desk", Rack: "r1-1", Room: hvjob.Size{CPU: e.room, Memory: 1 << 20}}}
 	if !e.alive {
 		return r
 	}
@@ -175,6 +177,8 @@
 // saved is a new state for each report, as of a task that makes progress.
 func (e *executor) saved(task string) string { return fmt.Sprint(task, e.clock()) }
 
+func idOf(host string) string { return "i-" + host }
+
 func (e *executor) lifeName() string { return fmt.Sprint(e.life) }
 
 func (e *executor) granted(g hvorder.Grant) {
--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -45,6 +45,8 @@
 	// Process distinguishes the incarnations of this gate.
 	Process string
 	Store   hv.KeyedStore
+	// Adviser is nil where no service gives advice.
+	Adviser hv.Adviser
 	// Topic holds the cell, Published what operators publish under Key.
 	Topic, Published, Key string
 	// Decode decodes what operators publish.
@@ -152,7 +154,7 @@
 		return
 	}
 	owner := hvowner.New(hvowner.Options{
-		Writer: w, Claimed: claimed, Learned: g.replica.Learned(), Early: g.options.Early, Retain: g.options.Retain,
+		Writer: w, Claimed: claimed, Learned: g.replica.Learned(), Adviser: g.options.Adviser, Early: g.options.Early, Retain: g.options.Retain,
 		Clock: g.options.Clock, Metrics: g.options.Metrics, Logger: g.options.Logger,
 	})
 	if c := g.Catalog(); c != nil {
--- a/hvorder/order.go
+++ b/hvorder/order.go
@@ -68,7 +68,8 @@
 
 // Host describes a host as its executor announces it.
 type Host struct {
-	// Life distinguishes the incarnations of the executor.
+	// ID names the executor, and Life distinguishes its incarnations.
+	ID       string     `json:"id,omitempty"`
 	Life     string     `json:"life"`
 	Service  string     `json:"service"`
 	Zone     string     `json:"zone"`
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -47,6 +47,8 @@
 	Claimed int64
 	// Learned is what the owner before has learned, as it was stored, or nil.
 	Learned []byte
+	// Adviser is nil where no service gives advice.
+	Adviser hv.Adviser
 	Early   time.Duration
 	Retain  time.Duration
 	Clock   hv.Clock
@@ -67,14 +69,15 @@
 	// noted is when what was learned was last stored; only flush uses it.
 	noted time.Time
 
-	wakePlan  chan struct{}
-	wakeFlush chan struct{}
-	deposed   context.CancelCauseFunc
+	wakePlan   chan struct{}
+	wakeFlush  chan struct{}
+	wakeAdvise chan struct{}
+	deposed    context.CancelCauseFunc
 }
 
 // New returns an owner without jobs and nodes.
 func New(o Options) *Owner {
-	w := &Owner{options: o, links: map[string]*link{}, wakePlan: make(chan struct{}, 1), wakeFlush: make(chan struct{}, 1)}
+	w := &Owner{options: o, links: map[string]*link{}, wakePlan: make(chan struct{}, 1), wakeFlush: make(chan struct{}, 1), wakeAdvise: make(chan struct{}, 1)}
 	before := authority
 	if o.Writer.OwnerEnded() {
 		before = 0
@@ -167,7 +170,7 @@
 	}
 	o.mu.Unlock()
 	var duties sync.WaitGroup
-	for _, duty := range []func(context.Context){o.planLoop, o.flushLoop, o.tickLoop} {
+	for _, duty := range []func(context.Context){o.planLoop, o.flushLoop, o.tickLoop, o.adviseLoop} {
 		duties.Go(func() { duty(run) })
 	}
 	duties.Wait()
@@ -209,6 +212,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.cell.Plan(o.options.Clock.Now())
+	hvtick.Wake(o.wakeAdvise)
 	o.wakeLinks()
 }
 
