Store submissions with the owner's appends

Each job was an append of its gate. The partition carries out one append after another, in 100 ms then, so ten gates with eight jobs a second filled its queue; the store answered 503 or not in time, gates took it as failed, and the owner's own appends waited in the same queue.

Gates now hand the record to the owner, which stores it with its next append. A gate appends itself if the owner is silent, unreachable or late. If the store turns an append away, the records of callers are left out of its repeat, so that they are refused at once and the refusal is true.

Ruled out: a longer time limit for appends alone, as the queue of the store is bounded. Registrations of gates are now repeated every 0.4 s, not 60 ms.

--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -33,6 +33,8 @@
 	// submitLimit bounds them below the patience of callers.
 	submitRetry = 60 * time.Millisecond
 	submitLimit = 2200 * time.Millisecond
+	// enrollRetry separates repeats of a registration.
+	enrollRetry = 400 * time.Millisecond
 	// syncLimit bounds the question whether a job has just been accepted.
 	syncLimit = 800 * time.Millisecond
 	// outageRetry is when a caller that was refused should come back.
@@ -71,6 +73,8 @@
 
 	mu    sync.Mutex
 	owner *hvowner.Owner
+	// askOwner is the earliest time to have the owner store a record.
+	askOwner time.Time
 }
 
 // New returns a gate.
@@ -85,7 +89,11 @@
 }
 
 // Mux returns the methods that other gates call.
-func (g *Gate) Mux() hvwire.Mux { return relayed(g.relay, g.options.Process) }
+func (g *Gate) Mux() hvwire.Mux {
+	m := relayed(g.relay, g.options.Process)
+	hvwire.Handle(m, methodPut, g.servePut)
+	return m
+}
 
 // spacing separates reads that returned records.
 func (g *Gate) spacing() time.Duration {
@@ -126,7 +134,7 @@
 			return
 		}
 		_ = level.Warn(g.options.Logger).Log("msg", "registration failed", "err", err)
-		hvtick.Sleep(ctx, submitRetry)
+		hvtick.Sleep(ctx, enrollRetry)
 	}
 }
 
--- a/hventry/jobs.go
+++ b/hventry/jobs.go
@@ -9,7 +9,6 @@
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvjob"
 	"hibiscusvane.example/hibiscusvane/hvledger"
-	"hibiscusvane.example/hibiscusvane/hvtick"
 )
 
 // Catalog returns the queues in force, or nil before the first is known.
@@ -47,32 +46,6 @@
 	return 0, nil
 }
 
-// put stores a record that has the same effect when it is repeated. An error
-// of kind Unavailable promises that it was not stored.
-func (g *Gate) put(ctx context.Context, rec hv.KeyedRecord) error {
-	ctx, cancel := context.WithTimeout(ctx, submitLimit)
-	defer cancel()
-	uncertain := false
-	for {
-		_, err := g.relay.Append(ctx, g.options.Topic, []hv.KeyedRecord{rec}, hv.Fence{At: -1})
-		if err == nil {
-			return nil
-		}
-		kind := hv.KindOf(err)
-		if kind != hv.Unavailable && kind != hv.Uncertain {
-			return err
-		}
-		if kind == hv.Unavailable && !uncertain {
-			return err
-		}
-		uncertain = true
-		hvtick.Sleep(ctx, submitRetry)
-		if ctx.Err() != nil {
-			return failure("put", hv.Uncertain, "no answer of the store: %v", err)
-		}
-	}
-}
-
 // State returns the state of a job.
 func (g *Gate) State(ctx context.Context, id string) (hvjob.State, error) {
 	e, err := g.find(ctx, id)
--- /dev/null
+++ b/hventry/put.go
@@ -0,0 +1,122 @@
+package hventry
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvledger"
+	"hibiscusvane.example/hibiscusvane/hvowner"
+	"hibiscusvane.example/hibiscusvane/hvtick"
+	"hibiscusvane.example/hibiscusvane/hvwire"
+)
+
+const (
+	// methodPut asks the owner to store a record with its next append.
+	methodPut = "put"
+	// ownerLimit bounds the wait for the owner. It covers two appends of a slow
+	// store, which takes 0.3 s for one, and leaves time for an append of this
+	// gate's own.
+	ownerLimit = 1200 * time.Millisecond
+	// ownerPause is how long the owner is not asked after it gave no answer.
+	ownerPause = time.Second
+	// ownerQuiet is the silence of the owner from which on it is not asked: it
+	// appends every 0.3 s.
+	ownerQuiet = 700 * time.Millisecond
+)
+
+// put stores a record that has the same effect when it is repeated. An error
+// of kind Unavailable promises that it was not stored.
+func (g *Gate) put(ctx context.Context, rec hv.KeyedRecord) error {
+	ctx, cancel := context.WithTimeout(ctx, submitLimit)
+	defer cancel()
+	err := g.putByOwner(ctx, rec)
+	if err == nil {
+		return nil
+	}
+	uncertain := hv.KindOf(err) == hv.Uncertain
+	for {
+		_, err := g.relay.Append(ctx, g.options.Topic, []hv.KeyedRecord{rec}, hv.Fence{At: -1})
+		if err == nil {
+			return nil
+		}
+		kind := hv.KindOf(err)
+		if kind != hv.Unavailable && kind != hv.Uncertain {
+			return err
+		}
+		if kind == hv.Unavailable && !uncertain {
+			return err
+		}
+		uncertain = true
+		hvtick.Sleep(ctx, submitRetry)
+		if ctx.Err() != nil {
+			return failure("put", hv.Uncertain, "no answer of the store: %v", err)
+		}
+	}
+}
+
+// putByOwner has the owner store a record. An error of kind Uncertain means
+// that it may be stored, every other one that it is not.
+func (g *Gate) putByOwner(ctx context.Context, rec hv.KeyedRecord) error {
+	ctx, cancel := context.WithTimeout(ctx, ownerLimit)
+	defer cancel()
+	if o := g.current(); o != nil {
+		return g.putOwned(ctx, o, rec)
+	}
+	c, _ := g.replica.Claim()
+	if !g.asksOwner(c) {
+		return failure(methodPut, hv.Unavailable, "no owner to ask")
+	}
+	conn, err := g.peers.conn(ctx, c.Addr)
+	if err != nil {
+		g.ownerMissed(c, err)
+		return failure(methodPut, hv.Unavailable, "owner %s: %v", c.Name, err)
+	}
+	_, err = hvwire.Call[struct{}](ctx, conn, methodPut, rec)
+	if err == nil || hv.KindOf(err) == hv.Unavailable {
+		return err
+	}
+	if ctx.Err() != nil {
+		g.peers.drop(c.Addr, conn)
+	}
+	g.ownerMissed(c, err)
+	return failure(methodPut, hv.Uncertain, "owner %s: %v", c.Name, err)
+}
+
+// putOwned stores a record with the next append of this gate's ownership.
+func (g *Gate) putOwned(ctx context.Context, o *hvowner.Owner, rec hv.KeyedRecord) error {
+	if g.relay.Failed() {
+		return failure(methodPut, hv.Unavailable, "the store has failed and is not back")
+	}
+	return o.Put(ctx, rec)
+}
+
+// asksOwner reports whether the owner is likely to answer.
+func (g *Gate) asksOwner(c hvledger.Claim) bool {
+	if c.Epoch == 0 || c.Released || c.Name == g.options.Name || g.peers.isGone(c) || g.replica.Silence() > ownerQuiet {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.options.Clock.Now().After(g.askOwner)
+}
+
+func (g *Gate) ownerMissed(c hvledger.Claim, err error) {
+	g.mu.Lock()
+	g.askOwner = g.options.Clock.Now().Add(ownerPause)
+	g.mu.Unlock()
+	_ = level.Info(g.options.Logger).Log("msg", "owner stores nothing", "owner", c.Name, "epoch", c.Epoch, "pause", ownerPause, "err", err)
+}
+
+// servePut stores records for other gates while this gate owns the cell.
+func (g *Gate) servePut(ctx context.Context, _ *hvwire.Conn, rec hv.KeyedRecord) (struct{}, error) {
+	o := g.current()
+	if o == nil {
+		return struct{}{}, failure(methodPut, hv.Unavailable, "the cell is not owned here")
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownerLimit)
+	defer cancel()
+	return struct{}{}, g.putOwned(ctx, o, rec)
+}
--- a/hvledger/relay.go
+++ b/hvledger/relay.go
@@ -90,7 +90,7 @@
 	if !allowed() {
 		return failure("direct", hv.Unavailable, "the store has failed and is not back")
 	}
-	if r.isFailed() {
+	if r.Failed() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
@@ -135,13 +135,14 @@
 	return false
 }
 
-func (r *Relay) isFailed() bool {
+// Failed reports whether the last direct call got no answer.
+func (r *Relay) Failed() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.failed
 }
 
-func (r *Relay) up() bool { return !r.isFailed() }
+func (r *Relay) up() bool { return !r.Failed() }
 
 // upOrProbe also lets one call through at an interval while the store has
 // failed.
--- a/hvledger/writer.go
+++ b/hvledger/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,32 +40,56 @@
 // until ctx ends. An error of kind Conflict means that the cell has another
 // owner.
 func (w *Writer) Append(ctx context.Context, recs []hv.KeyedRecord) error {
+	_, err := w.AppendWith(ctx, recs, nil)
+	return err
+}
+
+// AppendWith is Append with further records that others wait for. It leaves them
+// out, and returns why, if the store turns the first try away: those who wait
+// can then be told at once that their records are not stored.
+func (w *Writer) AppendWith(ctx context.Context, recs, more []hv.KeyedRecord) (left, err error) {
 	if w.pending != nil {
-		if err := w.send(ctx, w.pending); err != nil {
-			return err
+		if _, err := w.send(ctx, w.pending, nil); err != nil {
+			return nil, err
 		}
 	}
-	return w.send(ctx, recs)
+	return w.send(ctx, recs, more)
 }
 
-func (w *Writer) send(ctx context.Context, recs []hv.KeyedRecord) error {
-	w.pending = recs
-	for {
-		at := now()
-		_, err := w.store.Append(ctx, w.topic, recs, hv.Fence{Producer: producer, Epoch: w.claim.Epoch, Sequence: w.sequence + 1, At: -1})
+func (w *Writer) send(ctx context.Context, recs, more []hv.KeyedRecord) (left, err error) {
+	all := slices.Concat(recs, more)
+	doubt := false
+	for len(all) > 0 {
+		w.pending = all
+		err := w.try(ctx, all)
 		if err == nil {
-			w.sequence++
-			w.pending = nil
-			w.mu.Lock()
-			w.stored = at
-			w.mu.Unlock()
-			return nil
+			return left, nil
 		}
 		if !isOutage(err) || ctx.Err() != nil {
-			return err
+			return left, err
+		}
+		doubt = doubt || hv.KindOf(err) == hv.Uncertain
+		if !doubt && left == nil && len(more) > 0 {
+			left, all, w.pending = err, recs, nil
+			continue
 		}
 		hvtick.Sleep(ctx, writeRetry)
 	}
+	return left, nil
+}
+
+func (w *Writer) try(ctx context.Context, recs []hv.KeyedRecord) error {
+	at := now()
+	_, err := w.store.Append(ctx, w.topic, recs, hv.Fence{Producer: producer, Epoch: w.claim.Epoch, Sequence: w.sequence + 1, At: -1})
+	if err != nil {
+		return err
+	}
+	w.sequence++
+	w.pending = nil
+	w.mu.Lock()
+	w.stored = at
+	w.mu.Unlock()
+	return nil
 }
 
 // Beat appends a record that shows that the owner lives.
--- /dev/null
+++ b/hvledger/writer_test.go
@@ -0,0 +1,69 @@
+package hvledger_test
+
+import (
+	"context"
+	"testing"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/platform"
+)
+
+// turning answers appends with errors of some kinds, then passes them on.
+type turning struct {
+	hv.KeyedStore
+	kinds []hv.ErrorKind
+	sent  [][]hv.KeyedRecord
+}
+
+func (s *turning) Append(ctx context.Context, topic string, recs []hv.KeyedRecord, f hv.Fence) (int64, error) {
+	s.sent = append(s.sent, recs)
+	if len(s.kinds) > 0 {
+		kind := s.kinds[0]
+		s.kinds = s.kinds[1:]
+		return 0, storeError{kind}
+	}
+	return s.KeyedStore.Append(ctx, topic, recs, f)
+}
+
+// Guards against callers that wait for a store that has turned an append away,
+// and against a promise that a record is not stored after an append without an
+// answer.
+func TestFurtherRecordsAreLeftOutOnlyInTime(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		kinds  []hv.ErrorKind
+		own    int
+		left   bool
+		stored int
+	}{
+		{"stored", nil, 1, false, 1},
+		{"turned away", []hv.ErrorKind{hv.Unavailable}, 1, true, 0},
+		{"turned away alone", []hv.ErrorKind{hv.Unavailable}, 0, true, 0},
+		{"no answer", []hv.ErrorKind{hv.Uncertain}, 1, false, 1},
+		{"turned away after no answer", []hv.ErrorKind{hv.Uncertain, hv.Unavailable}, 1, false, 1},
+	} {
+		s, addr := serve(t)
+		store := &turning{KeyedStore: platform.NewStore(addr)}
+		g := newGate(store, "gate")
+		g.sync(t)
+		w := g.elector.Wait(t.Context())
+		store.kinds = c.kinds
+		own := []hv.KeyedRecord{jobRecord(t, 1)}[:c.own]
+		left, err := w.AppendWith(t.Context(), own, []hv.KeyedRecord{jobRecord(t, 2)})
+		if err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		if (left != nil) != c.left {
+			t.Errorf("%s: left out is %v, want %v", c.name, left, c.left)
+		}
+		if n := s.Count(topic, jobRecord(t, 2).Key); n != c.stored {
+			t.Errorf("%s: the further record is stored %d times, want %d", c.name, n, c.stored)
+		}
+		if n := s.Count(topic, jobRecord(t, 1).Key); n != c.own {
+			t.Errorf("%s: the own record is stored %d times, want %d", c.name, n, c.own)
+		}
+		if err := w.Append(t.Context(), []hv.KeyedRecord{jobRecord(t, 3)}); err != nil {
+			t.Errorf("%s: the next append: %v", c.name, err)
+		}
+	}
+}
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -63,6 +63,8 @@
 	mu    sync.Mutex
 	cell  *hvcell.Cell
 	links map[string]*link
+	// puts holds the records of callers for the next append.
+	puts []put
 	// run is the context of the links; it is nil until Run is called.
 	run context.Context
 
@@ -280,13 +282,7 @@
 			return err
 		}
 	}
-	switch {
-	case len(recs) > 0:
-		err = o.options.Writer.Append(ctx, recs)
-	case o.options.Writer.Age() >= hvledger.BeatInterval:
-		err = o.options.Writer.Beat(ctx)
-	}
-	if err != nil || !ok {
+	if err := o.write(ctx, recs); err != nil || !ok {
 		return err
 	}
 	o.mu.Lock()
@@ -296,6 +292,24 @@
 	return nil
 }
 
+// write appends records together with those that callers wait for.
+func (o *Owner) write(ctx context.Context, recs []hv.KeyedRecord) error {
+	puts := o.takePuts()
+	if len(recs) == 0 && len(puts) == 0 {
+		if o.options.Writer.Age() >= hvledger.BeatInterval {
+			return o.options.Writer.Beat(ctx)
+		}
+		return nil
+	}
+	left, err := o.options.Writer.AppendWith(ctx, recs, recordsOf(puts))
+	if err != nil {
+		answer(puts, failure("put", hv.Uncertain, "%v", err))
+		return err
+	}
+	answer(puts, left)
+	return nil
+}
+
 // addLearned adds what the next owner should go on with.
 func (o *Owner) addLearned(recs []hv.KeyedRecord) ([]hv.KeyedRecord, error) {
 	o.mu.Lock()
