Bound answers of the store by their progress, and let strong gates own the cell

Cause: the grown sites have gates with 10 Mbit/s and 0.19 cores.

The tail of the configuration passes over to the newest record when it is behind. Gates register the capacity of their machine, and those with the most claim the cell first, also after a release.

Ruled out: a wrong order of versions (never an older one is taken), and the owner (the gate itself answered).

--- a/cmd/hvgate/platform.go
+++ b/cmd/hvgate/platform.go
@@ -47,7 +47,7 @@
 		adviser = platform.NewAdviser(s.Adviser)
 	}
 	gate := hventry.New(hventry.Options{
-		Name: s.Node, Zone: s.Zone, Addr: s.Peers, Process: uuid.NewString(),
+		Name: s.Node, Zone: s.Zone, Addr: s.Peers, Capacity: s.Capacity, Process: uuid.NewString(),
 		Store: platform.NewStore(s.Store), Topic: platform.CellTopic, Adviser: adviser,
 		Published: platform.OperatorsTopic, Key: platform.ConfigKey, Decode: platform.DecodeCatalog,
 		Early: s.Early, Retain: s.Retain,
--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -44,6 +44,9 @@
 // Options are what a Gate works with.
 type Options struct {
 	Name, Zone, Addr string
+	// Capacity is that of the machine in thousandths of a core; gates with more
+	// of it own the cell first.
+	Capacity int64
 	// Process distinguishes the incarnations of this gate.
 	Process string
 	Store   hv.KeyedStore
@@ -107,7 +110,7 @@
 
 // Run works until ctx ends. It owns the cell at most until owning ends.
 func (g *Gate) Run(owning, ctx context.Context) {
-	published := hvledger.NewTail(g.relay, g.options.Published, g.catalog, func() time.Duration { return followerSpacing }, g.options.Logger)
+	published := hvledger.NewNewestTail(g.relay, g.options.Published, g.catalog, func() time.Duration { return followerSpacing }, g.options.Logger)
 	var duties sync.WaitGroup
 	duties.Go(func() { g.tail.Run(ctx) })
 	duties.Go(func() { published.Run(ctx) })
@@ -124,7 +127,7 @@
 
 // enroll registers this gate.
 func (g *Gate) enroll(ctx context.Context) {
-	rec, err := hvledger.NodeRecord(hvledger.Node{Name: g.options.Name, Zone: g.options.Zone, Addr: g.options.Addr, Gate: true})
+	rec, err := hvledger.NodeRecord(hvledger.Node{Name: g.options.Name, Zone: g.options.Zone, Addr: g.options.Addr, Gate: true, Capacity: g.options.Capacity})
 	if err != nil {
 		_ = level.Error(g.options.Logger).Log("msg", "registration cannot be encoded", "err", err)
 		return
--- a/hvledger/elect.go
+++ b/hvledger/elect.go
@@ -64,12 +64,15 @@
 		return false
 	}
 	c, _ := e.replica.Claim()
-	if c.Epoch == 0 || c.Released || c.Name == e.self.Name {
+	if c.Name == e.self.Name && !c.Released {
 		// An earlier process of this gate has ended, as this one runs.
 		return true
 	}
 	wait := time.Duration(e.rank(c)) * rankDelay
 	silence := e.replica.Silence()
+	if c.Epoch == 0 || c.Released {
+		return silence >= wait
+	}
 	return silence > ownerSilence+wait || silence > wait && e.gone(c)
 }
 
@@ -78,18 +81,35 @@
 	return c.Epoch == 0 || c.Released || c.Name == e.self.Name || e.gone(c)
 }
 
-// rank orders the candidates by a hash, so that they do not all try at once.
+// rank orders the candidates, so that they do not all try at once: those with
+// the most capacity first, as the owner does the most work, and among equals by
+// a hash.
 func (e *Elector) rank(c Claim) int {
-	own := weight(e.self.Name, c)
+	var own Node
+	nodes := e.replica.Nodes()
+	for _, n := range nodes {
+		if n.Name == e.self.Name {
+			own = n
+		}
+	}
+	own.Name = e.self.Name
 	rank := 0
-	for _, n := range e.replica.Nodes() {
-		if n.Gate && n.Name != c.Name && weight(n.Name, c) < own {
+	for _, n := range nodes {
+		if n.Gate && n.Name != c.Name && n.Name != own.Name && before(n, own, c) {
 			rank++
 		}
 	}
 	return rank
 }
 
+// before reports whether a is a candidate before b after the end of an owner.
+func before(a, b Node, c Claim) bool {
+	if a.Capacity != b.Capacity {
+		return a.Capacity > b.Capacity
+	}
+	return weight(a.Name, c) < weight(b.Name, c)
+}
+
 func weight(name string, c Claim) uint64 { return xxhash.Sum64String(name + c.Process) }
 
 // firstSequence is the sequence number of a claim. The store answers a repeated
--- a/hvledger/ledger_test.go
+++ b/hvledger/ledger_test.go
@@ -284,3 +284,42 @@
 		t.Fatal("the job is not known after a sync without an error")
 	}
 }
+
+// Guards against an owner on a machine with a fifth of a core while others have
+// more: every host and every job of the cell goes through the owner.
+func TestGateWithTheMostCapacityOwnsTheCell(t *testing.T) {
+	for strong := range 4 {
+		_, addr := serve(t)
+		var gates []*gate
+		for i := range 4 {
+			capacity := int64(192)
+			if i == strong {
+				capacity = 800
+			}
+			name := fmt.Sprint("gate-", i)
+			rec, err := hvledger.NodeRecord(hvledger.Node{Name: name, Gate: true, Capacity: capacity})
+			if err != nil {
+				t.Fatal(err)
+			}
+			store := platform.NewStore(addr)
+			put(t, store, rec)
+			gates = append(gates, newGate(store, name))
+		}
+		for _, g := range gates {
+			g.sync(t)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		owners := make(chan string, len(gates))
+		for _, g := range gates {
+			go func() {
+				if w := g.elector.Wait(ctx); w != nil {
+					owners <- w.Claim().Name
+				}
+			}()
+		}
+		if got, want := <-owners, fmt.Sprint("gate-", strong); got != want {
+			t.Errorf("%s owns the cell, want %s", got, want)
+		}
+		cancel()
+	}
+}
--- a/hvledger/record.go
+++ b/hvledger/record.go
@@ -28,6 +28,8 @@
 	// Addr is where other processes of the system connect to.
 	Addr string `json:"addr"`
 	Gate bool   `json:"gate,omitempty"`
+	// Capacity is that of a gate's machine in thousandths of a core.
+	Capacity int64 `json:"capacity,omitempty"`
 	// Host is set for a node beside an executor that has announced itself.
 	Host *hvorder.Host `json:"host,omitempty"`
 }
--- a/hvledger/relay.go
+++ b/hvledger/relay.go
@@ -91,9 +91,7 @@
 		return failure("direct", hv.Unavailable, "the store has failed and is not back")
 	}
 	if r.Failed() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, probeTimeout)
-		defer cancel()
+		ctx = hv.WithAnswerWithin(ctx, probeTimeout)
 	}
 	err := call(ctx, r.direct)
 	r.judge(err)
--- a/hvledger/tail.go
+++ b/hvledger/tail.go
@@ -38,6 +38,9 @@
 	// which bounds the calls to the store under load.
 	spacing func() time.Duration
 
+	// newest is true if older records of a key do not matter.
+	newest bool
+
 	// mu orders the reads of Run and Sync.
 	mu     sync.Mutex
 	loaded bool
@@ -49,6 +52,15 @@
 	return &Tail{store: store, topic: topic, target: target, spacing: spacing, logger: logger}
 }
 
+// NewNewestTail returns a tail of a topic of which only the newest record of each
+// key matters. It does not read what it can pass over when it is behind: a
+// series of large records takes longer over a thin link than the last one.
+func NewNewestTail(store hv.KeyedStore, topic string, target Target, spacing func() time.Duration, logger log.Logger) *Tail {
+	t := NewTail(store, topic, target, spacing, logger)
+	t.newest = true
+	return t
+}
+
 // Run follows the topic until ctx ends.
 func (t *Tail) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -108,6 +120,9 @@
 	switch {
 	case err == nil:
 		t.target.Apply(page)
+		if t.newest && page.Next < page.End {
+			t.loaded = false
+		}
 	case hv.KindOf(err) == hv.Expired:
 		// Records that were not read are gone; the newest of each key are not.
 		_ = level.Info(t.logger).Log("msg", "topic is loaded again", "topic", t.topic, "next", t.target.Next())
--- a/keyed.go
+++ b/keyed.go
@@ -30,6 +30,24 @@
 	Records []KeyedRecord `json:"records,omitempty"`
 	// Next is the offset to continue from.
 	Next int64 `json:"next"`
+	// End is the end of the topic when it was read.
+	End int64 `json:"end,omitempty"`
+}
+
+type answerWithin struct{}
+
+// WithAnswerWithin bounds how long a store may take to begin its answer.
+func WithAnswerWithin(ctx context.Context, d time.Duration) context.Context {
+	return context.WithValue(ctx, answerWithin{}, d)
+}
+
+// AnswerWithin returns the bound that a context carries, or fallback if that is
+// shorter or there is none.
+func AnswerWithin(ctx context.Context, fallback time.Duration) time.Duration {
+	if d, ok := ctx.Value(answerWithin{}).(time.Duration); ok {
+		return min(d, fallback)
+	}
+	return fallback
 }
 
 // KeyedStore keeps the newest record of each key forever and all records for
