Keep room for lasting tasks that no host has room for

Lasting tasks go first in the plan, but each core that became free went to a task of one core at once, so the room for several never opened. A waiting lasting task now chooses the host with the most free processors that could hold it, and others do not start in that room.

Ruled out: memory of fill work (the hosts had memory left) and the order of the plan (lasting tasks were the first candidates).

The test of a watcher among short tasks fails without the change.

--- a/hvcell/advice.go
+++ b/hvcell/advice.go
@@ -97,7 +97,7 @@
 		if len(q.IDs) == questionHosts || good >= s.waiting {
 			break
 		}
-		if _, ok := s.ticket(now, h); ok || s.standing(h) == hostDenied || c.unfit(s, h) != "" {
+		if _, ok := s.ticket(now, h); ok || s.standing(h) == hostDenied || c.unfit(s, h) != "" || !s.spec.Commit().Fits(s.openRoom(h)) {
 			continue
 		}
 		if s.standing(h) == hostGood {
--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -49,6 +49,9 @@
 	if len(hosts) == 0 || c.suspended {
 		return
 	}
+	for _, h := range c.hosts {
+		h.reserved = hvjob.Size{}
+	}
 	for _, cand := range c.candidates(now, hosts) {
 		if cand.step.spec.Gang {
 			c.placeGang(now, cand.step, hosts)
@@ -139,6 +142,8 @@
 func (c *Cell) place(now time.Time, s *step, hosts []*host) {
 	placed := 0
 	starved := s.starved(now)
+	// full is true once no host was found for a task that may run on any.
+	full := false
 	for _, t := range s.tasks {
 		if s.waiting == 0 {
 			break
@@ -146,13 +151,20 @@
 		if t.done || len(t.runs) > 0 || now.Before(t.after) {
 			continue
 		}
+		if full && len(t.avoid) == 0 {
+			c.reserve(now, t, hosts)
+			continue
+		}
 		h := c.pick(now, t, hosts)
 		if h == nil && starved {
 			h, starved = c.pickAnyway(now, t, hosts), false
 		}
 		if h == nil {
 			c.noteWait(now, t, hosts)
-			if len(t.avoid) == 0 {
+			full = full || len(t.avoid) == 0
+			if s.spec.Lasting {
+				c.reserve(now, t, hosts)
+			} else if full {
 				break
 			}
 			continue
@@ -334,6 +346,15 @@
 // forbidden names why a host must not run a task, or is empty.
 func (c *Cell) forbidden(now time.Time, t *task, h *host) string {
 	s := t.step
+	if !s.spec.Commit().Fits(s.openRoom(h)) {
+		return "room"
+	}
+	return c.excluded(now, s, h)
+}
+
+// excluded names why a host must not run a step now, whatever room it has, or is
+// empty.
+func (c *Cell) excluded(now time.Time, s *step, h *host) string {
 	if why := c.unfit(s, h); why != "" {
 		return why
 	}
@@ -348,13 +369,11 @@
 	return ""
 }
 
-// unfit names why a host cannot run any task of a step, or is empty.
+// unfit names why a host can never run a task of a step, or is empty.
 func (c *Cell) unfit(s *step, h *host) string {
 	switch {
 	case h.info.Service != s.round.job.queue.Service:
 		return "service"
-	case !s.spec.Commit().Fits(h.free()):
-		return "room"
 	case s.spec.Label != "" && !slices.Contains(h.info.Labels, s.spec.Label):
 		return "label"
 	}
--- /dev/null
+++ b/hvcell/reserve_test.go
@@ -0,0 +1,89 @@
+package hvcell
+
+import (
+	"testing"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvjob"
+)
+
+// busyWorld has hosts on which one-core tasks use all eight cores, and many more
+// of them wait.
+func busyWorld(t *testing.T, hosts int) *world {
+	t.Helper()
+	w := newWorld(t, hosts)
+	w.attachAll()
+	w.submit(steps(step1(200, 1000)))
+	w.exchange()
+	if n := w.runs(); n != 8*hosts {
+		t.Fatalf("%d runs, want %d", n, 8*hosts)
+	}
+	return w
+}
+
+// finishOne ends one short run on each host.
+func (w *world) finishOne() {
+	for _, e := range w.hosts {
+		for task, run := range e.running {
+			if id, err := hvjob.ParseTask(task); err == nil && id.Job == "0000000000000001" {
+				e.end(task, run, hv.EndDone)
+				break
+			}
+		}
+	}
+}
+
+func lastingStep(count int) hvjob.Step {
+	s := step1(count, 6000)
+	s.Lasting, s.Estimate = true, 0
+	return s
+}
+
+// runsOf counts the runs of a job.
+func (w *world) runsOf(id string) (n int) {
+	for _, e := range w.hosts {
+		for task := range e.running {
+			if got, err := hvjob.ParseTask(task); err == nil && got.Job == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Guards against the pattern of a watcher that needs several cores on a fleet of
+// short tasks: each core that becomes free goes to a short task, and the watcher
+// never starts.
+func TestLastingTaskGetsRoomAmongShortTasks(t *testing.T) {
+	w := busyWorld(t, 3)
+	watch := w.submit(steps(lastingStep(2)))
+	for range 8 {
+		w.advance(200 * time.Millisecond)
+		w.finishOne()
+		w.exchange()
+	}
+	if n := w.runsOf(watch.ID); n != 2 {
+		t.Fatalf("%d of 2 lasting tasks run after 6 cores of each host became free", n)
+	}
+	if n := w.runs(); n < 2+8+2*2 {
+		t.Errorf("%d runs: room that is not reserved stays unused", n)
+	}
+}
+
+// Guards against room that is kept on every host for a task that no host could
+// hold.
+func TestNoRoomIsReservedWhereTheTaskCannotFit(t *testing.T) {
+	w := busyWorld(t, 2)
+	large := lastingStep(1)
+	large.Need.CPU = 9000
+	w.submit(steps(large))
+	for range 4 {
+		w.advance(200 * time.Millisecond)
+		w.finishOne()
+		w.exchange()
+	}
+	if n := w.runs(); n != 16 {
+		t.Fatalf("%d runs, want 16: room is kept for a task that fits nowhere", n)
+	}
+}
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -75,6 +75,8 @@
 	abandoned int
 	// after is the earliest time of the next run.
 	after time.Time
+	// reserved is where room is kept for the task while it waits.
+	reserved reservation
 }
 
 type runPhase int
@@ -117,6 +119,8 @@
 	dropped bool
 	runs    map[hvorder.Run]*run
 	used    hvjob.Size
+	// reserved is what is kept for lasting tasks that wait.
+	reserved hvjob.Size
 	// filled is the processor demand of the fill work, serving what the tasks
 	// with a latency target have reserved.
 	filled, serving int64
