Refuse records that were not sent while the store gives no answer

When the store goes silent, the owner's append is repeated until it is answered, and the records of callers that came after it waited for it; gates then also tried themselves before their own reads had failed.

The owner now refuses the records that it has not sent as soon as its store has failed, and a gate believes that refusal if its own last read is older than 0.7 s. A record in an append without an answer stays unanswered, as before. A gate that is not the owner says so with another kind of error, so that its callers' jobs are still stored directly.

Ruled out: refusing what is in the unanswered append (it may be stored).

--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -165,7 +165,7 @@
 		return
 	}
 	owner := hvowner.New(hvowner.Options{
-		Writer: w, Claimed: claimed, Learned: g.replica.Learned(), Adviser: g.options.Adviser, Early: g.options.Early, Retain: g.options.Retain,
+		Writer: w, Claimed: claimed, Learned: g.replica.Learned(), StoreFailed: g.relay.Failed, Adviser: g.options.Adviser, Early: g.options.Early, Retain: g.options.Retain,
 		Clock: g.options.Clock, Metrics: g.options.Metrics, Logger: g.options.Logger,
 	})
 	if c := g.Catalog(); c != nil {
--- a/hventry/put.go
+++ b/hventry/put.go
@@ -22,6 +22,9 @@
 	ownerLimit = 1200 * time.Millisecond
 	// ownerPause is how long the owner is not asked after it gave no answer.
 	ownerPause = time.Second
+	// storeQuiet is the age of the last read from which on a gate believes an owner
+	// that the store has failed: reads wait 0.4 s at most for a record.
+	storeQuiet = 700 * time.Millisecond
 	// ownerQuiet is the silence of the owner from which on it is not asked: it
 	// appends every 0.3 s.
 	ownerQuiet = 700 * time.Millisecond
@@ -33,8 +36,8 @@
 	ctx, cancel := context.WithTimeout(ctx, submitLimit)
 	defer cancel()
 	err := g.putByOwner(ctx, rec)
-	if err == nil {
-		return nil
+	if err == nil || hv.KindOf(err) == hv.Unavailable && g.replica.Age() > storeQuiet {
+		return err
 	}
 	uncertain := hv.KindOf(err) == hv.Uncertain
 	for {
@@ -58,7 +61,8 @@
 }
 
 // putByOwner has the owner store a record. An error of kind Uncertain means
-// that it may be stored, every other one that it is not.
+// that it may be stored, every other one that it is not: NotFound that there is
+// no owner to ask, Unavailable that the owner's store does not take it.
 func (g *Gate) putByOwner(ctx context.Context, rec hv.KeyedRecord) error {
 	ctx, cancel := context.WithTimeout(ctx, ownerLimit)
 	defer cancel()
@@ -67,15 +71,18 @@
 	}
 	c, _ := g.replica.Claim()
 	if !g.asksOwner(c) {
-		return failure(methodPut, hv.Unavailable, "no owner to ask")
+		return failure(methodPut, hv.NotFound, "no owner to ask")
 	}
 	conn, err := g.peers.conn(ctx, c.Addr)
 	if err != nil {
 		g.ownerMissed(c, err)
-		return failure(methodPut, hv.Unavailable, "owner %s: %v", c.Name, err)
+		return failure(methodPut, hv.NotFound, "owner %s: %v", c.Name, err)
 	}
 	_, err = hvwire.Call[struct{}](ctx, conn, methodPut, rec)
-	if err == nil || hv.KindOf(err) == hv.Unavailable {
+	if err != nil && hvwire.NotSent(err) {
+		return failure(methodPut, hv.NotFound, "owner %s: %v", c.Name, err)
+	}
+	if kind := hv.KindOf(err); err == nil || kind == hv.Unavailable || kind == hv.NotFound {
 		return err
 	}
 	if ctx.Err() != nil {
@@ -114,7 +121,7 @@
 func (g *Gate) servePut(ctx context.Context, _ *hvwire.Conn, rec hv.KeyedRecord) (struct{}, error) {
 	o := g.current()
 	if o == nil {
-		return struct{}{}, failure(methodPut, hv.Unavailable, "the cell is not owned here")
+		return struct{}{}, failure(methodPut, hv.NotFound, "the cell is not owned here")
 	}
 	ctx, cancel := context.WithTimeout(ctx, ownerLimit)
 	defer cancel()
--- a/hvowner/link_test.go
+++ b/hvowner/link_test.go
@@ -30,7 +30,13 @@
 
 func claim(t *testing.T) *hvledger.Writer {
 	t.Helper()
-	srv := httptest.NewServer(platformtest.NewStore())
+	return claimOf(t, platformtest.NewStore())
+}
+
+// claimOf claims the cell in a store.
+func claimOf(t *testing.T, stand *platformtest.Store) *hvledger.Writer {
+	t.Helper()
+	srv := httptest.NewServer(stand)
 	t.Cleanup(func() {
 		srv.CloseClientConnections()
 		srv.Close()
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -47,6 +47,8 @@
 	Claimed int64
 	// Learned is what the owner before has learned, as it was stored, or nil.
 	Learned []byte
+	// StoreFailed reports whether the store gives no answer; it may be nil.
+	StoreFailed func() bool
 	// Adviser is nil where no service gives advice.
 	Adviser hv.Adviser
 	Early   time.Duration
@@ -229,6 +231,7 @@
 
 func (o *Owner) tickLoop(ctx context.Context) {
 	hvtick.Every(ctx, tickInterval, func() {
+		o.refusePuts()
 		o.mu.Lock()
 		o.cell.Suspend(o.options.Writer.Age() > authority)
 		o.cell.Tick(o.options.Clock.Now())
--- a/hvowner/put.go
+++ b/hvowner/put.go
@@ -25,8 +25,8 @@
 
 // Put stores a record with the next append of the owner. The store carries out
 // one append after another, so when it is slow the records of many callers go
-// through only together. An error of kind Unavailable means that the record was
-// not stored.
+// through only together. An error of kind Unavailable or NotFound means that the
+// record was not stored; the second one that this gate does not own the cell.
 func (o *Owner) Put(ctx context.Context, rec hv.KeyedRecord) error {
 	p := put{rec: rec, done: make(chan error, 1)}
 	run, err := o.enqueue(p)
@@ -48,7 +48,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.run == nil || o.run.Err() != nil {
-		return nil, failure("put", hv.Unavailable, "the cell is not owned")
+		return nil, failure("put", hv.NotFound, "the cell is not owned")
 	}
 	if len(o.puts) >= maxWaiting {
 		return nil, failure("put", hv.Unavailable, "%d records wait", len(o.puts))
@@ -74,6 +74,19 @@
 	return taken
 }
 
+// refusePuts answers the records that were not sent yet while the store gives no
+// answer. They would wait behind an append that is repeated until it does.
+func (o *Owner) refusePuts() {
+	if o.options.StoreFailed == nil || !o.options.StoreFailed() {
+		return
+	}
+	o.mu.Lock()
+	puts := o.puts
+	o.puts = nil
+	o.mu.Unlock()
+	answer(puts, failure("put", hv.Unavailable, "the store has failed and is not back"))
+}
+
 func recordsOf(puts []put) []hv.KeyedRecord {
 	recs := make([]hv.KeyedRecord, 0, len(puts))
 	for _, p := range puts {
