Test what a gate does when the owner does not store a job

The gate stores the job itself if the owner is none, has no store or does not answer, and does not ask an owner without an answer again for a second. The module had no tests of its own; whole systems in platform covered it.

--- /dev/null
+++ b/hventry/put_test.go
@@ -0,0 +1,156 @@
+package hventry_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hventry"
+	"hibiscusvane.example/hibiscusvane/hvjob"
+	"hibiscusvane.example/hibiscusvane/hvledger"
+	"hibiscusvane.example/hibiscusvane/hvmetric"
+	"hibiscusvane.example/hibiscusvane/hvwire"
+	"hibiscusvane.example/hibiscusvane/platform"
+	"hibiscusvane.example/hibiscusvane/platform/platformtest"
+)
+
+type ignore struct{}
+
+func (ignore) JobChanged(hvledger.Entry)       {}
+func (ignore) NodeChanged(hvledger.Node, bool) {}
+func (ignore) ClaimChanged(hvledger.Claim)     {}
+
+// kinded is an error with a kind.
+type kinded hv.ErrorKind
+
+func (k kinded) Error() string           { return string(k) }
+func (k kinded) ErrorKind() hv.ErrorKind { return hv.ErrorKind(k) }
+
+// owner is another gate that owns the cell and answers puts as a test says.
+type owner struct {
+	answer func(ctx context.Context) error
+	puts   atomic.Int64
+	addr   string
+}
+
+const process = "process-of-the-owner"
+
+func (o *owner) listen(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	o.addr = l.Addr().String()
+	mux := hvwire.Mux{}
+	hvwire.Handle(mux, "who", func(context.Context, *hvwire.Conn, struct{}) (map[string]string, error) {
+		return map[string]string{"id": process}, nil
+	})
+	hvwire.Handle(mux, "put", func(ctx context.Context, _ *hvwire.Conn, _ hv.KeyedRecord) (struct{}, error) {
+		o.puts.Add(1)
+		return struct{}{}, o.answer(ctx)
+	})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			hvwire.NewConn(c, mux)
+		}
+	}()
+}
+
+// own claims the cell and beats until ctx ends.
+func (o *owner) own(ctx context.Context, t *testing.T, store hv.KeyedStore) {
+	logger := log.NewNopLogger()
+	replica := hvledger.NewReplica(hv.SystemClock{}, logger, ignore{})
+	tail := hvledger.NewTail(store, platform.CellTopic, replica, func() time.Duration { return 0 }, logger)
+	if err := tail.Sync(ctx); err != nil {
+		t.Fatal(err)
+	}
+	never := func(hvledger.Claim) bool { return false }
+	w := hvledger.NewElector(replica, tail, store, platform.CellTopic, hvledger.Claim{Name: "owner", Addr: o.addr, Process: process}, never, logger).Wait(ctx)
+	go func() {
+		for ctx.Err() == nil {
+			_ = w.Beat(ctx)
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+}
+
+func job(id int) hvjob.Job {
+	return hvjob.Job{ID: fmt.Sprintf("%016x", id), Queue: "q", Submitted: 1, Steps: []hvjob.Step{{Count: 1, Need: hvjob.Size{CPU: 100}}}}
+}
+
+const settings = `{"version":1,"routes":[{"name":"q","host":"h","path_prefix":"/q/","service":"s"}],"services":[{"name":"s"}]}`
+
+// Guards against jobs that are lost, or wait long, when the owner of the cell
+// does not store them: the gate stores them itself.
+func TestGateStoresWhatTheOwnerDoesNot(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer func(ctx context.Context) error
+		// direct is how many of the three jobs the gate stores itself, asked how
+		// often it asks the owner.
+		direct, asked int
+		limit         time.Duration
+	}{
+		{"stores", func(context.Context) error { return nil }, 0, 3, time.Second},
+		{"is no owner", func(context.Context) error { return kinded(hv.NotFound) }, 3, 3, time.Second},
+		{"has no store", func(context.Context) error { return kinded(hv.Unavailable) }, 3, 3, time.Second},
+		{"does not answer", func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }, 3, 1, 2 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			stand := platformtest.NewStore()
+			srv := httptest.NewServer(stand)
+			stand.Put(platform.OperatorsTopic, platform.ConfigKey, []byte(settings))
+			store := platform.NewStore(strings.TrimPrefix(srv.URL, "http://"))
+			ctx, cancel := context.WithCancel(t.Context())
+			o := &owner{answer: c.answer}
+			o.listen(t)
+			o.own(ctx, t, store)
+			g := hventry.New(hventry.Options{
+				Name: "gate", Addr: "127.0.0.1:1", Process: "p", Store: store, Topic: platform.CellTopic,
+				Published: platform.OperatorsTopic, Key: platform.ConfigKey, Decode: platform.DecodeCatalog,
+				Retain: time.Minute, Clock: hv.SystemClock{}, Metrics: hvmetric.New(4), Logger: log.NewNopLogger(),
+			})
+			var duty sync.WaitGroup
+			duty.Go(func() { g.Run(ctx, ctx) })
+			defer func() {
+				cancel()
+				srv.CloseClientConnections()
+				srv.Close()
+				duty.Wait()
+			}()
+			for !g.Ready() {
+				time.Sleep(time.Millisecond)
+			}
+			began := time.Now()
+			for id := 1; id <= 3; id++ {
+				if _, err := g.Submit(ctx, job(id)); err != nil {
+					t.Errorf("job %d: %v", id, err)
+				}
+			}
+			if took := time.Since(began); took > c.limit {
+				t.Errorf("three jobs took %v, want at most %v", took, c.limit)
+			}
+			stored := 0
+			for id := 1; id <= 3; id++ {
+				stored += stand.Count(platform.CellTopic, "job/"+job(id).ID)
+			}
+			if stored != c.direct || int(o.puts.Load()) != c.asked {
+				t.Errorf("the gate stored %d itself and asked %d times, want %d and %d", stored, o.puts.Load(), c.direct, c.asked)
+			}
+		})
+	}
+}
