Run lasting tasks on hosts in quarantine rather than not at all

A lasting task now takes a host in quarantine if no other has room.

The new test fails without the change.

Not changed: a quarantine of a minute is long for hosts that hang for seconds and costs their room.

--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -255,12 +255,15 @@
 	return true
 }
 
-// pick returns the host for a task, or nil. A lasting task rather goes back to a
-// host on which it failed than stays away.
+// pick returns the host for a task, or nil. A lasting task rather goes to a host
+// in quarantine, or back to one on which it failed, than does not run.
 func (c *Cell) pick(now time.Time, t *task, hosts []*host) *host {
 	h := c.pickAmong(now, t, t.preferred(hosts))
 	if h == nil && t.step.spec.Lasting && len(t.avoid) > 0 {
-		return c.pickAmong(now, t, hosts)
+		h = c.pickAmong(now, t, hosts)
+	}
+	if h == nil && t.step.spec.Lasting && !t.step.spec.Fill {
+		h = c.pickAnyway(now, t, hosts)
 	}
 	return h
 }
--- a/hvcell/reserve.go
+++ b/hvcell/reserve.go
@@ -67,10 +67,7 @@
 			lasting = lasting.Minus(r.commit)
 		}
 	}
-	if !s.spec.Commit().Fits(lasting) || !c.options.Health.Usable(now, h.name) {
-		return false
-	}
-	return c.excluded(now, s, h) == ""
+	return s.spec.Commit().Fits(lasting) && c.excluded(now, s, h) == ""
 }
 
 // openRoom is what a step can use of the free room of a host.
--- a/hvcell/reserve_test.go
+++ b/hvcell/reserve_test.go
@@ -1,6 +1,7 @@
 package hvcell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -87,3 +88,26 @@
 		t.Fatalf("%d runs, want 16: room is kept for a task that fits nowhere", n)
 	}
 }
+
+// Guards against a watcher that does not run although the only host with room is
+// one that failed for a while: a quarantine outlasts its cause by up to a minute.
+func TestLastingTaskRunsOnHostInQuarantine(t *testing.T) {
+	w := newWorld(t, 4)
+	w.attachAll()
+	for i := range 6 {
+		for name := range w.hosts {
+			w.cell.options.Health.Record(w.now, name, "r1-1", fmt.Sprint(name, i), name != "host-2")
+		}
+	}
+	if w.cell.options.Health.Usable(w.now, "host-2") {
+		t.Fatal("the host is not in quarantine")
+	}
+	watch := w.submit(steps(lastingStep(4)))
+	w.exchange()
+	if n := w.runsOf(watch.ID); n != 4 {
+		t.Fatalf("%d of 4 lasting tasks run", n)
+	}
+	if len(w.hosts["host-2"].running) != 1 {
+		t.Error("the host in quarantine runs nothing")
+	}
+}
