--- a/hvnode/hold.go
+++ b/hvnode/hold.go
@@ -61,10 +61,10 @@
 
 // nextHold returns the next hold, when it is sent, and whether there is an owner
 // to hold for.
-func (n *Node) nextHold() (hv.Hold, moment, bool) {
+func (n *Node) nextHold() (hv.Hold, version, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	h, at := hv.Hold{Epoch: n.epoch, WaitMS: holdWaitMS}, n.nowLocked()
+	h, at := hv.Hold{Epoch: n.epoch, WaitMS: holdWaitMS}, n.versionLocked()
 	if !n.confirmed {
 		h.WaitMS = 0
 		return h, at, n.epoch > 0
--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -54,9 +54,10 @@
 	epoch int64
 	// attached is when the owner last attached or answered.
 	attached time.Time
-	// lists is the last answer of the executor and asked what it was asked at.
-	lists hv.Holding
-	asked moment
+	// lists is the last answer of the executor, and listed the version that it
+	// was asked at.
+	lists  hv.Holding
+	listed version
 	// known is false while the executor does not answer.
 	known bool
 	// confirmed is false after a call without an answer until the executor has
@@ -192,7 +193,7 @@
 	n.refused, n.stopped, n.fullTold = nil, nil, false
 	n.mu.Unlock()
 	_ = level.Info(n.deps.Logger).Log("msg", "owner attached", "epoch", req.Epoch, "owner", req.Owner)
-	at := n.now()
+	at := n.version()
 	lists, err := n.deps.Executor.Hold(ctx, hv.Hold{Epoch: req.Epoch})
 	if err == nil {
 		n.take(lists, at)
@@ -203,32 +204,33 @@
 	return n.fullReport(), nil
 }
 
-// moment places a question to the executor among epochs and calls of starts.
-type moment struct {
+// version orders questions to the executor by the epoch of the owner and the
+// calls of starts before them.
+type version struct {
 	epoch int64
 	// calls is the number of calls before the question, or -1 if one of them had
 	// no answer yet.
 	calls int64
 }
 
-func (n *Node) now() moment {
+func (n *Node) version() version {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.nowLocked()
+	return n.versionLocked()
 }
 
-func (n *Node) nowLocked() moment {
+func (n *Node) versionLocked() version {
 	if n.calling > 0 {
-		return moment{n.epoch, -1}
+		return version{n.epoch, -1}
 	}
-	return moment{n.epoch, n.calls}
+	return version{n.epoch, n.calls}
 }
 
 // complete reports whether the lists hold every run that may be on the host: the
 // executor was asked in the epoch of the owner and no start was called since.
 // The lock is held.
 func (n *Node) complete() bool {
-	return n.known && n.calling == 0 && n.asked == n.nowLocked()
+	return n.known && n.calling == 0 && n.listed == n.versionLocked()
 }
 
 // fullReport lists everything on the host, if that is known.
@@ -264,7 +266,7 @@
 }
 
 // take keeps an answer of the executor to a question.
-func (n *Node) take(h hv.Holding, at moment) {
+func (n *Node) take(h hv.Holding, at version) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.known && h.Life == n.lists.Life && h.Clock < n.lists.Clock {
@@ -277,7 +279,7 @@
 		n.pending = map[hvorder.Run]bool{}
 		n.saved = map[hvorder.Run]string{}
 	}
-	n.lists, n.asked, n.known, n.confirmed, n.dead = h, at, true, true, false
+	n.lists, n.listed, n.known, n.confirmed, n.dead = h, at, true, true, false
 	n.advance(n.deps.Clock.Now(), h.Running)
 }
 
--- a/hvnode/node_test.go
+++ b/hvnode/node_test.go
@@ -180,7 +180,7 @@
 func TestNewLifeForgetsAcknowledgements(t *testing.T) {
 	n := newNode(t, &fakeExecutor{})
 	n.seen, n.until = 40, 9000
-	n.take(hv.Holding{Life: "2", Clock: 1}, n.now())
+	n.take(hv.Holding{Life: "2", Clock: 1}, n.version())
 	if h, _, _ := n.nextHold(); h.Seen != 0 || h.Until != 0 {
 		t.Fatalf("next hold is %+v", h)
 	}
@@ -189,8 +189,8 @@
 // Guards against an older answer that replaces a newer one.
 func TestOvertakenListIsIgnored(t *testing.T) {
 	n := newNode(t, &fakeExecutor{})
-	n.take(hv.Holding{Life: "1", Clock: 500, Running: []hv.RunState{{Task: "new", Run: 1}}}, n.now())
-	n.take(hv.Holding{Life: "1", Clock: 400}, n.now())
+	n.take(hv.Holding{Life: "1", Clock: 500, Running: []hv.RunState{{Task: "new", Run: 1}}}, n.version())
+	n.take(hv.Holding{Life: "1", Clock: 400}, n.version())
 	if len(n.lists.Running) != 1 {
 		t.Fatal("an older list replaced a newer one")
 	}
@@ -226,7 +226,7 @@
 	if h, _, _ := n.nextHold(); h.Seen != 0 || h.Until != 0 || h.WaitMS != 0 {
 		t.Fatalf("hold after a failure is %+v", h)
 	}
-	n.take(hv.Holding{Life: "1", Clock: 700}, n.now())
+	n.take(hv.Holding{Life: "1", Clock: 700}, n.version())
 	if h, _, _ := n.nextHold(); h.Seen != 20 {
 		t.Fatalf("hold after the same life answered is %+v", h)
 	}
