Call what the project already has instead of writing it again

- Placing a task computed what it does to a host up to four times for each host and sorted images whose order does not matter.
It is computed once now, and both ways to pick a host share one search.
- A gate that asks the owner to store a record uses the call of its peers with its limits, and the two places that bound the wait are one.
- Gates and sides register through one function.
An encoding error of a registration, which cannot happen, no longer has a line of its own.
- The elector ranks the candidates only when the owner is silent, gone or has released the cell; it did so at every look.
- Key slots go to their heir by one rule, live or leaving.
- The test of a calm image of fill work stood twice in hvnode.
- Tests start stand-ins and claim a cell through platformtest, and use hv.Error where they had an error type of their own.

--- a/cmd/hvside/platform.go
+++ b/cmd/hvside/platform.go
@@ -35,12 +35,7 @@
 	metrics := hvmetric.New(hvmetric.DefaultCallers)
 	store := platform.NewStore(s.Store)
 	register := func(ctx context.Context, h *hvorder.Host) error {
-		rec, err := hvledger.NodeRecord(hvledger.Node{Name: s.Node, Zone: s.Zone, Addr: s.Peers, Host: h})
-		if err != nil {
-			return err
-		}
-		_, err = store.Append(ctx, platform.CellTopic, []hv.KeyedRecord{rec}, hv.Fence{At: -1})
-		return err
+		return hvledger.Register(ctx, store, platform.CellTopic, hvledger.Node{Name: s.Node, Zone: s.Zone, Addr: s.Peers, Host: h})
 	}
 	node := hvnode.New(s.Node, hvnode.Deps{
 		Clock: hv.SystemClock{}, Executor: platform.NewExecutor(s.Executor), Register: register, Metrics: metrics, Logger: logger,
--- a/hvcell/disturb.go
+++ b/hvcell/disturb.go
@@ -93,7 +93,8 @@
 	return worst
 }
 
-// images returns the distinct images of the host's runs whose steps match.
+// images returns the distinct images of the host's runs whose steps match, in no
+// order.
 func (h *host) images(match func(*step) bool) []string {
 	var out []string
 	for _, r := range h.runs {
@@ -101,7 +102,15 @@
 			out = append(out, s.spec.Image)
 		}
 	}
-	slices.Sort(out)
+	return out
+}
+
+// hurts predicts what a task does to each of the hosts.
+func (c *Cell) hurts(t *task, hosts []*host) []float64 {
+	out := make([]float64, len(hosts))
+	for i, h := range hosts {
+		out[i] = c.hurt(t, h)
+	}
 	return out
 }
 
@@ -136,11 +145,11 @@
 
 // bearableFor returns the greatest effect that a fill task may have on its
 // host. Where it disturbs all hosts it goes to those that suffer least.
-func (c *Cell) bearableFor(t *task, hosts []*host) float64 {
+func bearableFor(t *task, hosts []*host, hurts []float64) float64 {
 	least := math.Inf(1)
-	for _, h := range hosts {
+	for i, h := range hosts {
 		if h.info.Service == t.step.round.job.queue.Service {
-			least = min(least, c.hurt(t, h))
+			least = min(least, hurts[i])
 		}
 	}
 	return max(bearable, least)
--- a/hvcell/move.go
+++ b/hvcell/move.go
@@ -25,9 +25,10 @@
 	gentle = 0.1
 )
 
-// crowdedOut reports whether a host is no place for a fill task now.
-func (c *Cell) crowdedOut(t *task, h *host) bool {
-	return h.serving > 0 && h.pace < slowPace && c.hurt(t, h) > gentle
+// crowdsOut reports whether a host is no place now for a fill task that hurts it
+// this much.
+func (h *host) crowdsOut(hurt float64) bool {
+	return h.serving > 0 && h.pace < slowPace && hurt > gentle
 }
 
 // noteSlow keeps since when a host leaves little to fill work.
@@ -73,7 +74,10 @@
 
 func (c *Cell) hasBetter(now time.Time, t *task, from *host, hosts []*host) bool {
 	for _, h := range hosts {
-		if h != from && c.allowed(now, t, h) && c.hurt(t, h) <= gentle {
+		if h == from {
+			continue
+		}
+		if hurt := c.hurt(t, h); hurt <= gentle && c.obstacle(now, t, h, hurt) == "" {
 			return true
 		}
 	}
--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -194,7 +194,7 @@
 	s.waited, s.waitSince = true, now
 	why := map[string]int{}
 	for _, h := range hosts {
-		obstacle := c.obstacle(now, t, h)
+		obstacle := c.obstacle(now, t, h, c.hurt(t, h))
 		if obstacle == "" {
 			obstacle = "disturbs"
 		}
@@ -270,21 +270,29 @@
 
 // pickAmong returns the allowed host with the best score, or nil.
 func (c *Cell) pickAmong(now time.Time, t *task, hosts []*host) *host {
-	var best *host
-	bestScore := 0.0
+	hurts := c.hurts(t, hosts)
 	limit := math.Inf(1)
 	if t.step.spec.Fill {
-		limit = c.bearableFor(t, hosts)
+		limit = bearableFor(t, hosts, hurts)
 	}
-	for _, h := range hosts {
-		if !c.allowed(now, t, h) || c.hurt(t, h) > limit {
+	return best(t, hosts, hurts, func(h *host, hurt float64) bool {
+		return hurt <= limit && c.obstacle(now, t, h, hurt) == ""
+	})
+}
+
+// best returns the host with the best score of those that are fit, or nil.
+func best(t *task, hosts []*host, hurts []float64, fit func(h *host, hurt float64) bool) *host {
+	var found *host
+	top := 0.0
+	for i, h := range hosts {
+		if !fit(h, hurts[i]) {
 			continue
 		}
-		if score := c.score(t, h); best == nil || score > bestScore {
-			best, bestScore = h, score
+		if score := score(t, h, hurts[i]); found == nil || score > top {
+			found, top = h, score
 		}
 	}
-	return best
+	return found
 }
 
 // patience is how long a step may wait with nothing of it running while hosts
@@ -300,13 +308,9 @@
 // pickAnyway returns the host with the best score of those that have room and
 // may run a task, or nil.
 func (c *Cell) pickAnyway(now time.Time, t *task, hosts []*host) *host {
-	var best *host
-	for _, h := range hosts {
-		if c.forbidden(now, t, h) == "" && (best == nil || c.score(t, h) > c.score(t, best)) {
-			best = h
-		}
-	}
-	return best
+	return best(t, hosts, c.hurts(t, hosts), func(h *host, _ float64) bool {
+		return c.forbidden(now, t, h) == ""
+	})
 }
 
 // preferred leaves out the hosts on which runs of the task failed, unless all
@@ -327,18 +331,16 @@
 	return out
 }
 
-// allowed reports whether a host may and can take a task.
-func (c *Cell) allowed(now time.Time, t *task, h *host) bool { return c.obstacle(now, t, h) == "" }
-
-// obstacle names what keeps a task off a host, or is empty.
-func (c *Cell) obstacle(now time.Time, t *task, h *host) string {
+// obstacle names what keeps a task off a host, which it would hurt this much, or
+// is empty.
+func (c *Cell) obstacle(now time.Time, t *task, h *host, hurt float64) string {
 	s := t.step.spec
 	switch why := c.forbidden(now, t, h); {
 	case why != "":
 		return why
 	case s.Fill && h.filled+s.Need.CPU > h.unused():
 		return "busy"
-	case s.Fill && c.crowdedOut(t, h):
+	case s.Fill && h.crowdsOut(hurt):
 		return "slowed"
 	case !c.options.Health.Usable(now, h.name):
 		return "quarantine"
@@ -409,7 +411,7 @@
 	return 0
 }
 
-func (c *Cell) score(t *task, h *host) float64 {
+func score(t *task, h *host, hurt float64) float64 {
 	s := t.step.spec
 	score := 0.0
 	if s.Rack != "" && s.Rack == h.info.Rack {
@@ -421,7 +423,7 @@
 	if s.Target > 0 {
 		score += company(s.Image, h.images(serves))
 	}
-	return score - scoreHurt*c.hurt(t, h)
+	return score - scoreHurt*hurt
 }
 
 // launch orders a run.
--- a/hvcell/reserve_test.go
+++ b/hvcell/reserve_test.go
@@ -94,8 +94,10 @@
 func TestLastingTaskRunsOnHostInQuarantine(t *testing.T) {
 	w := newWorld(t, 4)
 	w.attachAll()
+	// In a fixed order: a task that fails on the first host that is heard of is
+	// taken for a bad one.
 	for i := range 6 {
-		for name := range w.hosts {
+		for _, name := range []string{"host-0", "host-1", "host-3", "host-2"} {
 			w.cell.options.Health.Record(w.now, name, "r1-1", fmt.Sprint(name, i), name != "host-2")
 		}
 	}
--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -127,13 +127,10 @@
 
 // enroll registers this gate.
 func (g *Gate) enroll(ctx context.Context) {
-	rec, err := hvledger.NodeRecord(hvledger.Node{Name: g.options.Name, Zone: g.options.Zone, Addr: g.options.Addr, Gate: true, Capacity: g.options.Capacity})
-	if err != nil {
-		_ = level.Error(g.options.Logger).Log("msg", "registration cannot be encoded", "err", err)
-		return
-	}
+	self := hvledger.Node{Name: g.options.Name, Zone: g.options.Zone, Addr: g.options.Addr, Gate: true, Capacity: g.options.Capacity}
 	for ctx.Err() == nil {
-		if _, err = g.relay.Append(ctx, g.options.Topic, []hv.KeyedRecord{rec}, hv.Fence{At: -1}); err == nil {
+		err := hvledger.Register(ctx, g.relay, g.options.Topic, self)
+		if err == nil {
 			return
 		}
 		_ = level.Warn(g.options.Logger).Log("msg", "registration failed", "err", err)
--- a/hventry/put.go
+++ b/hventry/put.go
@@ -45,14 +45,12 @@
 		if err == nil {
 			return nil
 		}
-		kind := hv.KindOf(err)
-		if kind != hv.Unavailable && kind != hv.Uncertain {
+		switch kind := hv.KindOf(err); {
+		case kind == hv.Uncertain:
+			uncertain = true
+		case kind != hv.Unavailable || !uncertain:
 			return err
 		}
-		if kind == hv.Unavailable && !uncertain {
-			return err
-		}
-		uncertain = true
 		hvtick.Sleep(ctx, submitRetry)
 		if ctx.Err() != nil {
 			return failure("put", hv.Uncertain, "no answer of the store: %v", err)
@@ -64,8 +62,6 @@
 // that it may be stored, every other one that it is not: NotFound that there is
 // no owner to ask, Unavailable that the owner's store does not take it.
 func (g *Gate) putByOwner(ctx context.Context, rec hv.KeyedRecord) error {
-	ctx, cancel := context.WithTimeout(ctx, ownerLimit)
-	defer cancel()
 	if o := g.current(); o != nil {
 		return g.putOwned(ctx, o, rec)
 	}
@@ -73,22 +69,18 @@
 	if !g.asksOwner(c) {
 		return failure(methodPut, hv.NotFound, "no owner to ask")
 	}
-	conn, err := g.peers.conn(ctx, c.Addr)
-	if err != nil {
+	_, err := call[struct{}](ctx, g.peers, c.Addr, methodPut, ownerLimit, rec)
+	kind, sent := hv.KindOf(err), !hvwire.NotSent(err)
+	if err == nil || sent && (kind == hv.Unavailable || kind == hv.NotFound) {
+		return err
+	}
+	if sent || kind == hv.Unavailable {
+		// A record that is too long for a message says nothing of the owner.
 		g.ownerMissed(c, err)
-		return failure(methodPut, hv.NotFound, "owner %s: %v", c.Name, err)
 	}
-	_, err = hvwire.Call[struct{}](ctx, conn, methodPut, rec)
-	if err != nil && hvwire.NotSent(err) {
+	if !sent {
 		return failure(methodPut, hv.NotFound, "owner %s: %v", c.Name, err)
 	}
-	if kind := hv.KindOf(err); err == nil || kind == hv.Unavailable || kind == hv.NotFound {
-		return err
-	}
-	if ctx.Err() != nil {
-		g.peers.drop(c.Addr, conn)
-	}
-	g.ownerMissed(c, err)
 	return failure(methodPut, hv.Uncertain, "owner %s: %v", c.Name, err)
 }
 
@@ -97,6 +89,8 @@
 	if g.relay.Failed() {
 		return failure(methodPut, hv.Unavailable, "the store has failed and is not back")
 	}
+	ctx, cancel := context.WithTimeout(ctx, ownerLimit)
+	defer cancel()
 	return o.Put(ctx, rec)
 }
 
@@ -123,7 +117,5 @@
 	if o == nil {
 		return struct{}{}, failure(methodPut, hv.NotFound, "the cell is not owned here")
 	}
-	ctx, cancel := context.WithTimeout(ctx, ownerLimit)
-	defer cancel()
 	return struct{}{}, g.putOwned(ctx, o, rec)
 }
--- a/hventry/put_test.go
+++ b/hventry/put_test.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
-	"net/http/httptest"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -23,18 +22,6 @@
 	"hibiscusvane.example/hibiscusvane/platform/platformtest"
 )
 
-type ignore struct{}
-
-func (ignore) JobChanged(hvledger.Entry)       {}
-func (ignore) NodeChanged(hvledger.Node, bool) {}
-func (ignore) ClaimChanged(hvledger.Claim)     {}
-
-// kinded is an error with a kind.
-type kinded hv.ErrorKind
-
-func (k kinded) Error() string           { return string(k) }
-func (k kinded) ErrorKind() hv.ErrorKind { return hv.ErrorKind(k) }
-
 // owner is another gate that owns the cell and answers puts as a test says.
 type owner struct {
 	answer func(ctx context.Context) error
@@ -72,14 +59,7 @@
 
 // own claims the cell and beats until ctx ends.
 func (o *owner) own(ctx context.Context, t *testing.T, store hv.KeyedStore) {
-	logger := log.NewNopLogger()
-	replica := hvledger.NewReplica(hv.SystemClock{}, logger, ignore{})
-	tail := hvledger.NewTail(store, platform.CellTopic, replica, func() time.Duration { return 0 }, logger)
-	if err := tail.Sync(ctx); err != nil {
-		t.Fatal(err)
-	}
-	never := func(hvledger.Claim) bool { return false }
-	w := hvledger.NewElector(replica, tail, store, platform.CellTopic, hvledger.Claim{Name: "owner", Addr: o.addr, Process: process}, never, logger).Wait(ctx)
+	w := platformtest.Claim(ctx, t, store, platform.CellTopic, hvledger.Claim{Name: "owner", Addr: o.addr, Process: process})
 	go func() {
 		for ctx.Err() == nil {
 			_ = w.Beat(ctx)
@@ -109,15 +89,18 @@
 		limit         time.Duration
 	}{
 		{"stores", func(context.Context) error { return nil }, 0, 3, time.Second},
-		{"is no owner", func(context.Context) error { return kinded(hv.NotFound) }, 3, 3, time.Second},
-		{"has no store", func(context.Context) error { return kinded(hv.Unavailable) }, 3, 3, time.Second},
+		{"is no owner", func(context.Context) error {
+			return &hv.Error{Op: "put", Kind: hv.NotFound, Err: errors.New("no owner")}
+		}, 3, 3, time.Second},
+		{"has no store", func(context.Context) error {
+			return &hv.Error{Op: "put", Kind: hv.Unavailable, Err: errors.New("no store")}
+		}, 3, 3, time.Second},
 		{"does not answer", func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }, 3, 1, 2 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			stand := platformtest.NewStore()
-			srv := httptest.NewServer(stand)
 			stand.Put(platform.OperatorsTopic, platform.ConfigKey, []byte("{}"))
-			store := platform.NewStore(strings.TrimPrefix(srv.URL, "http://"))
+			store := platform.NewStore(platformtest.Serve(t, stand))
 			ctx, cancel := context.WithCancel(t.Context())
 			o := &owner{answer: c.answer}
 			o.listen(t)
@@ -131,8 +114,6 @@
 			duty.Go(func() { g.Run(ctx, ctx) })
 			defer func() {
 				cancel()
-				srv.CloseClientConnections()
-				srv.Close()
 				duty.Wait()
 			}()
 			for !g.Ready() {
--- a/hvkey/assign.go
+++ b/hvkey/assign.go
@@ -27,14 +27,13 @@
 			owned[s.Owner] = append(owned[s.Owner], i)
 			continue
 		}
-		if s.Owner == "" && s.Heir != "" && slices.Contains(leaving, s.Heir) {
-			moves = append(moves, Move{Slot: i, To: s.Heir})
-			continue
-		}
 		// The heir of a released slot has its memory.
-		if _, ok := owned[s.Heir]; ok && s.Owner == "" && s.Heir != "" {
-			owned[s.Heir] = append(owned[s.Heir], i)
+		_, isLive := owned[s.Heir]
+		if s.Owner == "" && s.Heir != "" && (isLive || slices.Contains(leaving, s.Heir)) {
 			moves = append(moves, Move{Slot: i, To: s.Heir})
+			if isLive {
+				owned[s.Heir] = append(owned[s.Heir], i)
+			}
 			continue
 		}
 		free = append(free, i)
--- a/hvledger/elect.go
+++ b/hvledger/elect.go
@@ -68,12 +68,21 @@
 		// An earlier process of this gate has ended, as this one runs.
 		return true
 	}
-	wait := time.Duration(e.rank(c)) * rankDelay
 	silence := e.replica.Silence()
-	if c.Epoch == 0 || c.Released {
+	free := c.Epoch == 0 || c.Released
+	gone := !free && e.gone(c)
+	if !free && !gone && silence <= ownerSilence {
+		// This is the usual case, and the rank looks at all nodes.
+		return false
+	}
+	wait := time.Duration(e.rank(c)) * rankDelay
+	switch {
+	case free:
 		return silence >= wait
+	case gone:
+		return silence > wait
 	}
-	return silence > ownerSilence+wait || silence > wait && e.gone(c)
+	return silence > ownerSilence+wait
 }
 
 // hasEnded reports whether an owner is known to give no further orders.
--- a/hvledger/ledger_test.go
+++ b/hvledger/ledger_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http/httptest"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -50,12 +48,7 @@
 
 func serve(t *testing.T) (*platformtest.Store, string) {
 	s := platformtest.NewStore()
-	srv := httptest.NewServer(s)
-	t.Cleanup(func() {
-		srv.CloseClientConnections()
-		srv.Close()
-	})
-	return s, strings.TrimPrefix(srv.URL, "http://")
+	return s, platformtest.Serve(t, s)
 }
 
 func newGate(store hv.KeyedStore, name string) *gate {
@@ -297,12 +290,10 @@
 				capacity = 800
 			}
 			name := fmt.Sprint("gate-", i)
-			rec, err := hvledger.NodeRecord(hvledger.Node{Name: name, Gate: true, Capacity: capacity})
-			if err != nil {
+			store := platform.NewStore(addr)
+			if err := hvledger.Register(t.Context(), store, topic, hvledger.Node{Name: name, Gate: true, Capacity: capacity}); err != nil {
 				t.Fatal(err)
 			}
-			store := platform.NewStore(addr)
-			put(t, store, rec)
 			gates = append(gates, newGate(store, name))
 		}
 		for _, g := range gates {
--- a/hvledger/record.go
+++ b/hvledger/record.go
@@ -3,6 +3,7 @@
 package hvledger
 
 import (
+	"context"
 	"encoding/json"
 	"strings"
 
@@ -58,8 +59,15 @@
 	return encode(progressPrefix+id, p)
 }
 
-// NodeRecord returns the record that registers a node.
-func NodeRecord(n Node) (hv.KeyedRecord, error) { return encode(nodePrefix+n.Name, n) }
+// Register stores the registration of a node.
+func Register(ctx context.Context, store hv.KeyedStore, topic string, n Node) error {
+	rec, err := encode(nodePrefix+n.Name, n)
+	if err != nil {
+		return err
+	}
+	_, err = store.Append(ctx, topic, []hv.KeyedRecord{rec}, hv.Fence{At: -1})
+	return err
+}
 
 // DropNode returns the record that removes a node.
 func DropNode(name string) hv.KeyedRecord { return hv.KeyedRecord{Key: nodePrefix + name} }
--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -54,10 +54,10 @@
 	epoch int64
 	// attached is when the owner last attached or answered.
 	attached time.Time
-	// lists is the last answer of the executor, and listed the version that it
+	// lists is the last answer of the executor, and listsAt the version that it
 	// was asked at.
-	lists  hv.Holding
-	listed version
+	lists   hv.Holding
+	listsAt version
 	// known is false while the executor does not answer.
 	known bool
 	// confirmed is false after a call without an answer until the executor has
@@ -230,7 +230,7 @@
 // executor was asked in the epoch of the owner and no start was called since.
 // The lock is held.
 func (n *Node) complete() bool {
-	return n.known && n.calling == 0 && n.listed == n.versionLocked()
+	return n.known && n.calling == 0 && n.listsAt == n.versionLocked()
 }
 
 // fullReport lists everything on the host, if that is known.
@@ -279,7 +279,7 @@
 		n.pending = map[hvorder.Run]bool{}
 		n.saved = map[hvorder.Run]string{}
 	}
-	n.lists, n.listed, n.known, n.confirmed, n.dead = h, at, true, true, false
+	n.lists, n.listsAt, n.known, n.confirmed, n.dead = h, at, true, true, false
 	n.advance(n.deps.Clock.Now(), h.Running)
 }
 
--- a/hvnode/node_test.go
+++ b/hvnode/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"time"
@@ -13,11 +14,10 @@
 	"hibiscusvane.example/hibiscusvane/hvorder"
 )
 
-// kinded is an error with a kind.
-type kinded hv.ErrorKind
-
-func (k kinded) Error() string           { return string(k) }
-func (k kinded) ErrorKind() hv.ErrorKind { return hv.ErrorKind(k) }
+// kinded returns an error with a kind.
+func kinded(kind hv.ErrorKind) error {
+	return &hv.Error{Op: "call", Kind: kind, Err: errors.New(string(kind))}
+}
 
 // fakeExecutor answers as a test says and notes its calls.
 type fakeExecutor struct {
--- a/hvnode/pace.go
+++ b/hvnode/pace.go
@@ -113,9 +113,8 @@
 		}
 		if p.Fill {
 			m.fill = append(m.fill, r)
-			effect, known := n.effects[p.Image]
-			m.calm[runOf(r)] = !known && n.effects != nil
-			m.pull += float64(effect) / hvorder.LogUnit * float64(r.Load) / hvorder.CoreUnit
+			m.calm[runOf(r)] = n.isCalm(p.Image)
+			m.pull += float64(n.effects[p.Image]) / hvorder.LogUnit * float64(r.Load) / hvorder.CoreUnit
 			loads[p.Image] += int64(r.Load)
 		}
 	}
@@ -125,6 +124,13 @@
 	return m
 }
 
+// isCalm reports whether the owner has told that an image does not disturb what
+// serves here. The lock is held.
+func (n *Node) isCalm(image string) bool {
+	_, disturbs := n.effects[image]
+	return n.effects != nil && !disturbs
+}
+
 // compare notes what has changed since the last measurement.
 func (n *Node) compare(tails map[hvorder.Run]int, loads map[string]int64) {
 	now := n.deps.Clock.Now()
@@ -193,7 +199,7 @@
 	n.mu.Lock()
 	p := n.profiles[run]
 	share := fullPace - n.pace.cut
-	if _, disturbs := n.effects[p.Image]; !disturbs && n.effects != nil {
+	if n.isCalm(p.Image) {
 		share = fullPace - n.rest.cut
 	}
 	n.mu.Unlock()
--- a/hvowner/link_test.go
+++ b/hvowner/link_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http/httptest"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -21,13 +19,6 @@
 	"hibiscusvane.example/hibiscusvane/platform/platformtest"
 )
 
-// ignore is an observer of a replica that does nothing.
-type ignore struct{}
-
-func (ignore) JobChanged(hvledger.Entry)       {}
-func (ignore) NodeChanged(hvledger.Node, bool) {}
-func (ignore) ClaimChanged(hvledger.Claim)     {}
-
 func claim(t *testing.T) *hvledger.Writer {
 	t.Helper()
 	return claimOf(t, platformtest.NewStore())
@@ -36,19 +27,8 @@
 // claimOf claims the cell in a store.
 func claimOf(t *testing.T, stand *platformtest.Store) *hvledger.Writer {
 	t.Helper()
-	srv := httptest.NewServer(stand)
-	t.Cleanup(func() {
-		srv.CloseClientConnections()
-		srv.Close()
-	})
-	store, logger := platform.NewStore(strings.TrimPrefix(srv.URL, "http://")), log.NewNopLogger()
-	replica := hvledger.NewReplica(hv.SystemClock{}, logger, ignore{})
-	tail := hvledger.NewTail(store, platform.CellTopic, replica, func() time.Duration { return 0 }, logger)
-	if err := tail.Sync(t.Context()); err != nil {
-		t.Fatal(err)
-	}
-	never := func(hvledger.Claim) bool { return false }
-	return hvledger.NewElector(replica, tail, store, platform.CellTopic, hvledger.Claim{Name: "gate", Process: "p"}, never, logger).Wait(t.Context())
+	store := platform.NewStore(platformtest.Serve(t, stand))
+	return platformtest.Claim(t.Context(), t, store, platform.CellTopic, hvledger.Claim{Name: "gate", Process: "p"})
 }
 
 // Guards against a node that is attached for ever without a report, as one that
