Do not relay a call that only takes long

One read without an answer was taken for an outage of the store and sent through other gates, although other calls were answered. All gates asked the same two peers first, by name, on links of 10 Mbit/s; ten of fourteen gates had the new configuration 3 s late, the busiest of the two 4.8 s.

A call without an answer is now repeated while others were answered within 0.5 s, and does not mark the store as failed. Relays go to the gates with the most capacity, in an order of each gate's own.

Ruled out: the limits of the answers alone (the time between 27.8 and 31.0 s is that of two relayed calls) and the store (it answered reads of the cell).

--- a/hventry/peers.go
+++ b/hventry/peers.go
@@ -1,14 +1,15 @@
 package hventry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
@@ -50,11 +51,15 @@
 	return &peers{self: self, nodes: nodes, logger: logger, conns: map[string]*hvwire.Conn{}}
 }
 
-// Stores implements hvledger.Peers.
+// Stores implements hvledger.Peers. The gates with the most capacity come first,
+// in an order among equals that differs from gate to gate: relayed records take
+// the bandwidth of the peer.
 func (p *peers) Stores() []hv.KeyedStore {
 	var out []hv.KeyedStore
 	nodes := p.nodes()
-	slices.SortFunc(nodes, func(a, b hvledger.Node) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(nodes, func(a, b hvledger.Node) int {
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(xxhash.Sum64String(p.self+a.Name), xxhash.Sum64String(p.self+b.Name)))
+	})
 	for _, n := range nodes {
 		if n.Gate && n.Name != p.self {
 			out = append(out, &peerStore{peers: p, addr: n.Addr})
--- a/hvledger/relay.go
+++ b/hvledger/relay.go
@@ -18,6 +18,9 @@
 	probeInterval = 150 * time.Millisecond
 	// probeTimeout bounds such a read; a slow store answers within 300 ms.
 	probeTimeout = 400 * time.Millisecond
+	// recentAnswer is the age up to which an answer to another call shows that the
+	// store is reached: reads wait 0.4 s at most.
+	recentAnswer = 500 * time.Millisecond
 	// maxRelays bounds the peers that are asked for one call.
 	maxRelays = 2
 )
@@ -42,6 +45,8 @@
 	failed  bool
 	probed  time.Time
 	relayed bool
+	// answered is when the store last answered a direct call.
+	answered time.Time
 }
 
 var _ hv.KeyedStore = (*Relay)(nil)
@@ -100,7 +105,7 @@
 
 func (r *Relay) try(ctx context.Context, allowed func() bool, call storeCall) error {
 	err := r.callDirect(ctx, allowed, call)
-	if !isOutage(err) {
+	if !isOutage(err) || r.isAlone(err) {
 		return err
 	}
 	uncertain := hv.KindOf(err) == hv.Uncertain
@@ -158,12 +163,29 @@
 	return true
 }
 
+// isAlone reports whether a call got no answer while others do: it takes long,
+// as a large record does at a slow store, and takes longer through a peer.
+func (r *Relay) isAlone(err error) bool {
+	if hv.KindOf(err) != hv.Uncertain {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.clock.Now().Sub(r.answered) < recentAnswer
+}
+
 func (r *Relay) judge(err error) {
 	outage := isOutage(err)
+	if outage && r.isAlone(err) {
+		return
+	}
 	r.mu.Lock()
 	if outage && !r.failed {
 		r.probed = r.clock.Now()
 	}
+	if !outage {
+		r.answered = r.clock.Now()
+	}
 	r.failed = outage
 	r.mu.Unlock()
 	if !outage {
--- a/hvledger/relay_test.go
+++ b/hvledger/relay_test.go
@@ -114,3 +114,23 @@
 		t.Fatalf("append: %v with %d calls through the peer", err, peer.calls.Load())
 	}
 }
+
+// Guards against a read that takes long at a slow store and is sent through
+// peers: it takes their bandwidth and longer than a repeat. Other calls are
+// answered meanwhile, so the store has not failed.
+func TestOneCallWithoutAnswerIsNotAnOutage(t *testing.T) {
+	direct, peer := &scripted{}, &scripted{}
+	c := &clock{now: time.Unix(1, 0)}
+	r := newRelay(direct, c, peer)
+	if err := appendOne(t, r); err != nil {
+		t.Fatal(err)
+	}
+	direct.err = storeError{hv.Uncertain}
+	if _, err := r.Read(t.Context(), topic, 0, 0); hv.KindOf(err) != hv.Uncertain || peer.calls.Load() != 0 || r.Failed() {
+		t.Fatalf("read: %v with %d calls through the peer, failed %v", err, peer.calls.Load(), r.Failed())
+	}
+	c.now = c.now.Add(time.Second)
+	if _, err := r.Read(t.Context(), topic, 0, 0); err != nil || peer.calls.Load() != 1 || !r.Failed() {
+		t.Fatalf("read while nothing is answered: %v with %d calls through the peer, failed %v", err, peer.calls.Load(), r.Failed())
+	}
+}
