Serve the evacuation of a zone

Change: gates keep the evacuated zones beside the catalog and pass both to the owner that they run; a gate without the operators' records does not claim the cell. The owner starts nothing there, releases unsent starts, stops the rest of a gang, and orders nodes to withdraw starts without a response. Hosts that say that they are slow are used last. Also: a gate that became owner read the catalog before it published its owner, so a version that came between the two never reached the owner. Both now go through one serialized function, and the cell ignores an older version. Ruled out: a flag that nodes keep; orders and responses may overtake each other, and the owner sends no start after it knows of the evacuation.

--- a/cmd/hvgate/platform.go
+++ b/cmd/hvgate/platform.go
@@ -51,7 +51,7 @@
 	gate := hventry.New(hventry.Options{
 		Name: s.Node, Zone: s.Zone, Addr: s.PeerAddr, Capacity: s.Capacity, Process: uuid.NewString(),
 		Store: platform.NewStore(s.StoreAddr), CellTopic: platform.CellTopic, Adviser: adviser,
-		CatalogTopic: platform.OperatorsTopic, CatalogKey: platform.CatalogKey, DecodeCatalog: platform.DecodeCatalog,
+		Operators:  hventry.OperatorRecords{Topic: platform.OperatorsTopic, CatalogKey: platform.CatalogKey, EvacuationPrefix: platform.EvacuationPrefix, DecodeCatalog: platform.DecodeCatalog},
 		EarlyStart: s.EarlyStart, Retention: s.Retention,
 		Clock: hv.SystemClock{}, Metrics: metrics, Logger: logger,
 	})
--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -63,6 +63,8 @@
 	recovered bool
 	// suspended is true while another gate may have become the owner.
 	suspended bool
+	// evacuated holds the zones on whose hosts no task may start.
+	evacuated map[string]bool
 	counts    Counts
 	// awaitingAdvice holds the waiting steps that need tickets, in the scheduling
 	// order of the last call of Plan.
@@ -86,9 +88,12 @@
 	return &Cell{options: o, jobs: map[string]*job{}, hosts: map[string]*host{}, estimate: newEstimator(), interference: hvinterference.NewChangeModel(effectPrior, tailVariance)}
 }
 
-// SetCatalog replaces the catalog of queues. Runs go on; tasks that have not
-// started follow the new settings.
+// SetCatalog replaces the catalog of queues, unless the current one is newer. Runs go
+// on; tasks that have not started follow the new settings.
 func (c *Cell) SetCatalog(cat *hvjob.Catalog) {
+	if c.catalog != nil && cat.Version < c.catalog.Version {
+		return
+	}
 	c.catalog = cat
 	for _, j := range c.jobs {
 		if q, ok := cat.Queue(j.Queue); ok {
@@ -291,7 +296,7 @@
 	if !h.connected || !h.reconciled {
 		return false
 	}
-	return len(h.orders.Starts)+len(h.orders.Stops)+len(h.orders.Profiles) > 0 || h.storedEnd != h.ackedEnd
+	return len(h.orders.Starts)+len(h.orders.Stops)+len(h.orders.Profiles) > 0 || h.orders.Withdraw || h.storedEnd != h.ackedEnd
 }
 
 // Orders removes and returns the pending orders of a host. It reports false if
--- /dev/null
+++ b/hvcell/evacuation.go
@@ -0,0 +1,64 @@
+package hvcell
+
+import (
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+)
+
+// SetEvacuated replaces the set of evacuated zones. No task starts on their hosts
+// until they are no longer in the set; runs that have started go on. Starts that
+// were ordered and have no response yet are withdrawn.
+func (c *Cell) SetEvacuated(zones []string) {
+	old := c.evacuated
+	c.evacuated = make(map[string]bool, len(zones))
+	for _, z := range zones {
+		c.evacuated[z] = true
+	}
+	for _, h := range c.hosts {
+		if c.isEvacuated(h) && !old[h.info.Zone] {
+			c.withdrawStarts(h)
+		}
+	}
+}
+
+// isEvacuated reports whether the zone of a host is evacuated.
+func (c *Cell) isEvacuated(h *host) bool { return c.evacuated[h.info.Zone] }
+
+// withdrawStarts releases the runs whose start was not sent to the host yet and
+// orders the node to withdraw the starts that the executor has not responded to.
+func (c *Cell) withdrawStarts(h *host) {
+	starts := h.orders.Starts
+	h.orders.Starts, h.orders.Specs = nil, nil
+	h.orders.Withdraw = true
+	for _, s := range starts {
+		r := h.runs[s.Run]
+		if r == nil {
+			continue
+		}
+		c.releaseRun(r)
+		if r.task.step.spec.Gang {
+			c.stopGang(r)
+		}
+	}
+	_ = level.Info(c.options.Logger).Log("msg", "zone of a host is evacuated; starts on it are withdrawn", "host", h.name, "zone", h.info.Zone, "unsent", len(starts), "runs", len(h.runs))
+}
+
+// stopGang stops the other members of the gang of a withdrawn run, which would wait
+// for it in vain.
+func (c *Cell) stopGang(withdrawn *run) {
+	for _, t := range withdrawn.task.step.tasks {
+		for _, r := range slices.Clone(t.runs) {
+			if r.number == withdrawn.number {
+				c.stopRun(r)
+			}
+		}
+	}
+}
+
+// updateCold records how long a host stays slow after its start or after it was
+// without work.
+func (h *host) updateCold(now time.Time) {
+	h.coldUntil = now.Add(time.Duration(h.info.ColdMillis) * time.Millisecond)
+}
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -31,10 +31,16 @@
 		}
 	}
 	if info != nil && !h.announced {
-		h.info, h.announced = *info, true
+		h.setInfo(now, *info)
 	}
 }
 
+// setInfo records an announcement of the host's executor.
+func (h *host) setInfo(now time.Time, info hvorder.Host) {
+	h.info, h.announced = info, true
+	h.updateCold(now)
+}
+
 // DropHost removes a host that is not connected and has no runs.
 func (c *Cell) DropHost(name string) {
 	if h := c.hosts[name]; h != nil && !h.connected && len(h.runs) == 0 {
@@ -79,7 +85,7 @@
 		return hvorder.Grant{}
 	}
 	if r.Host != nil {
-		h.info, h.announced = *r.Host, true
+		h.setInfo(now, *r.Host)
 	}
 	if r.ExecutorGone {
 		c.loseRuns(now, h, "executor has ended")
@@ -194,6 +200,9 @@
 		listed[ref] = true
 		c.adoptRun(now, h, ref, "")
 	}
+	if c.isEvacuated(h) && len(r.Pending) > 0 {
+		h.orders.Withdraw = true
+	}
 	for ref, known := range h.runs {
 		if !listed[ref] {
 			// The start may have been lost with its connection or with an earlier
--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -130,11 +130,13 @@
 	)
 }
 
-// usable returns the hosts that can start tasks, sorted by name.
+// usable returns the hosts that can start tasks, sorted by name. Those of evacuated
+// zones cannot.
 func (c *Cell) usable(now time.Time) []*host {
 	var out []*host
 	for _, h := range c.hosts {
-		if h.connected && h.reconciled && h.announced && h.incarnation != "" && h.incarnation == h.info.Incarnation && !h.info.Draining {
+		if h.connected && h.reconciled && h.announced && h.incarnation != "" && h.incarnation == h.info.Incarnation && !h.info.Draining && !c.isEvacuated(h) {
+			h.cold = now.Before(h.coldUntil)
 			out = append(out, h)
 		}
 	}
@@ -407,6 +409,8 @@
 	// the fewer images serve on a host, the more best-effort tasks can run there.
 	weightSameImage  = 1.0
 	weightOtherImage = 1.0
+	// weightCold is subtracted for a host that is slow after its start.
+	weightCold = 1.5
 )
 
 // colocationScore returns the score of a serving task on a host by the images that
@@ -432,6 +436,9 @@
 	if h.info.Capacity.CPU > 0 {
 		score += weightFree * float64(h.unusedCPU()-h.bestEffortCPU) / float64(h.info.Capacity.CPU)
 	}
+	if h.cold {
+		score -= weightCold
+	}
 	if s.LatencyTarget > 0 {
 		score += colocationScore(s.Image, h.images(isServing))
 	}
--- a/hvcell/random_test.go
+++ b/hvcell/random_test.go
@@ -43,8 +43,8 @@
 
 // Guards against two runs of a task at once, a start after an acknowledged end, a
 // start out of order, and jobs that never end. The faults are lost and late orders,
-// lost connections, crashes, expired leases, an unavailable store and changes of the
-// owner. The model of the executor checks each start.
+// lost connections, crashes, expired leases, an unavailable store, changes of the owner
+// and evacuated zones, in which no start may be ordered. The model of the executor checks each start.
 func TestRandomFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		m := &faultMachine{simCluster: newSimCluster(rt, rapid.IntRange(1, 4).Draw(rt, "hosts")), delayed: map[string][]hvorder.Orders{}}
@@ -70,6 +70,7 @@
 			"delay": func(t *rapid.T) {
 				e := m.host(t)
 				if o, ok := m.cell.Orders(e.name); ok {
+					m.checkEvacuation(e.name, o)
 					m.delayed[e.name] = append(m.delayed[e.name], o)
 					m.cell.NodeDetached(m.now, e.name)
 				}
@@ -115,6 +116,9 @@
 					e.applyGrant(m.cell.Report(m.now, e.name, r))
 				}
 			},
+			"evacuate": func(t *rapid.T) {
+				m.evacuate(rapid.SampledFrom([][]string{nil, {"north"}, {"south"}, {"north", "south"}}).Draw(t, "zones")...)
+			},
 			"outage": func(*rapid.T) { m.storeDown = !m.storeDown },
 			"store": func(*rapid.T) {
 				if !m.storeDown {
@@ -170,6 +174,7 @@
 // recoverAll ends all faults and checks that every job ends.
 func (m *faultMachine) recoverAll(t *rapid.T) {
 	m.delayed = nil
+	m.evacuate()
 	for _, e := range m.hosts {
 		if !e.alive {
 			e.start()
--- a/hvcell/simcluster_test.go
+++ b/hvcell/simcluster_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log"
@@ -33,6 +34,8 @@
 	noCatalog bool
 	// savedStates makes every report list the runs with their saved states.
 	savedStates bool
+	// evacuated holds the evacuated zones.
+	evacuated []string
 	// done holds the tasks with a done end that was acknowledged.
 	done map[string]bool
 }
@@ -92,6 +95,7 @@
 	if !w.noCatalog {
 		w.cell.SetCatalog(hvjob.NewCatalog(1, slices.Collect(maps.Values(queues)), []hvjob.Service{{Name: "desk", EnforcesCapacity: true}}, hvjob.Limits{}))
 	}
+	w.cell.SetEvacuated(w.evacuated)
 	for name := range w.hosts {
 		w.cell.AddHost(w.now, name, nil)
 	}
@@ -158,7 +162,7 @@
 // report returns a report of the node; a full one has the lists that a node sends
 // when the owner attaches.
 func (e *executor) report(full bool) hvorder.Report {
-	r := hvorder.Report{Node: e.name, ExecutorGone: !e.alive, Host: &hvorder.Host{ID: idOf(e.name), Incarnation: e.incarnationName(), Service: "desk", Rack: "r1-1", Capacity: hvjob.Resources{CPU: e.capacityCPU, Memory: 1 << 20}}}
+	r := hvorder.Report{Node: e.name, ExecutorGone: !e.alive, Host: &hvorder.Host{ID: idOf(e.name), Incarnation: e.incarnationName(), Service: "desk", Zone: zoneOf(e.name), Rack: "r1-1", Capacity: hvjob.Resources{CPU: e.capacityCPU, Memory: 1 << 20}}}
 	if !e.alive {
 		return r
 	}
@@ -180,6 +184,20 @@
 // progress does.
 func (e *executor) saved(task string) string { return fmt.Sprint(task, e.clock()) }
 
+// zoneOf returns the zone of a host: there are two, and hosts alternate.
+func zoneOf(host string) string {
+	if strings.HasSuffix(host, "0") || strings.HasSuffix(host, "2") {
+		return "north"
+	}
+	return "south"
+}
+
+// evacuate replaces the set of evacuated zones.
+func (w *simCluster) evacuate(zones ...string) {
+	w.evacuated = zones
+	w.cell.SetEvacuated(zones)
+}
+
 func idOf(host string) string { return "i-" + host }
 
 func (e *executor) incarnationName() string { return fmt.Sprint(e.incarnation) }
@@ -250,11 +268,19 @@
 func (w *simCluster) deliver(name string) hvorder.Orders {
 	o, ok := w.cell.Orders(name)
 	if ok {
+		w.checkEvacuation(name, o)
 		w.hosts[name].applyOrders(o)
 	}
 	return o
 }
 
+// checkEvacuation fails the test if orders start a task in an evacuated zone.
+func (w *simCluster) checkEvacuation(name string, o hvorder.Orders) {
+	if len(o.Starts) > 0 && slices.Contains(w.evacuated, zoneOf(name)) {
+		w.t.Fatalf("%d starts are ordered on %s in the evacuated zone %s", len(o.Starts), name, zoneOf(name))
+	}
+}
+
 func (e *executor) applyOrders(o hvorder.Orders) {
 	if !e.alive || o.Incarnation != e.incarnationName() || o.Epoch < e.minEpoch {
 		return
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -120,6 +120,10 @@
 	// leaseExpiry is when all runs on the host have ended for certain unless the
 	// lease is renewed.
 	leaseExpiry time.Time
+	// coldUntil is the time until which the host is slow after its start or after it
+	// was without work; cold caches the comparison for a plan.
+	coldUntil time.Time
+	cold      bool
 	// dropped is true once the removal of the node's registration was ordered.
 	dropped   bool
 	runs      map[hvorder.Run]*run
--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -12,7 +12,6 @@
 	"github.com/go-kit/log/level"
 
 	hv "hibiscusvane.example/hibiscusvane"
-	"hibiscusvane.example/hibiscusvane/hvjob"
 	"hibiscusvane.example/hibiscusvane/hvledger"
 	"hibiscusvane.example/hibiscusvane/hvmetric"
 	"hibiscusvane.example/hibiscusvane/hvowner"
@@ -55,28 +54,28 @@
 	Store   hv.KeyedStore
 	// Adviser is nil if no advice service is configured.
 	Adviser hv.Adviser
-	// CellTopic is the topic of the cell's records. CatalogTopic is the topic in
-	// which operators publish the catalog, under CatalogKey.
-	CellTopic, CatalogTopic, CatalogKey string
-	// DecodeCatalog decodes a published catalog.
-	DecodeCatalog func([]byte) (*hvjob.Catalog, error)
-	EarlyStart    time.Duration
-	Retention     time.Duration
-	Clock         hv.Clock
-	Metrics       *hvmetric.Registry
-	Logger        log.Logger
+	// CellTopic is the topic of the cell's records.
+	CellTopic  string
+	Operators  OperatorRecords
+	EarlyStart time.Duration
+	Retention  time.Duration
+	Clock      hv.Clock
+	Metrics    *hvmetric.Registry
+	Logger     log.Logger
 }
 
 // Gate accepts jobs from callers and takes part in the election of the owner.
 type Gate struct {
-	options Options
-	relay   *hvledger.Relay
-	peers   *peers
-	replica *hvledger.Replica
-	tailer  *hvledger.Tailer
-	catalog *catalogConsumer
+	options   Options
+	relay     *hvledger.Relay
+	peers     *peers
+	replica   *hvledger.Replica
+	tailer    *hvledger.Tailer
+	operators *operatorConsumer
 	// notReady is set when the process begins to stop.
 	notReady atomic.Bool
+	// passing serializes passOperatorState.
+	passing sync.Mutex
 
 	mu    sync.Mutex
 	owner *hvowner.Owner
@@ -92,7 +91,7 @@
 	g.peers = newPeers(o.Name, g.replica.Nodes, o.Logger)
 	g.relay = hvledger.NewRelay(o.Store, g.peers, o.Clock, o.Logger)
 	g.tailer = hvledger.NewTailer(g.relay, o.CellTopic, g.replica, g.readInterval, o.Logger)
-	g.catalog = newCatalogConsumer(o.CatalogKey, o.DecodeCatalog, o.Logger, g.catalogChanged)
+	g.operators = newOperatorConsumer(o.Operators, o.Logger, g.passOperatorState)
 	return g
 }
 
@@ -117,10 +116,10 @@
 // Run runs the gate until ctx ends. The gate owns the cell no longer than until
 // ownerCtx ends.
 func (g *Gate) Run(ownerCtx, ctx context.Context) {
-	catalogTailer := hvledger.NewLatestTailer(g.relay, g.options.CatalogTopic, g.catalog, func() time.Duration { return followerReadInterval }, g.options.Logger)
+	operatorTailer := hvledger.NewLatestTailer(g.relay, g.options.Operators.Topic, g.operators, func() time.Duration { return followerReadInterval }, g.options.Logger)
 	var loops sync.WaitGroup
 	loops.Go(func() { g.tailer.Run(ctx) })
-	loops.Go(func() { catalogTailer.Run(ctx) })
+	loops.Go(func() { operatorTailer.Run(ctx) })
 	loops.Go(func() { g.register(ctx) })
 	loops.Go(func() {
 		g.peers.watchOwners(ctx, func() hvledger.Claim {
@@ -146,8 +145,12 @@
 }
 
 // runElections takes part in elections, and runs the owner after each election that
-// this gate wins.
+// this gate wins. It takes part only once the operators' records are loaded: an owner
+// that does not know the evacuated zones would start tasks there.
 func (g *Gate) runElections(ctx context.Context) {
+	for g.Catalog() == nil && ctx.Err() == nil {
+		hvtick.Sleep(ctx, followerReadInterval)
+	}
 	o := g.options
 	self := hvledger.Claim{Name: o.Name, Addr: o.Addr, Process: o.Process}
 	e := hvledger.NewElector(g.replica, g.tailer, g.relay, o.CellTopic, self, g.peers.ownerEnded, o.Logger)
@@ -173,12 +176,10 @@
 		Writer: w, ClaimOffset: claimOffset, Learned: g.replica.Learned(), StoreFailed: g.relay.Failed, Adviser: g.options.Adviser, EarlyStart: g.options.EarlyStart, Retention: g.options.Retention,
 		Clock: g.options.Clock, Metrics: g.options.Metrics, Logger: g.options.Logger,
 	})
-	if c := g.Catalog(); c != nil {
-		owner.SetCatalog(c)
-	}
 	g.mu.Lock()
 	g.owner = owner
 	g.mu.Unlock()
+	g.passOperatorState()
 	// The owner may see a change twice: in these lists and as a notification.
 	for _, n := range g.replica.Nodes() {
 		owner.NodeChanged(n, false)
@@ -221,9 +222,23 @@
 	}
 }
 
-func (g *Gate) catalogChanged(c *hvjob.Catalog) {
-	g.options.Metrics.Set("hv_catalog_version", c.Version)
-	if o := g.currentOwner(); o != nil {
+// passOperatorState passes the catalog and the evacuated zones to the owner in this
+// process, if there is one. It reads them under the lock, so that the last call
+// passes the newest state whichever caller makes it.
+func (g *Gate) passOperatorState() {
+	g.passing.Lock()
+	defer g.passing.Unlock()
+	c, zones := g.Catalog(), g.operators.evacuatedZones()
+	g.options.Metrics.Set("hv_evacuated_zones", int64(len(zones)))
+	if c != nil {
+		g.options.Metrics.Set("hv_catalog_version", c.Version)
+	}
+	o := g.currentOwner()
+	if o == nil {
+		return
+	}
+	o.SetEvacuated(zones)
+	if c != nil {
 		o.SetCatalog(c)
 	}
 }
--- a/hventry/jobs.go
+++ b/hventry/jobs.go
@@ -12,7 +12,7 @@
 )
 
 // Catalog returns the current catalog, or nil before the first one is known.
-func (g *Gate) Catalog() *hvjob.Catalog { return g.catalog.current.Load() }
+func (g *Gate) Catalog() *hvjob.Catalog { return g.operators.catalog.Load() }
 
 // Ready reports whether requests can be handled.
 func (g *Gate) Ready() bool {
--- a/hventry/put_test.go
+++ b/hventry/put_test.go
@@ -108,7 +108,7 @@
 			o.claimCell(ctx, t, store)
 			g := hventry.New(hventry.Options{
 				Name: "gate", Addr: "127.0.0.1:1", Process: "p", Store: store, CellTopic: platform.CellTopic,
-				CatalogTopic: platform.OperatorsTopic, CatalogKey: platform.CatalogKey, DecodeCatalog: decodeCatalog,
+				Operators: hventry.OperatorRecords{Topic: platform.OperatorsTopic, CatalogKey: platform.CatalogKey, EvacuationPrefix: platform.EvacuationPrefix, DecodeCatalog: decodeCatalog},
 				Retention: time.Minute, Clock: hv.SystemClock{}, Metrics: hvmetric.New(4), Logger: log.NewNopLogger(),
 			})
 			var loop sync.WaitGroup
--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -147,7 +147,7 @@
 	n.mu.Lock()
 	old := n.host
 	n.host, n.executorID = &h, id
-	changed := old == nil || old.Incarnation != h.Incarnation || old.Draining != h.Draining || old.Capacity != h.Capacity || old.Service != h.Service
+	changed := old == nil || old.Incarnation != h.Incarnation || old.Draining != h.Draining || old.Capacity != h.Capacity || old.Service != h.Service || (old.ColdMillis > 0) != (h.ColdMillis > 0)
 	if changed {
 		n.hostReported = false
 		n.executorGone = false
--- a/hvnode/node_test.go
+++ b/hvnode/node_test.go
@@ -285,3 +285,39 @@
 		}
 	}
 }
+
+// Guards against a start without a response that the node goes on trying after the
+// owner has withdrawn it, and against one that is carried out late.
+func TestWithdrawnStartIsStopped(t *testing.T) {
+	e := &fakeExecutor{}
+	for range 1000 {
+		e.errs = append(e.errs, errorOfKind(hv.Uncertain))
+	}
+	n := newNode(t, e)
+	if err := n.handleOrders(t.Context(), startOrder(3)); err != nil {
+		t.Fatal(err)
+	}
+	if err := n.handleOrders(t.Context(), hvorder.Orders{Epoch: 3, Incarnation: "1", Withdraw: true}); err != nil {
+		t.Fatal(err)
+	}
+	n.waitStarted(t)
+	stopped := func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return len(e.stops) == 1 && e.stops[0] == testRun
+	}
+	for deadline := time.Now().Add(2 * time.Second); !stopped(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the withdrawn run was not stopped within 2 s")
+		}
+	}
+	e.mu.Lock()
+	calls := len(e.starts)
+	e.mu.Unlock()
+	time.Sleep(3 * callRetryInterval)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.starts) > calls+1 {
+		t.Fatalf("%d start calls after the withdrawal", len(e.starts)-calls)
+	}
+}
--- a/hvnode/orders.go
+++ b/hvnode/orders.go
@@ -39,6 +39,9 @@
 	for _, p := range o.Profiles {
 		n.profiles[p.Run] = p
 	}
+	if o.Withdraw {
+		n.withdrawStarts(ctx, o.Epoch)
+	}
 	draining := n.host != nil && n.host.Draining
 	for _, s := range o.Starts {
 		if draining {
@@ -60,6 +63,15 @@
 	return nil
 }
 
+// withdrawStarts cancels the starts that the executor has not responded to. The stop
+// keeps a call that got no response from starting the run later. The lock is held.
+func (n *Node) withdrawStarts(ctx context.Context, epoch int64) {
+	for run := range n.pendingStarts {
+		delete(n.pendingStarts, run)
+		go n.stop(ctx, run, epoch)
+	}
+}
+
 // jobOf returns the identifier of the job of a task, which its name begins with.
 func jobOf(task string) string {
 	for i := range len(task) {
--- a/hvorder/order.go
+++ b/hvorder/order.go
@@ -35,8 +35,10 @@
 	Incarnation string `json:"life"`
 	// LeaseEnd extends the lease and AckedEnd acknowledges ends, as in
 	// hibiscusvane.LeaseRenewal.
-	LeaseEnd int64   `json:"until,omitempty"`
-	AckedEnd int64   `json:"seen,omitempty"`
+	LeaseEnd int64 `json:"until,omitempty"`
+	AckedEnd int64 `json:"seen,omitempty"`
+	// Withdraw cancels earlier starts that the executor has not responded to.
+	Withdraw bool    `json:"withdraw,omitempty"`
 	Starts   []Start `json:"starts,omitempty"`
 	Stops    []Run   `json:"stops,omitempty"`
 	// Specs holds the work description of each job in Starts, by job ID.
@@ -84,6 +86,8 @@
 	Exiting bool `json:"left,omitempty"`
 	// ExitsInMillis is the least time in milliseconds until a draining executor ends.
 	ExitsInMillis int64 `json:"leaves,omitempty"`
+	// ColdMillis is how long in milliseconds the host stays slow after its start.
+	ColdMillis int64 `json:"cold,omitempty"`
 }
 
 // Refusal is a start that the executor refused permanently.
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -138,6 +138,15 @@
 	hvtick.Wake(o.wakePlan)
 }
 
+// SetEvacuated replaces the set of evacuated zones, in which no task may start.
+func (o *Owner) SetEvacuated(zones []string) {
+	o.mu.Lock()
+	o.cell.SetEvacuated(zones)
+	o.wakeLinks()
+	o.mu.Unlock()
+	hvtick.Wake(o.wakePlan)
+}
+
 // NodeChanged connects to the node beside an executor, or removes a node whose
 // registration was dropped.
 func (o *Owner) NodeChanged(n hvledger.Node, dropped bool) {
