Let nodes fetch work descriptions from the gate that accepted the job

Change: the job names the gate that accepted it; an order holds that address and a checksum, and the side fetches the text once. A gate that is gone, does not know the job or has another text is passed over for the owner. Also: two calls that dialled a peer at the same time left one connection open for good; the pool closes the second.

--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -116,7 +116,7 @@
 		return
 	}
 	c.seq++
-	entry := &job{Job: j, offset: offset, seq: c.seq, progress: p.Clone(), rounds: map[int]*round{}, inherited: offset < c.options.ClaimOffset, queue: j.QueueSettings}
+	entry := &job{Job: j, offset: offset, seq: c.seq, progress: p.Clone(), rounds: map[int]*round{}, inherited: offset < c.options.ClaimOffset, queue: j.QueueSettings, specChecksum: hvorder.SpecChecksum(j.Spec)}
 	if c.catalog != nil {
 		if q, ok := c.catalog.Queue(j.Queue); ok {
 			entry.queue = q
--- a/hvcell/evacuation.go
+++ b/hvcell/evacuation.go
@@ -30,7 +30,7 @@
 // orders the node to withdraw the starts that the executor has not responded to.
 func (c *Cell) withdrawStarts(h *host) {
 	starts := h.orders.Starts
-	h.orders.Starts, h.orders.Specs = nil, nil
+	h.orders.Starts, h.orders.Specs, h.orders.SpecRefs = nil, nil, nil
 	h.orders.Withdraw = true
 	for _, s := range starts {
 		r := h.runs[s.Run]
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -15,6 +15,8 @@
 	hvjob.Job
 	queue  hvjob.Queue
 	offset int64
+	// specChecksum is the checksum of Spec.
+	specChecksum uint64
 	// seq numbers jobs in the order in which they were added.
 	seq       int64
 	cancelled bool
--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -10,10 +10,12 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	lru "github.com/hashicorp/golang-lru/v2"
 
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvledger"
 	"hibiscusvane.example/hibiscusvane/hvmetric"
+	"hibiscusvane.example/hibiscusvane/hvorder"
 	"hibiscusvane.example/hibiscusvane/hvowner"
 	"hibiscusvane.example/hibiscusvane/hvtick"
 	"hibiscusvane.example/hibiscusvane/hvwire"
@@ -72,6 +74,8 @@
 	replica   *hvledger.Replica
 	tailer    *hvledger.Tailer
 	operators *operatorConsumer
+	// submitted holds the work descriptions of the last submissions, by job.
+	submitted *lru.Cache[string, string]
 	// notReady is set when the process begins to stop.
 	notReady atomic.Bool
 	// passing serializes passOperatorState.
@@ -86,7 +90,7 @@
 
 // New returns a gate.
 func New(o Options) *Gate {
-	g := &Gate{options: o}
+	g := &Gate{options: o, submitted: newSubmittedSpecs()}
 	g.replica = hvledger.NewReplica(o.Clock, o.Logger, g)
 	g.peers = newPeers(o.Name, g.replica.Nodes, o.Logger)
 	g.relay = hvledger.NewRelay(o.Store, g.peers, o.Clock, o.Logger)
@@ -99,6 +103,7 @@
 func (g *Gate) Mux() hvwire.Mux {
 	m := relayMux(g.relay, g.options.Process)
 	hvwire.Handle(m, methodPut, g.servePut)
+	hvwire.Handle(m, hvorder.MethodSpec, g.serveSpec)
 	return m
 }
 
--- a/hventry/jobs.go
+++ b/hventry/jobs.go
@@ -33,6 +33,8 @@
 		g.recordDecision("submit", j.ID, "known")
 		return 0, nil
 	}
+	j.Gate = g.options.Addr
+	g.submitted.Add(j.ID, j.Spec)
 	rec, err := hvledger.JobRecord(j)
 	if err != nil {
 		return 0, err
--- a/hventry/peers.go
+++ b/hventry/peers.go
@@ -42,14 +42,16 @@
 	nodes  func() []hvledger.Node
 	logger log.Logger
 
-	mu    sync.Mutex
-	conns map[string]*hvwire.Conn
+	// pool holds the connections to the other gates.
+	pool *hvwire.Pool
+
+	mu sync.Mutex
 	// endedOwner is the claim of the last owner whose process was found to have ended.
 	endedOwner hvledger.Claim
 }
 
 func newPeers(self string, nodes func() []hvledger.Node, logger log.Logger) *peers {
-	return &peers{self: self, nodes: nodes, logger: logger, conns: map[string]*hvwire.Conn{}}
+	return &peers{self: self, nodes: nodes, logger: logger, pool: hvwire.NewPool(peerDialTimeout)}
 }
 
 // Stores implements hvledger.Peers. Gates with more capacity come first, because
@@ -69,56 +71,6 @@
 	return out
 }
 
-func (p *peers) conn(ctx context.Context, addr string) (*hvwire.Conn, error) {
-	p.mu.Lock()
-	c := p.conns[addr]
-	p.mu.Unlock()
-	if c != nil {
-		select {
-		case <-c.Done():
-		default:
-			return c, nil
-		}
-	}
-	ctx, cancel := context.WithTimeout(ctx, peerDialTimeout)
-	defer cancel()
-	c, err := hvwire.Dial(ctx, addr, hvwire.Mux{})
-	if err != nil {
-		return nil, err
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.conns[addr] = c
-	return c, nil
-}
-
-// drop closes and removes a connection on which a call timed out.
-func (p *peers) drop(addr string, c *hvwire.Conn) {
-	p.mu.Lock()
-	if p.conns[addr] == c {
-		delete(p.conns, addr)
-	}
-	p.mu.Unlock()
-	_ = c.Close()
-}
-
-// callPeer calls a method of another gate. It drops the connection on a timeout.
-func callPeer[Resp any](ctx context.Context, p *peers, addr, method string, timeout time.Duration, req any) (Resp, error) {
-	var resp Resp
-	c, err := p.conn(ctx, addr)
-	if err != nil {
-		return resp, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	resp, err = hvwire.Call[Resp](ctx, c, method, req)
-	if err != nil && ctx.Err() != nil {
-		p.drop(addr, c)
-		return resp, failure(method, hv.Uncertain, "no response from %s", addr)
-	}
-	return resp, err
-}
-
 // peerStore accesses the platform's store through another gate.
 type peerStore struct {
 	peers *peers
@@ -127,18 +79,18 @@
 
 // Append implements hibiscusvane.KeyedStore.
 func (s *peerStore) Append(ctx context.Context, topic string, recs []hv.KeyedRecord, f hv.Fence) (int64, error) {
-	resp, err := callPeer[hvorder.AppendResult](ctx, s.peers, s.addr, hvorder.MethodAppend, peerCallTimeout, hvorder.Append{Topic: topic, Records: recs, Fence: f})
+	resp, err := hvwire.CallPeer[hvorder.AppendResult](ctx, s.peers.pool, s.addr, hvorder.MethodAppend, peerCallTimeout, hvorder.Append{Topic: topic, Records: recs, Fence: f})
 	return resp.End, err
 }
 
 // Read implements hibiscusvane.KeyedStore.
 func (s *peerStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (hv.KeyedPage, error) {
-	return callPeer[hv.KeyedPage](ctx, s.peers, s.addr, hvorder.MethodRead, peerCallTimeout+wait, hvorder.Read{Topic: topic, From: from, Wait: wait.Milliseconds()})
+	return hvwire.CallPeer[hv.KeyedPage](ctx, s.peers.pool, s.addr, hvorder.MethodRead, peerCallTimeout+wait, hvorder.Read{Topic: topic, From: from, Wait: wait.Milliseconds()})
 }
 
 // Newest implements hibiscusvane.KeyedStore.
 func (s *peerStore) Newest(ctx context.Context, topic string) (hv.KeyedPage, error) {
-	return callPeer[hv.KeyedPage](ctx, s.peers, s.addr, hvorder.MethodNewest, peerCallTimeout, hvorder.Read{Topic: topic})
+	return hvwire.CallPeer[hv.KeyedPage](ctx, s.peers.pool, s.addr, hvorder.MethodNewest, peerCallTimeout, hvorder.Read{Topic: topic})
 }
 
 // relayMux returns the handlers that make calls to the store for other gates, and
@@ -187,10 +139,10 @@
 // returns when the connection ends; if it is another process, or none listens, it
 // records the end of the owner's process.
 func (p *peers) watchOwner(ctx context.Context, c hvledger.Claim) {
-	info, err := callPeer[processInfo](ctx, p, c.Addr, methodProcess, peerCallTimeout, struct{}{})
+	info, err := hvwire.CallPeer[processInfo](ctx, p.pool, c.Addr, methodProcess, peerCallTimeout, struct{}{})
 	switch {
 	case err == nil && info.ID == c.Process:
-		conn, err := p.conn(ctx, c.Addr)
+		conn, err := p.pool.Conn(ctx, c.Addr)
 		if err != nil {
 			return
 		}
--- a/hventry/put.go
+++ b/hventry/put.go
@@ -72,7 +72,7 @@
 	if !g.shouldAskOwner(c) {
 		return failure(methodPut, hv.NotFound, "the cell has no owner that is known to respond")
 	}
-	_, err := callPeer[struct{}](ctx, g.peers, c.Addr, methodPut, ownerPutTimeout, rec)
+	_, err := hvwire.CallPeer[struct{}](ctx, g.peers.pool, c.Addr, methodPut, ownerPutTimeout, rec)
 	kind, sent := hv.KindOf(err), !hvwire.NotSent(err)
 	if err == nil || sent && (kind == hv.Unavailable || kind == hv.NotFound) {
 		return err
--- a/hvjob/job.go
+++ b/hvjob/job.go
@@ -126,6 +126,9 @@
 	// QueueSettings are the settings of the queue when the job was accepted. They apply
 	// if the queue is removed from the catalog, and while the catalog is not known.
 	QueueSettings Queue `json:"terms"`
+	// Gate is the address of the gate that accepted the job, which nodes ask for Spec;
+	// it is empty if that is not known.
+	Gate string `json:"gate,omitempty"`
 }
 
 // Rounds returns the number of times that the steps run.
--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -45,6 +45,7 @@
 	// interferingShare controls the best-effort work that interferes with serving
 	// tasks or may do so, harmlessShare all other best-effort work.
 	interferingShare, harmlessShare shareController
+	specs                           *specs
 
 	mu sync.Mutex
 	// host is the last announcement of the executor and executorID the identifier
@@ -110,6 +111,7 @@
 	return &Node{
 		name:          name,
 		deps:          deps,
+		specs:         newSpecs(),
 		reportedSaved: map[hvorder.Run]string{},
 		pendingStarts: map[hvorder.Run]bool{},
 		profiles:      map[hvorder.Run]hvorder.Profile{},
--- a/hvnode/orders.go
+++ b/hvnode/orders.go
@@ -50,7 +50,13 @@
 		}
 		n.profiles[s.Run] = s.Profile
 		n.pendingStarts[s.Run] = true
-		go n.start(ctx, hv.StartRun{Task: s.Task, Run: s.Profile.Run.Run, Spec: o.Specs[jobOf(s.Task)], SavedState: s.SavedState, Ticket: s.Ticket, Epoch: o.Epoch, LeaseEnd: o.LeaseEnd})
+		job := jobOf(s.Task)
+		run := hv.StartRun{Task: s.Task, Run: s.Profile.Run.Run, Spec: o.Specs[job], SavedState: s.SavedState, Ticket: s.Ticket, Epoch: o.Epoch, LeaseEnd: o.LeaseEnd}
+		if ref, ok := o.SpecRefs[job]; ok {
+			go n.startWithSpec(ctx, run, ref)
+			continue
+		}
+		go n.start(ctx, run)
 	}
 	for _, run := range o.Stops {
 		delete(n.pendingStarts, run)
@@ -82,6 +88,16 @@
 	return task
 }
 
+// startWithSpec fetches the work description of a run and starts the run.
+func (n *Node) startWithSpec(ctx context.Context, s hv.StartRun, ref hvorder.SpecRef) {
+	text, ok := n.spec(ctx, hvorder.Run{Task: s.Task, Run: s.Run}, s.Epoch, ref)
+	if !ok {
+		return
+	}
+	s.Spec = text
+	n.start(ctx, s)
+}
+
 // start calls the executor until it responds or the start is no longer wanted.
 // Retries are safe, because the executor recognizes the run by its number.
 func (n *Node) start(ctx context.Context, s hv.StartRun) {
--- a/hvorder/order.go
+++ b/hvorder/order.go
@@ -41,8 +41,10 @@
 	Withdraw bool    `json:"withdraw,omitempty"`
 	Starts   []Start `json:"starts,omitempty"`
 	Stops    []Run   `json:"stops,omitempty"`
-	// Specs holds the work description of each job in Starts, by job ID.
-	Specs map[string]string `json:"specs,omitempty"`
+	// Specs holds short work descriptions of the jobs in Starts, by job ID, and
+	// SpecRefs says where to find the others.
+	Specs    map[string]string  `json:"specs,omitempty"`
+	SpecRefs map[string]SpecRef `json:"refs,omitempty"`
 	// Profiles describes adopted runs, for which the node has received no start order.
 	Profiles []Profile `json:"profiles,omitempty"`
 }
--- a/hvowner/link.go
+++ b/hvowner/link.go
@@ -151,9 +151,23 @@
 	hvwire.Handle(m, hvorder.MethodReport, func(ctx context.Context, c *hvwire.Conn, r hvorder.Report) (hvorder.Grant, error) {
 		return l.report(ctx, c, r)
 	})
+	hvwire.Handle(m, hvorder.MethodSpec, func(_ context.Context, _ *hvwire.Conn, q hvorder.SpecRequest) (hvorder.Spec, error) {
+		return l.owner.spec(q.Job)
+	})
 	return m
 }
 
+// spec returns the work description of a job that has not ended.
+func (o *Owner) spec(job string) (hvorder.Spec, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	text, ok := o.cell.Spec(job)
+	if !ok {
+		return hvorder.Spec{}, failure("spec", hv.NotFound, "job %q is not scheduled", job)
+	}
+	return hvorder.Spec{Text: text}, nil
+}
+
 func (l *link) report(ctx context.Context, c *hvwire.Conn, r hvorder.Report) (hvorder.Grant, error) {
 	o := l.owner
 	for deadline := o.options.Clock.Now().Add(attachWait); ; {
