Skip progress records that do not fit their job

Cause: a record of progress with fewer steps, or a shorter set of done tasks, than its job was applied; an owner that set up the job read beyond the steps, and its process ended, as did that of each gate that claimed the cell next. Change: progress is checked against its job when it is decoded; one that does not fit is logged and skipped, as other records that cannot be decoded. Before: TestMalformedProgressIsSkipped kept the unfitting record. After: it passes.

--- a/hvjob/progress.go
+++ b/hvjob/progress.go
@@ -48,6 +48,39 @@
 	SavedStates map[int]string `json:"saved,omitempty"`
 }
 
+// Check returns an error if the progress does not fit the job.
+func (p Progress) Check(j Job) error {
+	for n, r := range p.Rounds {
+		if n < 0 || n >= j.Rounds() || len(r.Steps) != len(j.Steps) {
+			return invalid("progress", "round %d has %d steps, the job has %d rounds of %d steps", n, len(r.Steps), j.Rounds(), len(j.Steps))
+		}
+		for i, s := range r.Steps {
+			if err := s.check(j.Steps[i].Count); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// check returns an error if the progress does not fit a step with that many tasks.
+func (p StepProgress) check(tasks int) error {
+	if len(p.Done) != len(NewBitset(tasks)) {
+		return invalid("progress", "set of done tasks has %d bytes for %d tasks", len(p.Done), tasks)
+	}
+	for i := range p.FailedRuns {
+		if i < 0 || i >= tasks {
+			return invalid("progress", "failed run of task %d of %d", i, tasks)
+		}
+	}
+	for i := range p.SavedStates {
+		if i < 0 || i >= tasks {
+			return invalid("progress", "saved state of task %d of %d", i, tasks)
+		}
+	}
+	return nil
+}
+
 // Clone returns a copy that is not affected by later changes of p.
 func (p Progress) Clone() Progress {
 	out := p
--- a/hvledger/ledger_test.go
+++ b/hvledger/ledger_test.go
@@ -315,3 +315,36 @@
 		cancel()
 	}
 }
+
+// Guards against a progress record that does not fit its job and ends the process of
+// every gate that becomes the owner.
+func TestMalformedProgressIsSkipped(t *testing.T) {
+	r := hvledger.NewReplica(hv.SystemClock{}, log.NewNopLogger(), &jobCounter{jobs: map[string]int{}})
+	accepted := job(1)
+	rec, err := hvledger.JobRecord(accepted)
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := `{"state":"running","rounds":{"0":{"steps":[{"done":"AQ=="}]}}}`
+	records := []hv.KeyedRecord{rec}
+	for _, value := range []string{
+		good,
+		`{"state":"running","rounds":{"0":{"steps":[]}}}`,
+		`{"state":"running","rounds":{"0":{"steps":[{},{}]}}}`,
+		`{"state":"running","rounds":{"0":{"steps":[{}]}}}`,
+		`{"state":"running","rounds":{"7":{"steps":[{"done":"AA=="}]}}}`,
+		`{"state":"running","rounds":{"-1":{"steps":[{"done":"AA=="}]}}}`,
+		`{"state":"running","rounds":{"0":{"steps":[{"done":"AA==","failed":{"9":[1]}}]}}}`,
+		`{"state":7}`, `[]`, `x`,
+	} {
+		records = append(records, hv.KeyedRecord{Key: "progress/" + accepted.ID, Value: []byte(value)})
+	}
+	for i := range records {
+		records[i].Offset = int64(i)
+	}
+	r.Apply(hv.KeyedPage{Records: records, Next: int64(len(records))})
+	e, ok := r.Job(accepted.ID)
+	if !ok || len(e.Progress.Rounds) != 1 || !e.Progress.Rounds[0].Steps[0].Done.Has(0) {
+		t.Fatalf("progress is %+v, want that of the record that fits the job", e.Progress)
+	}
+}
--- a/hvledger/replica.go
+++ b/hvledger/replica.go
@@ -248,14 +248,24 @@
 	if e == nil || len(rec.Value) == 0 {
 		return
 	}
-	var p hvjob.Progress
-	if err := json.Unmarshal(rec.Value, &p); err != nil {
+	p, err := decodeProgress(rec.Value, e.Job)
+	if err != nil {
 		r.logUndecodable(rec, err)
 		return
 	}
 	e.Progress = p
 }
 
+// decodeProgress decodes progress and checks that it fits the job: an owner that
+// applied other progress would read beyond the job's steps.
+func decodeProgress(b []byte, j hvjob.Job) (hvjob.Progress, error) {
+	var p hvjob.Progress
+	if err := json.Unmarshal(b, &p); err != nil {
+		return p, err
+	}
+	return p, p.Check(j)
+}
+
 func (r *Replica) applyNode(rec hv.KeyedRecord, name string) {
 	n := Node{Name: name}
 	if len(rec.Value) > 0 {
