Let a paused owner and a restarted node act on nothing that has run out

Two of the faults that other operators reported, each shown by a test that failed. Paused owner: only the ticker compared the time since the last append with the authority of 6 s. An owner that went on after a pause could handle a report, and grant a lease, or plan, before the ticker ran. The comparison is now made before each grant and each plan. Restarted node: after a restart of the node beside a draining executor and a change of the owner, the only description of the host was its registration, made before the drain, and the owner started tasks there. TestRestartedNodeWaitsForAnnouncement got one start. A host whose node has heard no heartbeat since its own start gets none. Ruled out: fences alone; they stop an owner only at hosts that a newer one has attached.

--- a/hvcell/cell_test.go
+++ b/hvcell/cell_test.go
@@ -560,3 +560,34 @@
 		t.Fatalf("%d runs after one has failed, want 4", w.runs())
 	}
 }
+
+// Guards against starts on a host that drains after both its node and the owner were
+// replaced: the registration in the store is older than the drain, and the node has
+// not heard its executor yet.
+func TestRestartedNodeWaitsForAnnouncement(t *testing.T) {
+	w := newSimCluster(t, 1)
+	e := w.hosts["host-0"]
+	registered := *e.report(true).Host
+	w.replaceOwner()
+	w.cell.AddHost(w.now, e.name, &registered)
+	r := e.report(true)
+	r.Host = nil
+	e.applyGrant(w.cell.NodeAttached(w.now, e.name, r))
+	w.submit(urgentJob(testStep(1, 1000)))
+	w.cell.Plan(w.now)
+	if o, _ := w.cell.Orders(e.name); len(o.Starts) != 0 {
+		t.Fatalf("%d starts before the executor announced itself, want none", len(o.Starts))
+	}
+	draining := e.report(false)
+	draining.Host.Draining = true
+	w.cell.Report(w.now, e.name, draining)
+	w.cell.Plan(w.now)
+	if o, _ := w.cell.Orders(e.name); len(o.Starts) != 0 {
+		t.Fatalf("%d starts on the draining host, want none", len(o.Starts))
+	}
+	w.cell.Report(w.now, e.name, e.report(false))
+	w.cell.Plan(w.now)
+	if o, _ := w.cell.Orders(e.name); len(o.Starts) != 1 {
+		t.Fatalf("%d starts after the announcement, want 1", len(o.Starts))
+	}
+}
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -59,6 +59,11 @@
 	c.AddHost(now, name, nil)
 	h := c.hosts[name]
 	h.connected, h.dropped = true, false
+	if r.Host == nil {
+		// The node has not heard its executor since its own start. What is known of
+		// the host, from its registration or from before, may be out of date.
+		h.announced = false
+	}
 	_ = level.Info(c.options.Logger).Log("msg", "node attached to this owner", "host", name, "life", r.Incarnation, "full", r.Full, "running", len(r.Running), "pending", len(r.Pending), "ended", len(r.Ended))
 	return c.Report(now, name, r)
 }
--- a/hvowner/link.go
+++ b/hvowner/link.go
@@ -106,6 +106,7 @@
 	o := l.owner
 	o.mu.Lock()
 	l.conn, l.lastReport = conn, o.options.Clock.Now()
+	o.checkAuthority()
 	o.cell.NodeAttached(o.options.Clock.Now(), l.name, r)
 	o.mu.Unlock()
 	hvtick.Wake(o.wakePlan)
@@ -174,6 +175,7 @@
 		o.mu.Lock()
 		if l.conn == c {
 			l.lastReport = o.options.Clock.Now()
+			o.checkAuthority()
 			grant := o.cell.Report(o.options.Clock.Now(), l.name, r)
 			o.mu.Unlock()
 			hvtick.Wake(o.wakePlan)
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -229,9 +229,17 @@
 	}
 }
 
+// checkAuthority suspends starts and grants while this gate may no longer own the
+// cell. It is called before each of them and not only by the ticker: a process that
+// was paused may handle a report first. The lock is held.
+func (o *Owner) checkAuthority() {
+	o.cell.Suspend(o.options.Writer.SinceLastAppend() > authorityTimeout)
+}
+
 func (o *Owner) plan() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.checkAuthority()
 	o.cell.Plan(o.options.Clock.Now())
 	hvtick.Wake(o.wakeAdvise)
 	o.wakeLinks()
@@ -250,7 +258,7 @@
 	hvtick.Every(ctx, tickInterval, func() {
 		o.rejectPuts()
 		o.mu.Lock()
-		o.cell.Suspend(o.options.Writer.SinceLastAppend() > authorityTimeout)
+		o.checkAuthority()
 		o.cell.Tick(o.options.Clock.Now())
 		o.updateMetrics()
 		o.mu.Unlock()
