--- /dev/null
+++ b/hvcell/pick.go
@@ -0,0 +1,188 @@
+package hvcell
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// pickHost returns the host for a task, or nil. A long-running task for which no other
+// host has capacity may go to a host in quarantine or to one on which it failed.
+func (c *Cell) pickHost(now time.Time, t *task, hosts []*host) *host {
+	h := c.pickAmong(now, t, t.preferred(hosts))
+	if h == nil && t.step.spec.LongRunning && len(t.avoidedHosts) > 0 {
+		h = c.pickAmong(now, t, hosts)
+	}
+	if h == nil && t.step.spec.LongRunning && !t.step.spec.BestEffort {
+		h = c.pickIgnoringImpact(now, t, hosts)
+	}
+	return h
+}
+
+// pickAmong returns the host with the best score among those without obstacles, or
+// nil. Best-effort tasks also keep to their impact limit.
+func (c *Cell) pickAmong(now time.Time, t *task, hosts []*host) *host {
+	impacts := c.impacts(t, hosts)
+	limit := math.Inf(1)
+	if t.step.spec.BestEffort {
+		limit = impactLimit(t, hosts, impacts)
+	}
+	return bestHost(t, hosts, impacts, func(h *host, impact float64) bool {
+		return impact <= limit && c.obstacle(now, t, h, impact) == ""
+	})
+}
+
+// bestHost returns the host with the best score among those that fit accepts, or nil.
+func bestHost(t *task, hosts []*host, impacts []float64, fit func(h *host, impact float64) bool) *host {
+	var found *host
+	top := 0.0
+	for i, h := range hosts {
+		if !fit(h, impacts[i]) {
+			continue
+		}
+		if score := score(t, h, impacts[i]); found == nil || score > top {
+			found, top = h, score
+		}
+	}
+	return found
+}
+
+// starvationDelay is how long a step may wait without a run while hosts have capacity
+// but its tasks would interfere or be throttled there.
+const starvationDelay = 1500 * time.Millisecond
+
+// isStarved reports whether the step has waited so long without a run that one of its
+// tasks is to start wherever it fits, even throttled.
+func (s *step) isStarved(now time.Time) bool {
+	return s.waitLogged && now.Sub(s.waitingSince) > starvationDelay && s.waiting+s.done == len(s.tasks)
+}
+
+// pickIgnoringImpact returns the host with the best score among those without a hard
+// obstacle, or nil.
+func (c *Cell) pickIgnoringImpact(now time.Time, t *task, hosts []*host) *host {
+	return bestHost(t, hosts, c.impacts(t, hosts), func(h *host, _ float64) bool {
+		return c.hardObstacle(now, t, h) == ""
+	})
+}
+
+// preferred returns the hosts that the task does not avoid, or all hosts if it avoids
+// every one.
+func (t *task) preferred(hosts []*host) []*host {
+	if len(t.avoidedHosts) == 0 {
+		return hosts
+	}
+	var out []*host
+	for _, h := range hosts {
+		if !t.avoidedHosts[h.name] {
+			out = append(out, h)
+		}
+	}
+	if len(out) == 0 {
+		return hosts
+	}
+	return out
+}
+
+// obstacle returns the name of what rules out a host for a task with this impact, or
+// an empty string.
+func (c *Cell) obstacle(now time.Time, t *task, h *host, impact float64) string {
+	s := t.step.spec
+	switch name := c.hardObstacle(now, t, h); {
+	case name != "":
+		return name
+	case s.BestEffort && h.bestEffortCPU+s.Need.CPU > h.unusedCPU():
+		return "busy"
+	case s.BestEffort && h.tooThrottled(impact):
+		return "slowed"
+	case !c.options.Health.Usable(now, h.name):
+		return "quarantine"
+	}
+	return ""
+}
+
+// hardObstacle returns the name of an obstacle that holds even for a starved task, or
+// an empty string.
+func (c *Cell) hardObstacle(now time.Time, t *task, h *host) string {
+	s := t.step
+	if !s.spec.Allocation().Fits(s.available(h)) {
+		return "room"
+	}
+	return c.constraintObstacle(now, s, h)
+}
+
+// constraintObstacle returns the name of an obstacle other than capacity that rules
+// out a host for a step, or an empty string.
+func (c *Cell) constraintObstacle(now time.Time, s *step, h *host) string {
+	if name := c.permanentObstacle(s, h); name != "" {
+		return name
+	}
+	if s.spec.MaxPerHost > 0 && s.runsPerHost[h] >= s.spec.MaxPerHost {
+		return "spread"
+	}
+	if s.needsAdvice() {
+		if _, ok := s.ticket(now, h); !ok {
+			return "advice"
+		}
+	}
+	return ""
+}
+
+// permanentObstacle returns the name of the property of a host that rules it out for
+// a step for good, or an empty string.
+func (c *Cell) permanentObstacle(s *step, h *host) string {
+	switch {
+	case h.info.Service != s.round.job.queue.Service:
+		return "service"
+	case s.spec.RequiredLabel != "" && !slices.Contains(h.info.Labels, s.spec.RequiredLabel):
+		return "label"
+	}
+	return ""
+}
+
+// Weights of the terms of a score. The term for free processors is 0 for a full host
+// and 1 for an empty one.
+const (
+	weightLocality = 2.0
+	weightFree     = 1.0
+	// weightImpact is subtracted for a task that multiplies a tail latency by e.
+	weightImpact = 2.0
+	// weightSameImage is added for a serving task beside tasks of only its own image,
+	// and weightOtherImage subtracted if its image is new on a host that serves others:
+	// the fewer images serve on a host, the more best-effort tasks can run there.
+	weightSameImage  = 1.0
+	weightOtherImage = 1.0
+	// weightCold is subtracted for a host that is slow after its start.
+	weightCold = 1.5
+)
+
+// colocationScore returns the score of a serving task on a host by the images that
+// serve there.
+func colocationScore(image string, serving []string) float64 {
+	switch {
+	case len(serving) == 0:
+		return 0
+	case !slices.Contains(serving, image):
+		return -weightOtherImage
+	case len(serving) == 1:
+		return weightSameImage
+	}
+	return 0
+}
+
+func score(t *task, h *host, impact float64) float64 {
+	s := t.step.spec
+	score := 0.0
+	if s.DataRack != "" && s.DataRack == h.info.Rack {
+		score += weightLocality
+	}
+	if h.info.Capacity.CPU > 0 {
+		score += weightFree * float64(h.unusedCPU()-h.bestEffortCPU) / float64(h.info.Capacity.CPU)
+	}
+	if h.cold {
+		score -= weightCold
+	}
+	if s.LatencyTarget > 0 {
+		score += colocationScore(s.Image, h.images(isServing))
+	}
+	return score - weightImpact*impact
+}
--- a/hvwire/pool.go
+++ b/hvwire/pool.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
-	hv "hibiscusvane.example/hibiscusvane"
-
 	"github.com/pkg/errors"
+
+	hv "hibiscusvane.example/hibiscusvane"
 )
 
 // Pool keeps one connection to each process that is called, and dials again after
