Report what ran on an executor when it crashed, and for how long

Cause of the change: log and metrics said only how many runs a lost host had, so the hypotheses of the incident could not be told apart. Change: a side records the starts that it sends and what the executor lists; after an unannounced end it logs and reports the runs with their ages until the owner has stored them. The owner logs them with the tasks that were on other crashed hosts before, and counts crashes (hv_cell_crashes). Decisions are unchanged.

--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -74,8 +74,8 @@
 // Counts holds totals since the cell was claimed, and the current numbers of jobs,
 // waiting tasks, runs and hosts.
 type Counts struct {
-	Starts, Done, Failed, Lost, Stopped, Refused int64
-	Jobs, Waiting, Running, Hosts                int64
+	Starts, Done, Failed, Lost, Stopped, Refused, Crashes int64
+	Jobs, Waiting, Running, Hosts                         int64
 }
 
 type endedJob struct {
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -92,6 +92,7 @@
 	if r.Host != nil {
 		h.setInfo(now, *r.Host)
 	}
+	c.logCrashes(h, r.Crashes)
 	if r.ExecutorGone {
 		c.loseRuns(now, h, "executor has ended")
 		h.incarnation, h.reconciled, h.leaseExpiry = "", true, now
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -74,6 +74,8 @@
 	runs    []*run
 	nextRun int
 	saved   string
+	// crashedRuns counts the runs that may have been on a host when it crashed.
+	crashedRuns int
 	// avoidedHosts holds the hosts on which a run failed, stalled or could not start.
 	avoidedHosts map[string]bool
 	// abandonedRuns counts the runs that were stopped as stalled or as stragglers.
--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -98,6 +98,7 @@
 	refused        []hvorder.Refusal
 	stopped        []hvorder.Run
 	hostReported   bool
+	crash          crashTracker
 	// fullReported is true once the owner has been sent a full report.
 	fullReported bool
 
@@ -149,6 +150,9 @@
 	n.mu.Lock()
 	old := n.host
 	n.host, n.executorID = &h, id
+	if h.Draining {
+		n.crash.leaving = h.Incarnation
+	}
 	changed := old == nil || old.Incarnation != h.Incarnation || old.Draining != h.Draining || old.Capacity != h.Capacity || old.Service != h.Service || (old.ColdMillis > 0) != (h.ColdMillis > 0)
 	if changed {
 		n.hostReported = false
@@ -176,6 +180,7 @@
 		h := *n.host
 		h.Draining, h.Exiting = true, true
 		n.host = &h
+		n.crash.leaving = h.Incarnation
 	}
 	n.hostReported = false
 	n.mu.Unlock()
@@ -199,6 +204,7 @@
 	}
 	n.epoch, n.ownerConn, n.lastOwnerContact = req.Epoch, c, n.deps.Clock.Now()
 	n.refused, n.stopped, n.fullReported = nil, nil, false
+	n.crash.attached()
 	n.mu.Unlock()
 	_ = level.Info(n.deps.Logger).Log("msg", "owner attached to this node", "epoch", req.Epoch, "owner", req.Owner)
 	version := n.currentVersion()
@@ -246,7 +252,7 @@
 func (n *Node) fullReport() hvorder.Report {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	r := hvorder.Report{Epoch: n.epoch, Node: n.name, Host: n.host, ExecutorGone: n.executorGone && n.startsInFlight == 0}
+	r := hvorder.Report{Epoch: n.epoch, Node: n.name, Host: n.host, ExecutorGone: n.executorGone && n.startsInFlight == 0, Crashes: n.crash.unreported()}
 	n.hostReported = n.host != nil
 	if n.hasFullState() {
 		n.fillReport(&r)
@@ -286,13 +292,18 @@
 		return
 	}
 	if h.Incarnation != n.executorState.Incarnation {
+		if n.executorState.Incarnation != "" {
+			n.recordExecutorEnd(n.executorState.Incarnation)
+		}
 		n.ackedEnd, n.reportedEnd, n.leaseEnd = 0, 0, 0
 		n.fullReported = false
 		n.pendingStarts = map[hvorder.Run]bool{}
 		n.reportedSaved = map[hvorder.Run]string{}
 	}
+	now := n.deps.Clock.Now()
 	n.executorState, n.stateVersion, n.stateKnown, n.incarnationConfirmed, n.executorGone = h, version, true, true, false
-	n.recordProgress(n.deps.Clock.Now(), h.Running)
+	n.crash.listed(now, h, version == n.currentVersionLocked())
+	n.recordProgress(now, h.Running)
 }
 
 // handleCallError records a failed call to the executor and reports whether the
@@ -300,6 +311,7 @@
 func (n *Node) handleCallError(err error) bool {
 	n.mu.Lock()
 	n.incarnationConfirmed = false
+	n.crash.failed(n.deps.Clock.Now(), err)
 	n.mu.Unlock()
 	kind := hv.KindOf(err)
 	if kind == hv.Conflict {
--- a/hvnode/orders.go
+++ b/hvnode/orders.go
@@ -108,6 +108,7 @@
 		err := n.deps.Executor.Start(ctx, s)
 		n.endStartCall()
 		if err == nil {
+			n.confirmStart(run)
 			n.endStart(run, nil)
 			n.applyInitialShare(ctx, run, s.Epoch)
 			return
@@ -167,6 +168,7 @@
 	}
 	n.startsInFlight++
 	n.startCalls++
+	n.crash.startSent(n.deps.Clock.Now(), run)
 	return true
 }
 
@@ -181,6 +183,13 @@
 	}
 }
 
+// confirmStart records that the executor has responded to a start.
+func (n *Node) confirmStart(run hvorder.Run) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.crash.confirm(run)
+}
+
 // endStart removes a pending start and reports the refusal, if there is one.
 func (n *Node) endStart(run hvorder.Run, refusal *hvorder.Refusal) {
 	n.mu.Lock()
@@ -190,6 +199,7 @@
 	}
 	delete(n.pendingStarts, run)
 	if refusal != nil {
+		n.crash.neverStarted(run)
 		n.refused = append(n.refused, *refusal)
 		hvtick.Wake(n.wakeReport)
 	}
@@ -220,6 +230,7 @@
 		}
 		if !isListed(state, run) {
 			n.mu.Lock()
+			n.crash.neverStarted(run)
 			n.stopped = append(n.stopped, run)
 			n.mu.Unlock()
 			hvtick.Wake(n.wakeReport)
--- a/hvnode/renew.go
+++ b/hvnode/renew.go
@@ -116,6 +116,9 @@
 	}
 	n.mu.Lock()
 	n.executorGone, n.stateKnown = true, false
+	if n.executorState.Incarnation != "" {
+		n.recordExecutorEnd(n.executorState.Incarnation)
+	}
 	n.executorState = hv.ExecutorState{}
 	n.pendingStarts = map[hvorder.Run]bool{}
 	n.mu.Unlock()
--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -59,6 +59,9 @@
 		return
 	}
 	n.mu.Lock()
+	if n.ownerConn == conn {
+		n.crash.acknowledged(grant.AckedCrash)
+	}
 	if r.Epoch == n.epoch && r.Incarnation == n.executorState.Incarnation {
 		n.leaseEnd = max(n.leaseEnd, grant.LeaseEnd)
 		n.ackedEnd = max(n.ackedEnd, grant.AckedEnd)
@@ -109,6 +112,7 @@
 	}
 	r.Refused, n.refused = n.refused, nil
 	r.Stopped, n.stopped = n.stopped, nil
+	r.Crashes = n.crash.unreported()
 	return n.ownerConn, r, true
 }
 
--- a/hvorder/order.go
+++ b/hvorder/order.go
@@ -3,6 +3,10 @@
 package hvorder
 
 import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvjob"
 )
@@ -131,6 +135,44 @@
 	ShareOffset int `json:"pace,omitempty"`
 	// ExecutorGone is true if no executor listens on the host any more.
 	ExecutorGone bool `json:"dead,omitempty"`
+	// Crashes lists the crashes of the executor that the owner has not acknowledged.
+	Crashes []Crash `json:"crashes,omitempty"`
+}
+
+// Crash is an end of the executor that it had not announced.
+type Crash struct {
+	// Number increases with each crash that one process of the node has seen.
+	Number int64 `json:"number"`
+	// Incarnation is the one that crashed.
+	Incarnation string `json:"life"`
+	// UncertaintyMillis is the time in milliseconds, before the node noticed the crash,
+	// in which the executor may have ended.
+	UncertaintyMillis int64 `json:"uncertain,omitempty"`
+	// Runs holds the runs that may have been on the executor, the youngest first.
+	Runs []CrashedRun `json:"runs"`
+}
+
+// UnmarshalJSON decodes a crash and returns an error if it lists no run.
+func (c *Crash) UnmarshalJSON(b []byte) error {
+	type plain Crash
+	if err := json.Unmarshal(b, (*plain)(c)); err != nil {
+		return err
+	}
+	if len(c.Runs) == 0 {
+		return errors.New("crash without runs")
+	}
+	return nil
+}
+
+// CrashedRun is a run that may have been on an executor when it crashed.
+type CrashedRun struct {
+	Run
+	// AgeMillis is the time in milliseconds from the start call until the node noticed
+	// the crash, or negative if another process sent the start.
+	AgeMillis int64 `json:"age"`
+	// Unconfirmed is true if the executor had neither responded to the start nor listed
+	// the run.
+	Unconfirmed bool `json:"unconfirmed,omitempty"`
 }
 
 // Scales of the integers in reports and grants.
@@ -159,6 +201,8 @@
 	// hibiscusvane.LeaseRenewal.
 	LeaseEnd int64 `json:"until,omitempty"`
 	AckedEnd int64 `json:"seen,omitempty"`
+	// AckedCrash is the number of the last crash that is stored.
+	AckedCrash int64 `json:"crash,omitempty"`
 }
 
 // Append is the request of a relayed append.
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -279,6 +279,7 @@
 	m.Set("hv_cell_failed", c.Failed)
 	m.Set("hv_cell_lost", c.Lost)
 	m.Set("hv_cell_refused", c.Refused)
+	m.Set("hv_cell_crashes", c.Crashes)
 }
 
 // flushLoop stores progress, and sends heartbeats while there is none.
