Give up jobs whose tasks crash the hosts that start them

Cause: a run that is lost with its host counted for nothing. The task started again at once and without limit, among all that was lost with it, and nothing about crashes was remembered, let alone stored. Class of fault: a failure domain (the executor) shared by independent tasks, with retries that do not count the failure of the domain. Ruled out: repeats by sides; a plain count of crashes, which would fail the neighbours. Change: hvcrash divides the blame for a crash by the age of each run, what is believed of its task and how often hosts crash anyway. What is known is part of the job's progress, a side keeps a crash until that is stored, and a suspected task waits for it. Suspected tasks start apart from others on the host with the least to lose; a job is failed when one of its tasks is at fault with a probability of 0.999 after two crashes or more, or after four without a better explanation. Hosts that are back after a crash take their tasks little by little.

--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvcrash"
 	"hibiscusvane.example/hibiscusvane/hvinterference"
 	"hibiscusvane.example/hibiscusvane/hvjob"
 	"hibiscusvane.example/hibiscusvane/hvorder"
@@ -66,6 +67,17 @@
 	// evacuated holds the zones on whose hosts no task may start.
 	evacuated map[string]bool
 	counts    Counts
+	// crashHistory and crashRates say how often hosts crash and which queues have jobs
+	// that crash them; recentCrashes holds the crashes within blameWindow.
+	crashHistory  hvcrash.History
+	crashRates    hvcrash.Rates
+	recentCrashes []hostCrash
+	// suspectJobs holds the jobs with tasks whose hosts crashed, and riskyQueues the
+	// queues of which new jobs may crash hosts.
+	suspectJobs map[string]*job
+	riskyQueues map[string]bool
+	// givenUp holds the jobs that were given up because they crash hosts.
+	givenUp map[string]bool
 	// awaitingAdvice holds the waiting steps that need tickets, in the scheduling
 	// order of the last call of Plan.
 	awaitingAdvice []*step
@@ -74,8 +86,8 @@
 // Counts holds totals since the cell was claimed, and the current numbers of jobs,
 // waiting tasks, runs and hosts.
 type Counts struct {
-	Starts, Done, Failed, Lost, Stopped, Refused, Crashes int64
-	Jobs, Waiting, Running, Hosts                         int64
+	Starts, Done, Failed, Lost, Stopped, Refused, Crashes, GivenUp int64
+	Jobs, Waiting, Running, Hosts                                  int64
 }
 
 type endedJob struct {
@@ -85,7 +97,7 @@
 
 // New returns a Cell without jobs and hosts.
 func New(o Options) *Cell {
-	return &Cell{options: o, jobs: map[string]*job{}, hosts: map[string]*host{}, estimate: newEstimator(), interference: hvinterference.NewChangeModel(effectPrior, tailVariance)}
+	return &Cell{options: o, jobs: map[string]*job{}, hosts: map[string]*host{}, givenUp: map[string]bool{}, suspectJobs: map[string]*job{}, estimate: newEstimator(), interference: hvinterference.NewChangeModel(effectPrior, tailVariance)}
 }
 
 // SetCatalog replaces the catalog of queues, unless the current one is newer. Runs go
@@ -116,7 +128,7 @@
 		return
 	}
 	c.seq++
-	entry := &job{Job: j, offset: offset, seq: c.seq, progress: p.Clone(), rounds: map[int]*round{}, inherited: offset < c.options.ClaimOffset, queue: j.QueueSettings, specChecksum: hvorder.SpecChecksum(j.Spec)}
+	entry := &job{Job: j, offset: offset, seq: c.seq, progress: p.Clone(), rounds: map[int]*round{}, inherited: offset < c.options.ClaimOffset, queue: j.QueueSettings, specChecksum: hvorder.SpecChecksum(j.Spec), taskCount: j.TaskCount()}
 	if c.catalog != nil {
 		if q, ok := c.catalog.Queue(j.Queue); ok {
 			entry.queue = q
@@ -170,6 +182,9 @@
 	}
 	for i := range j.Steps {
 		r.steps = append(r.steps, c.newStep(r, i, stored.Steps[i]))
+		if len(stored.Steps[i].Crashes) > 0 {
+			c.suspectJobs[j.ID] = j
+		}
 	}
 	path := c.criticalPath(r)
 	objective := int64(j.queue.Stretch*float64(path.Milliseconds())) + j.queue.Slack
--- a/hvcell/crash_test.go
+++ b/hvcell/crash_test.go
@@ -1,99 +1,185 @@
 package hvcell
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvjob"
+	"hibiscusvane.example/hibiscusvane/hvorder"
 )
 
 // maxCrashingStarts is the greatest number of starts of a task that crashes its hosts:
 // three crashes and two starts more.
 const maxCrashingStarts = 5
 
+const (
+	// crashDelay is the time from the start of a deadly task to the crash of its host.
+	crashDelay = 10 * time.Millisecond
+	// restartTime is how long a crashed host is away.
+	restartTime = 3 * time.Second
+	crashStep   = 10 * time.Millisecond
+)
+
 // crashCluster is a cluster in which some tasks crash the host that starts them.
 type crashCluster struct {
 	*simCluster
 	// deadly holds the tasks that crash their host crashDelay after their start.
 	deadly map[string]bool
-	// starts counts the starts of each deadly task.
-	starts map[string]int
-	// seen holds the runs that were counted.
-	seen map[string]int
+	// starts counts the starts of each deadly task, and seen holds its last run.
+	starts, seen map[string]int
+	// gangs holds the jobs whose tasks end together.
+	gangs map[string]bool
 	// downUntil is when a crashed host restarts.
 	downUntil map[string]time.Time
+	// runTime is how long all other tasks run.
+	runTime time.Duration
+	// storeDown is true while the store is unavailable, ownerLost while there is no owner.
+	storeDown, ownerLost bool
+	// innocentLosses counts the runs of other tasks that were lost with a host.
+	innocentLosses int
 }
 
-const (
-	// crashDelay is the time from the start of a deadly task to the crash of its host.
-	crashDelay = 10 * time.Millisecond
-	// restartTime is how long a crashed host is away.
-	restartTime = 3 * time.Second
-	crashStep   = 10 * time.Millisecond
-)
-
 func newCrashCluster(t *testing.T, hosts int) *crashCluster {
 	t.Helper()
-	c := &crashCluster{simCluster: newSimCluster(t, hosts), deadly: map[string]bool{}, starts: map[string]int{}, seen: map[string]int{}, downUntil: map[string]time.Time{}}
+	c := &crashCluster{
+		simCluster: newSimCluster(t, hosts), deadly: map[string]bool{}, starts: map[string]int{}, seen: map[string]int{},
+		gangs: map[string]bool{}, downUntil: map[string]time.Time{}, runTime: 600 * time.Millisecond,
+	}
+	c.authority = 0
 	c.attachAll()
 	return c
 }
 
-// submitDeadly submits a job whose first task crashes its hosts.
-func (c *crashCluster) submitDeadly(list ...hvjob.Step) hvjob.Job {
+// submitDeadly submits a job of which the task with an index crashes its hosts.
+func (c *crashCluster) submitDeadly(index int, list ...hvjob.Step) hvjob.Job {
 	j := c.submit(urgentJob(list...))
-	c.deadly[hvjob.Task{Job: j.ID}.String()] = true
+	c.deadly[hvjob.Task{Job: j.ID, Index: index}.String()] = true
 	return j
 }
 
-// step advances the time, and ends or crashes what is due. Tasks end after runTime.
-func (c *crashCluster) step(t *testing.T, runTime time.Duration) {
+// names returns the names of the hosts in order, so that a test repeats.
+func (c *crashCluster) names() []string {
+	var out []string
+	for name := range c.hosts {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// play advances the time in steps, in which the owner and its hosts exchange messages,
+// and runs end and hosts crash and restart.
+func (c *crashCluster) play(t *testing.T, d time.Duration) {
 	t.Helper()
-	c.exchange()
-	c.advance(crashStep)
-	for name, e := range c.hosts {
-		if !e.alive {
-			if c.now.After(c.downUntil[name]) {
-				e.start()
-			}
-			continue
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.exchangeUnlessLost()
+		c.advance(crashStep)
+		for _, name := range c.names() {
+			c.playHost(t, c.hosts[name])
+		}
+	}
+}
+
+func (c *crashCluster) exchangeUnlessLost() {
+	if c.ownerLost {
+		return
+	}
+	for _, name := range c.names() {
+		if e, h := c.hosts[name], c.cell.hosts[name]; h != nil && h.connected {
+			e.applyGrant(c.cell.Report(c.now, name, e.report(false)))
 		}
-		c.endRuns(e, runTime)
-		c.crashDue(t, e)
+	}
+	if !c.storeDown {
+		c.store()
+	}
+	c.cell.Tick(c.now)
+	c.cell.Plan(c.now)
+	for _, name := range c.names() {
+		c.deliver(name)
 	}
 }
 
-func (c *crashCluster) endRuns(e *executor, runTime time.Duration) {
+func (c *crashCluster) playHost(t *testing.T, e *executor) {
+	t.Helper()
+	if !e.alive {
+		if c.now.After(c.downUntil[e.name]) {
+			e.start()
+		}
+		return
+	}
 	for task, run := range e.running {
-		if !c.deadly[task] && c.now.Sub(e.startTimes[task]) >= runTime {
+		if !c.deadly[task] && c.now.Sub(e.startTimes[task]) >= c.runTime {
 			e.end(task, run, "done")
 		}
 	}
+	crashed := false
+	for task, run := range e.running {
+		if c.deadly[task] {
+			c.countStart(t, task, run)
+			crashed = crashed || c.now.Sub(e.startTimes[task]) >= crashDelay
+		}
+	}
+	if crashed {
+		c.crashHost(e)
+	}
 }
 
-func (c *crashCluster) crashDue(t *testing.T, e *executor) {
+// countStart fails the test if a task that crashes its hosts is started too often.
+func (c *crashCluster) countStart(t *testing.T, task string, run int) {
 	t.Helper()
-	for task, run := range e.running {
+	if c.seen[task] == run {
+		return
+	}
+	c.seen[task] = run
+	if c.starts[task]++; c.starts[task] > maxCrashingStarts {
+		t.Fatalf("task %s, which crashes its hosts, is started for the %dth time", task, c.starts[task])
+	}
+}
+
+func (c *crashCluster) crashHost(e *executor) {
+	for task := range e.running {
 		if !c.deadly[task] {
+			c.innocentLosses++
+		}
+	}
+	c.breakGangs(e.running)
+	e.crash()
+	c.downUntil[e.name] = c.now.Add(restartTime)
+}
+
+// breakGangs ends the other members of the gangs of lost runs, as executors do.
+func (c *crashCluster) breakGangs(lost map[string]int) {
+	for task := range lost {
+		job, _, _ := strings.Cut(task, ".")
+		if !c.gangs[job] {
 			continue
 		}
-		if c.seen[task] < run {
-			c.seen[task] = run
-			c.starts[task]++
-			if c.starts[task] > maxCrashingStarts {
-				t.Fatalf("task %s, which crashes its hosts, is started for the %dth time", task, c.starts[task])
+		for _, e := range c.hosts {
+			for other, run := range e.running {
+				if _, ok := lost[other]; !ok && strings.HasPrefix(other, job) {
+					e.end(other, run, hv.EndGangBroken)
+				}
 			}
 		}
-		if c.now.Sub(e.startTimes[task]) >= crashDelay {
-			c.crashHost(e)
-			return
-		}
 	}
 }
 
-func (c *crashCluster) crashHost(e *executor) {
-	e.crash()
-	c.downUntil[e.name] = c.now.Add(restartTime)
+// loseOwner replaces the owner with one that has only read the store.
+func (c *crashCluster) loseOwner() {
+	c.replaceOwner()
+	c.attachAll()
+}
+
+func (c *crashCluster) expect(t *testing.T, j hvjob.Job, want hvjob.State) {
+	t.Helper()
+	if s := c.stored[j.ID].State; s != want {
+		t.Errorf("job %s is %q, want %q", j.ID, s, want)
+	}
 }
 
 // Guards against a task that takes down one host after the other because runs that are
@@ -105,16 +191,284 @@
 	for range 8 {
 		others = append(others, c.submit(urgentJob(testStep(4, 1000))))
 	}
-	deadly := c.submitDeadly(testStep(4, 1000))
-	for range 3000 {
-		c.step(t, 600*time.Millisecond)
+	deadly := c.submitDeadly(0, testStep(4, 1000))
+	c.play(t, 30*time.Second)
+	c.expect(t, deadly, hvjob.Failed)
+	for _, j := range others {
+		c.expect(t, j, hvjob.Complete)
 	}
-	if s := c.stored[deadly.ID].State; s != hvjob.Failed {
-		t.Errorf("job with the task that crashes hosts is %q, want it failed", s)
+}
+
+// Guards against the same for the kinds of tasks that are placed by rules of their own,
+// on one host and on several.
+func TestEveryKindOfTaskThatCrashesHostsIsGivenUp(t *testing.T) {
+	kinds := map[string]func(s *hvjob.Step){
+		"long-running": func(s *hvjob.Step) { s.LongRunning = true },
+		"best-effort":  func(s *hvjob.Step) { s.BestEffort = true },
+		"gang":         func(s *hvjob.Step) { s.Gang = true },
+		"speculative":  func(s *hvjob.Step) { s.Speculative = true },
+	}
+	for name, change := range kinds {
+		for _, hosts := range []int{1, 2, 6} {
+			t.Run(fmt.Sprintf("%s on %d", name, hosts), func(t *testing.T) {
+				c := newCrashCluster(t, hosts)
+				step := testStep(3, 1000)
+				change(&step)
+				c.runTime = time.Hour
+				deadly := c.submitDeadly(1, step)
+				c.gangs[deadly.ID] = step.Gang
+				c.play(t, 60*time.Second)
+				c.expect(t, deadly, hvjob.Failed)
+			})
+		}
+	}
+}
+
+// Guards against a job of which every task crashes its host: the tasks may not each take
+// down as many hosts as a single one may.
+func TestJobOfCrashingTasksIsGivenUpOnce(t *testing.T) {
+	c := newCrashCluster(t, 6)
+	j := c.submit(urgentJob(testStep(5, 3000)))
+	for i := range 5 {
+		c.deadly[hvjob.Task{Job: j.ID, Index: i}.String()] = true
+	}
+	c.play(t, 30*time.Second)
+	c.expect(t, j, hvjob.Failed)
+	crashes := 0
+	for _, e := range c.hosts {
+		crashes += e.incarnation - 1
+	}
+	if limit := len(c.hosts) + maxCrashingStarts; crashes > limit {
+		t.Errorf("%d hosts crashed under one job, want at most %d", crashes, limit)
+	}
+}
+
+// Guards against what is known of a task that is lost with the owner: each crash is
+// followed by a new owner, before or after the crash was stored.
+func TestCrashesAreKnownToTheNextOwner(t *testing.T) {
+	for _, delay := range []time.Duration{0, 10 * time.Millisecond, 30 * time.Millisecond, 200 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			c := newCrashCluster(t, 6)
+			other := c.submit(urgentJob(testStep(8, 1000)))
+			deadly := c.submitDeadly(0, testStep(4, 1000))
+			crashes := 0
+			for range 40_000 {
+				c.play(t, crashStep)
+				if n := c.crashes(); n > crashes {
+					crashes = n
+					c.play(t, delay)
+					c.loseOwner()
+				}
+				if c.stored[deadly.ID].State == hvjob.Failed && c.stored[other.ID].State == hvjob.Complete {
+					break
+				}
+			}
+			c.expect(t, deadly, hvjob.Failed)
+			c.expect(t, other, hvjob.Complete)
+		})
+	}
+}
+
+// crashes returns the number of crashes so far.
+func (c *crashCluster) crashes() int {
+	n := 0
+	for _, e := range c.hosts {
+		n += e.incarnation - 1
+		if !e.alive {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against what is known of a task that is lost while the store is away: a
+// suspected task may not start before its crash is stored, and the node keeps the crash
+// for an owner that comes after the outage.
+func TestCrashesAreKnownAfterOutage(t *testing.T) {
+	c := newCrashCluster(t, 6)
+	deadly := c.submitDeadly(0, testStep(4, 1000))
+	c.storeDown = true
+	c.play(t, 4*time.Second)
+	task := hvjob.Task{Job: deadly.ID}.String()
+	if c.starts[task] != 1 {
+		t.Fatalf("%d starts while the store is away, want 1", c.starts[task])
+	}
+	c.loseOwner()
+	c.storeDown = false
+	c.play(t, 100*time.Millisecond)
+	c.play(t, 40*time.Second)
+	c.expect(t, deadly, hvjob.Failed)
+	// An owner that knows of the first crash needs two more to be certain.
+	if n := c.starts[task]; n > 3 {
+		t.Errorf("%d starts, want 3: the crash during the outage is not known", n)
+	}
+}
+
+// Guards against a loss of power of all processes that makes the system forget what it
+// has stored of a task.
+func TestCrashesAreKnownAfterPowerLoss(t *testing.T) {
+	c := newCrashCluster(t, 6)
+	deadly := c.submitDeadly(0, testStep(4, 1000))
+	for range 30 {
+		c.play(t, time.Second)
+		if c.stored[deadly.ID].State == hvjob.Failed {
+			break
+		}
+		for _, e := range c.hosts {
+			// Nodes lose what they keep, and executors restart.
+			e.crashes, e.lastCrash = nil, 0
+			e.alive = false
+			e.running, e.ended = map[string]int{}, nil
+			e.start()
+		}
+		c.loseOwner()
+	}
+	c.expect(t, deadly, hvjob.Failed)
+}
+
+// Guards against a crash that is acknowledged before its effect is stored, or to a node
+// that has numbered its crashes anew since.
+func TestCrashIsAcknowledgedOnceStored(t *testing.T) {
+	w := newSimCluster(t, 1)
+	w.attachAll()
+	w.submit(urgentJob(testStep(1, 1000)))
+	w.exchange()
+	e := w.hosts["host-0"]
+	e.crash()
+	if g := w.cell.Report(w.now, e.name, e.report(false)); g.AckedCrash != 0 {
+		t.Fatalf("crash %d is acknowledged before it is stored", g.AckedCrash)
+	}
+	b, _ := w.cell.Batch(w.now)
+	w.attach(e.name)
+	w.cell.MarkStored(b)
+	if g := w.cell.Report(w.now, e.name, hvorder.Report{ExecutorGone: true}); g.AckedCrash != 0 {
+		t.Fatalf("crash %d of another connection is acknowledged", g.AckedCrash)
+	}
+	w.store()
+	if g := w.cell.Report(w.now, e.name, hvorder.Report{ExecutorGone: true}); g.AckedCrash != 1 {
+		t.Fatalf("acknowledged up to %d after the store, want 1", g.AckedCrash)
+	}
+}
+
+// Guards against the loss of what runs beside a suspected task: nothing else may start
+// on its host until it has run for some time.
+func TestSuspectedTasksStartApart(t *testing.T) {
+	c := newCrashCluster(t, 3)
+	deadly := c.submitDeadly(0, testStep(2, 1000))
+	c.play(t, 60*time.Millisecond)
+	if c.crashes() == 0 {
+		t.Fatal("no host crashed")
+	}
+	var others []hvjob.Job
+	for range 20 {
+		c.play(t, 500*time.Millisecond)
+		if c.stored[deadly.ID].State == hvjob.Failed {
+			break
+		}
+		others = append(others, c.submit(urgentJob(testStep(2, 1000))))
+	}
+	lost := c.innocentLosses
+	c.play(t, 20*time.Second)
+	c.expect(t, deadly, hvjob.Failed)
+	// The other task of the deadly job is lost with each crash.
+	if limit := maxCrashingStarts + 2; lost > limit {
+		t.Errorf("%d runs of other tasks were lost with their hosts, want at most %d", lost, limit)
 	}
 	for _, j := range others {
-		if s := c.stored[j.ID].State; s != hvjob.Complete {
-			t.Errorf("job beside it is %q, want it complete", s)
+		c.expect(t, j, hvjob.Complete)
+	}
+}
+
+// Guards against a burst of all waiting tasks on a host that is back after a crash: if
+// one of them crashes it again, nothing tells which one did.
+func TestStartsAreSpacedAfterCrash(t *testing.T) {
+	w := newSimCluster(t, 1)
+	e := w.hosts["host-0"]
+	e.capacityCPU = 100_000
+	w.attachAll()
+	w.submit(urgentJob(testStep(1, 1000)))
+	w.exchange()
+	w.advance(2 * time.Second)
+	e.crash()
+	w.exchange()
+	w.submit(urgentJob(testStep(40, 1000)))
+	e.start()
+	w.exchange()
+	w.exchange()
+	if n := w.runs(); n == 0 || n > maxRecoveryStarts {
+		t.Fatalf("%d tasks start at once on a host that is back after a crash, want 1 to %d", n, maxRecoveryStarts)
+	}
+	for range 30 {
+		w.advance(recoveryInterval)
+		w.exchange()
+	}
+	if n := w.runs(); n < 40 {
+		t.Fatalf("%d tasks run 3 s after the host is back, want all", n)
+	}
+}
+
+// crashLoad is a load of short jobs on a fleet of which some hosts crash without a task
+// at fault, and some jobs hold a task that crashes its hosts.
+type crashLoad struct {
+	hosts int
+	// deadlyShare is the share of deadly jobs, and crashesPerSecond the rate at which
+	// hosts crash for other reasons.
+	deadlyShare, crashesPerSecond float64
+	// ownerLosses is true if the owner is replaced every few seconds.
+	ownerLosses bool
+}
+
+// Guards against jobs that could be done and are shown as failed, and against tasks that
+// crash hosts without limit, on fleets of which hosts also crash for other reasons.
+func TestCrashingTasksAmongOtherCrashes(t *testing.T) {
+	loads := map[string]crashLoad{
+		"other reasons alone":        {hosts: 11, crashesPerSecond: 0.5},
+		"many for other reasons":     {hosts: 11, crashesPerSecond: 1.5},
+		"tasks alone":                {hosts: 11, deadlyShare: 0.1},
+		"tasks and other reasons":    {hosts: 11, deadlyShare: 0.05, crashesPerSecond: 0.5},
+		"and owners that are lost":   {hosts: 11, deadlyShare: 0.05, crashesPerSecond: 0.5, ownerLosses: true},
+		"a small fleet":              {hosts: 4, deadlyShare: 0.05, crashesPerSecond: 0.2},
+		"a larger fleet with little": {hosts: 40, deadlyShare: 0.02, crashesPerSecond: 0.5},
+	}
+	for name, load := range loads {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				playCrashLoad(t, load, rand.New(rand.NewPCG(seed, 1)))
+			})
 		}
 	}
 }
+
+func playCrashLoad(t *testing.T, load crashLoad, rnd *rand.Rand) {
+	t.Helper()
+	c := newCrashCluster(t, load.hosts)
+	var deadly, others []hvjob.Job
+	for i := range 200 {
+		c.runTime = time.Duration(300+rnd.IntN(1200)) * time.Millisecond
+		step := testStep(1+rnd.IntN(6), 500)
+		if rnd.Float64() < load.deadlyShare {
+			deadly = append(deadly, c.submitDeadly(rnd.IntN(step.Count), step))
+		} else {
+			others = append(others, c.submit(urgentJob(step)))
+		}
+		if rnd.Float64() < load.crashesPerSecond/10 {
+			name := c.names()[rnd.IntN(load.hosts)]
+			if e := c.hosts[name]; e.alive {
+				c.crashHost(e)
+			}
+		}
+		if load.ownerLosses && i%40 == 39 {
+			c.loseOwner()
+		}
+		c.play(t, 100*time.Millisecond)
+	}
+	c.play(t, 90*time.Second)
+	for _, j := range deadly {
+		c.expect(t, j, hvjob.Failed)
+	}
+	for _, j := range others {
+		c.expect(t, j, hvjob.Complete)
+	}
+	t.Logf("%d jobs with a task that crashes hosts, %d others, %d crashes, %d runs of others lost", len(deadly), len(others), c.crashes(), c.innocentLosses)
+}
--- a/hvcell/ends.go
+++ b/hvcell/ends.go
@@ -24,6 +24,9 @@
 	if t == nil || t.done {
 		return
 	}
+	if r != nil {
+		c.survivedRun(t, now.Sub(r.started))
+	}
 	if e.SavedState != "" && t.step.spec.Checkpoint {
 		t.saved = e.SavedState
 		t.progress().save(t.index, e.SavedState)
@@ -110,6 +113,7 @@
 	p := t.progress()
 	p.Done.Set(t.index)
 	delete(p.SavedStates, t.index)
+	delete(p.Crashes, t.index)
 	c.markChanged(t.step.round.job)
 	if t.step.spec.Gang {
 		return
@@ -143,6 +147,9 @@
 	if c.options.OnJobEnd != nil {
 		c.options.OnJobEnd(j.Queue, s, time.Duration(now.UnixMilli()-j.Submitted)*time.Millisecond)
 	}
+	if s == hvjob.Complete {
+		c.crashRates.Observe(now, j.Queue, false)
+	}
 	c.removeJob(now, j)
 	j.progress = hvjob.Progress{State: s, ChangedAt: now.UnixMilli()}
 	c.markChanged(j)
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -59,6 +59,9 @@
 	c.AddHost(now, name, nil)
 	h := c.hosts[name]
 	h.connected, h.dropped = true, false
+	// A node that was restarted numbers its crashes anew.
+	h.processedCrash, h.storedCrash = 0, 0
+	h.attachments++
 	if r.Host == nil {
 		// The node has not heard its executor since its own start. What is known of
 		// the host, from its registration or from before, may be out of date.
@@ -92,13 +95,13 @@
 	if r.Host != nil {
 		h.setInfo(now, *r.Host)
 	}
-	c.logCrashes(h, r.Crashes)
+	c.handleCrashes(now, h, r.Crashes)
 	if r.ExecutorGone {
 		c.loseRuns(now, h, "executor has ended")
 		h.incarnation, h.reconciled, h.leaseExpiry = "", true, now
 	}
 	if r.Incarnation != "" && r.Incarnation != h.incarnation {
-		h.resetIncarnation(r.Incarnation)
+		h.resetIncarnation(now, r.Incarnation)
 	}
 	for _, e := range r.Ended {
 		if e.Number > h.processedEnd {
@@ -126,13 +129,18 @@
 	if r.Full {
 		c.reconcile(now, h, r)
 	}
-	return c.grant(now, h, r)
+	g := c.grant(now, h, r)
+	g.AckedCrash = h.storedCrash
+	return g
 }
 
 // resetIncarnation records a new incarnation of the executor. A run that was ordered
 // around the restart may run in the new incarnation, so runs are kept until its full
 // lists are reconciled.
-func (h *host) resetIncarnation(incarnation string) {
+func (h *host) resetIncarnation(now time.Time, incarnation string) {
+	if h.crashedIncarnation != "" {
+		h.recoveringUntil = now.Add(recoveryTime)
+	}
 	h.incarnation, h.clock, h.leaseEnd = incarnation, 0, 0
 	h.processedEnd, h.storedEnd, h.ackedEnd = 0, 0, 0
 	h.reconciled = false
@@ -236,7 +244,7 @@
 		return
 	}
 	r := c.allocate(now, h, t, ref.Run)
-	r.saved = saved
+	r.saved, r.adopted = saved, true
 	t.nextRun = max(t.nextRun, ref.Run+1)
 	t.step.nextRun = max(t.step.nextRun, ref.Run+1)
 	h.orders.Profiles = append(h.orders.Profiles, profile(r))
@@ -289,6 +297,7 @@
 		}
 	}
 	c.markSavedStates(now)
+	c.updateRisk(now)
 	c.checkStragglers(now)
 	c.migrateThrottled(now)
 }
--- a/hvcell/interference.go
+++ b/hvcell/interference.go
@@ -4,6 +4,7 @@
 	"math"
 	"slices"
 
+	"hibiscusvane.example/hibiscusvane/hvcrash"
 	"hibiscusvane.example/hibiscusvane/hvinterference"
 	"hibiscusvane.example/hibiscusvane/hvjob"
 	"hibiscusvane.example/hibiscusvane/hvorder"
@@ -32,11 +33,15 @@
 type LearnedState struct {
 	Effects  hvinterference.Effects  `json:"effects,omitempty"`
 	RunTimes map[string]RunTimeStats `json:"times,omitempty"`
+	// HostCrashes holds the recent crashes of hosts, and CrashRates the numbers of jobs
+	// that crash hosts, by queue.
+	HostCrashes []hvcrash.HostCrash          `json:"crashes,omitempty"`
+	CrashRates  map[string]hvcrash.QueueRate `json:"crashrates,omitempty"`
 }
 
 // LearnedState returns a copy of the learned models.
 func (c *Cell) LearnedState() LearnedState {
-	l := LearnedState{Effects: c.interference.Effects(), RunTimes: map[string]RunTimeStats{}}
+	l := LearnedState{Effects: c.interference.Effects(), RunTimes: map[string]RunTimeStats{}, HostCrashes: c.crashHistory.State(), CrashRates: c.crashRates.State()}
 	for queue, h := range c.estimate.queues {
 		l.RunTimes[queue] = *h
 	}
@@ -46,6 +51,8 @@
 // Restore starts from the models of the previous owner.
 func (c *Cell) Restore(l LearnedState) {
 	c.interference.Restore(l.Effects)
+	c.crashHistory.Restore(l.HostCrashes)
+	c.crashRates.Restore(l.CrashRates)
 	for queue, h := range l.RunTimes {
 		c.estimate.queues[queue] = &h
 	}
--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -52,12 +52,14 @@
 	for _, h := range c.hosts {
 		h.reserved = hvjob.Resources{}
 	}
-	for _, cand := range c.candidates(now, hosts) {
+	list := c.candidates(now, hosts)
+	held := c.startTrials(now, list, hosts)
+	for _, cand := range list {
 		if cand.step.spec.Gang {
 			c.placeGang(now, cand.step, hosts)
 			continue
 		}
-		c.placeTasks(now, cand.step, hosts)
+		c.placeTasks(now, cand.step, hosts, held)
 	}
 }
 
@@ -142,8 +144,9 @@
 	return out
 }
 
-// placeTasks starts the waiting tasks of a step for which a host has capacity.
-func (c *Cell) placeTasks(now time.Time, s *step, hosts []*host) {
+// placeTasks starts the waiting tasks of a step for which a host has capacity, other
+// than held ones.
+func (c *Cell) placeTasks(now time.Time, s *step, hosts []*host, held map[*task]bool) {
 	placed := 0
 	starved := s.isStarved(now)
 	// full is true once no host was found for a task without avoided hosts.
@@ -152,7 +155,7 @@
 		if s.waiting == 0 {
 			break
 		}
-		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) {
+		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) || held[t] {
 			continue
 		}
 		if full && len(t.avoidedHosts) == 0 {
@@ -211,7 +214,7 @@
 // placeGang starts either all tasks of a gang or none. A tightly coupled gang is
 // placed within one rack if possible.
 func (c *Cell) placeGang(now time.Time, s *step, hosts []*host) {
-	if s.waiting < len(s.tasks) || now.Before(s.tasks[0].notBefore) {
+	if s.waiting < len(s.tasks) || now.Before(s.tasks[0].notBefore) || s.isRisky() && !s.round.job.crashesStored() {
 		return
 	}
 	if s.spec.TightlyCoupled {
--- a/hvcell/simcluster_test.go
+++ b/hvcell/simcluster_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -37,6 +38,9 @@
 	savedStates bool
 	// evacuated holds the evacuated zones.
 	evacuated []string
+	// learned is the stored learned state, as of learnedAt.
+	learned   LearnedState
+	learnedAt time.Time
 	// done holds the tasks with a done end that was acknowledged.
 	done map[string]bool
 }
@@ -103,6 +107,7 @@
 	if !w.noCatalog {
 		w.cell.SetCatalog(hvjob.NewCatalog(1, slices.Collect(maps.Values(queues)), []hvjob.Service{{Name: "desk", EnforcesCapacity: true}}, hvjob.Limits{}))
 	}
+	w.cell.Restore(w.learned)
 	w.cell.SetEvacuated(w.evacuated)
 	for name := range w.hosts {
 		w.cell.AddHost(w.now, name, nil)
@@ -186,7 +191,7 @@
 // report returns a report of the node; a full one has the lists that a node sends
 // when the owner attaches.
 func (e *executor) report(full bool) hvorder.Report {
-	r := hvorder.Report{Node: e.name, ExecutorGone: !e.alive, Host: &hvorder.Host{ID: idOf(e.name), Incarnation: e.incarnationName(), Service: "desk", Zone: zoneOf(e.name), Rack: "r1-1", Capacity: hvjob.Resources{CPU: e.capacityCPU, Memory: 1 << 20}}}
+	r := hvorder.Report{Node: e.name, ExecutorGone: !e.alive, Host: &hvorder.Host{ID: idOf(e.name), Incarnation: e.incarnationName(), Service: "desk", Zone: zoneOf(e.name), Rack: rackOf(e.name), Capacity: hvjob.Resources{CPU: e.capacityCPU, Memory: 1 << 20}}}
 	r.Crashes = slices.Clone(e.crashes)
 	if !e.alive {
 		return r
@@ -217,6 +222,12 @@
 	return "south"
 }
 
+// rackOf returns the rack of a host: three hosts are in one.
+func rackOf(host string) string {
+	n, _ := strconv.Atoi(strings.TrimPrefix(host, "host-"))
+	return fmt.Sprintf("r1-%d", 1+n/3)
+}
+
 // evacuate replaces the set of evacuated zones.
 func (w *simCluster) evacuate(zones ...string) {
 	w.evacuated = zones
@@ -279,7 +290,13 @@
 	}
 }
 
+// learnedStoreInterval is the interval at which owners store their learned state.
+const learnedStoreInterval = 2 * time.Second
+
 func (w *simCluster) store() {
+	if w.now.Sub(w.learnedAt) >= learnedStoreInterval {
+		w.learned, w.learnedAt = w.cell.LearnedState(), w.now
+	}
 	b, ok := w.cell.Batch(w.now)
 	if !ok {
 		return
--- a/hvcell/start.go
+++ b/hvcell/start.go
@@ -26,6 +26,10 @@
 		start.Ticket, _ = t.step.ticket(now, h)
 	}
 	h.orders.Starts = append(h.orders.Starts, start)
+	h.countStart(now)
+	if t.step.isRisky() {
+		h.riskyUntil = now.Add(riskyTime)
+	}
 	h.addSpec(j)
 	c.counts.Starts++
 	c.markJobRunning(j)
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -32,6 +32,11 @@
 	// unstoredStates is true while saved states of its runs wait to be marked as
 	// changed.
 	unstoredStates bool
+	// taskCount is the number of tasks of one round.
+	taskCount int
+	// crashVersion counts the changes of what is known of crashes under its tasks, and
+	// storedCrashVersion those that are stored.
+	crashVersion, storedCrashVersion int
 }
 
 type round struct {
@@ -62,6 +67,11 @@
 	// waitLogged is true once the reason why tasks wait was logged, at waitingSince.
 	waitLogged   bool
 	waitingSince time.Time
+	// risk is the probability that the waiting tasks crash the host that starts them.
+	risk float64
+	// suspectedSince is when tasks of the step were first to start apart from others, or
+	// last did so.
+	suspectedSince time.Time
 	// advice is used if hosts need a ticket to run the step.
 	advice advice
 }
@@ -74,8 +84,6 @@
 	runs    []*run
 	nextRun int
 	saved   string
-	// crashedRuns counts the runs that may have been on a host when it crashed.
-	crashedRuns int
 	// avoidedHosts holds the hosts on which a run failed, stalled or could not start.
 	avoidedHosts map[string]bool
 	// abandonedRuns counts the runs that were stopped as stalled or as stragglers.
@@ -103,6 +111,8 @@
 	started    time.Time
 	allocation hvjob.Resources
 	saved      string
+	// adopted is true if an earlier owner started the run.
+	adopted bool
 }
 
 func (r *run) ref() hvorder.Run { return hvorder.Run{Task: r.task.name, Run: r.number} }
@@ -147,7 +157,26 @@
 	// the last one whose effect is stored, and ackedEnd that of the last one that was
 	// acknowledged to the node.
 	processedEnd, storedEnd, ackedEnd int64
-	orders                            hvorder.Orders
+	// processedCrash is the number of the last crash that was processed and storedCrash
+	// that of the last one whose effect is stored, on the present connection, which
+	// attachments counts.
+	processedCrash, storedCrash int64
+	attachments                 int
+	// crashedIncarnation is the incarnation of the last crash that was processed, at
+	// crashedAt.
+	crashedIncarnation string
+	crashedAt          time.Time
+	// trialJob is the job whose suspected tasks were started last, and nothing else
+	// starts on the host until trialUntil.
+	trialJob   *job
+	trialUntil time.Time
+	// recoveringUntil is until when starts are limited after a crash; startWindow is the
+	// begin of the present interval and startsInWindow the number of starts in it.
+	recoveringUntil, startWindow time.Time
+	startsInWindow               int
+	// riskyUntil is until when other tasks avoid the host because of a risky one.
+	riskyUntil time.Time
+	orders     hvorder.Orders
 }
 
 func (h *host) free() hvjob.Resources { return h.info.Capacity.Sub(h.allocated) }
--- a/hvcell/store.go
+++ b/hvcell/store.go
@@ -19,6 +19,14 @@
 	DroppedNodes []string
 	// ends holds the last end of each host that the batch covers.
 	ends map[*host]hostEnd
+	// crashes holds the last crash of each host that the batch covers.
+	crashes map[*host]crashNumber
+}
+
+// crashNumber is the number of a crash on one connection of a node.
+type crashNumber struct {
+	attachment int
+	number     int64
 }
 
 // hostEnd is the number of an end in the list of one incarnation.
@@ -31,6 +39,8 @@
 type JobProgress struct {
 	Job      string
 	Progress hvjob.Progress
+	// crashVersion is the crashVersion of the job.
+	crashVersion int
 }
 
 // maxBatch is the maximum number of jobs in a batch.
@@ -39,11 +49,11 @@
 // Batch returns the changes since the last batch. It reports false if there is
 // nothing to store and no end to acknowledge.
 func (c *Cell) Batch(now time.Time) (Batch, bool) {
-	b := Batch{ends: map[*host]hostEnd{}}
+	b := Batch{ends: map[*host]hostEnd{}, crashes: map[*host]crashNumber{}}
 	n := min(len(c.changed), maxBatch)
 	for _, j := range c.changed[:n] {
 		j.changed = false
-		b.Progress = append(b.Progress, JobProgress{j.ID, j.progress.Clone()})
+		b.Progress = append(b.Progress, JobProgress{j.ID, j.progress.Clone(), j.crashVersion})
 	}
 	c.changed = c.changed[n:]
 	if len(c.changed) == 0 {
@@ -52,11 +62,14 @@
 			if h.processedEnd > h.storedEnd {
 				b.ends[h] = hostEnd{h.incarnation, h.processedEnd}
 			}
+			if h.processedCrash > h.storedCrash {
+				b.crashes[h] = crashNumber{h.attachments, h.processedCrash}
+			}
 		}
 	}
 	b.ExpiredJobs = c.expireJobs(now, n)
 	b.DroppedNodes = c.dropStaleHosts(now)
-	return b, len(b.Progress)+len(b.ExpiredJobs)+len(b.DroppedNodes)+len(b.ends) > 0
+	return b, len(b.Progress)+len(b.ExpiredJobs)+len(b.DroppedNodes)+len(b.ends)+len(b.crashes) > 0
 }
 
 // dropDelay is the time after the expiry of its leases at which a disconnected node
@@ -94,16 +107,28 @@
 	var out []string
 	for len(c.ended) > 0 && used+len(out) < maxBatch && now.Sub(c.ended[0].at) > 2*c.options.Retention {
 		out = append(out, c.ended[0].id)
+		delete(c.givenUp, c.ended[0].id)
 		c.ended = c.ended[1:]
 	}
 	return out
 }
 
-// MarkStored allows the ends that a stored batch covers to be acknowledged.
+// MarkStored allows the ends and crashes that a stored batch covers to be
+// acknowledged, and the start of tasks whose crashes it holds.
 func (c *Cell) MarkStored(b Batch) {
 	for h, s := range b.ends {
 		if h.incarnation == s.incarnation {
 			h.storedEnd = max(h.storedEnd, s.number)
 		}
 	}
+	for h, s := range b.crashes {
+		if h.attachments == s.attachment {
+			h.storedCrash = max(h.storedCrash, s.number)
+		}
+	}
+	for _, p := range b.Progress {
+		if j := c.jobs[p.Job]; j != nil {
+			j.storedCrashVersion = max(j.storedCrashVersion, p.crashVersion)
+		}
+	}
 }
--- a/hvjob/job.go
+++ b/hvjob/job.go
@@ -134,6 +134,15 @@
 // Rounds returns the number of times that the steps run.
 func (j Job) Rounds() int { return max(j.Repetitions, 1) }
 
+// TaskCount returns the number of tasks of one round.
+func (j Job) TaskCount() int {
+	total := 0
+	for _, s := range j.Steps {
+		total += s.Count
+	}
+	return total
+}
+
 // Due returns the Unix time in milliseconds at which a round may start.
 func (j Job) Due(round int) int64 {
 	if j.Repetitions == 0 {
@@ -163,14 +172,12 @@
 	case j.Repetitions < 0 || j.Interval < 0:
 		return invalid("check", "times: negative")
 	}
-	total := 0
 	for i, s := range j.Steps {
 		if err := s.check(i); err != nil {
 			return err
 		}
-		total += s.Count
 	}
-	if total > maxTasks {
+	if total := j.TaskCount(); total > maxTasks {
 		return invalid("check", "steps: %d tasks, the limit is %d", total, maxTasks)
 	}
 	return nil
--- a/hvjob/progress.go
+++ b/hvjob/progress.go
@@ -1,6 +1,9 @@
 package hvjob
 
-import "maps"
+import (
+	"maps"
+	"slices"
+)
 
 // State is the state of a job as callers see it.
 type State string
@@ -46,6 +49,52 @@
 	FailedRuns map[int][]int `json:"failed,omitempty"`
 	// SavedStates holds the last known saved state by the index of the task.
 	SavedStates map[int]string `json:"saved,omitempty"`
+	// Crashes holds what is known of tasks whose hosts crashed, by the index of the task.
+	Crashes map[int]CrashRecord `json:"crashes,omitempty"`
+}
+
+// CrashRecord is what is known of a task that was on hosts when they crashed. It is
+// immutable.
+type CrashRecord struct {
+	// Runs lists the runs that were on a host when it crashed, and Unconfirmed those
+	// whose start the host had not confirmed.
+	Runs        []int `json:"runs,omitempty"`
+	Unconfirmed []int `json:"unconfirmed,omitempty"`
+	// Unexplained counts the crashes soon after a start in which the task was suspected
+	// and for which no other task is to blame.
+	Unexplained int `json:"unexplained,omitempty"`
+	// Suspected is true if, should a task have caused the last crash, it was probably one
+	// of its job.
+	Suspected bool `json:"suspected,omitempty"`
+	// Belief is the probability that the task crashes the hosts that start it.
+	Belief float64 `json:"belief"`
+}
+
+// Has reports whether a run is in the record.
+func (r CrashRecord) Has(run int) bool {
+	return slices.Contains(r.Runs, run) || slices.Contains(r.Unconfirmed, run)
+}
+
+// IsLast reports whether a run is the last one in the record.
+func (r CrashRecord) IsLast(run int) bool {
+	later := func(other int) bool { return other > run }
+	return r.Has(run) && !slices.ContainsFunc(r.Runs, later) && !slices.ContainsFunc(r.Unconfirmed, later)
+}
+
+// WithRun returns a copy with one more run.
+func (r CrashRecord) WithRun(run int, confirmed bool) CrashRecord {
+	if confirmed {
+		r.Runs = append(slices.Clone(r.Runs), run)
+	} else {
+		r.Unconfirmed = append(slices.Clone(r.Unconfirmed), run)
+	}
+	return r
+}
+
+// WithBelief returns a copy with another belief.
+func (r CrashRecord) WithBelief(belief float64) CrashRecord {
+	r.Belief = belief
+	return r
 }
 
 // Check returns an error if the progress does not fit the job.
@@ -78,6 +127,11 @@
 			return invalid("progress", "saved state of task %d of %d", i, tasks)
 		}
 	}
+	for i, r := range p.Crashes {
+		if i < 0 || i >= tasks || r.Belief < 0 || r.Belief > 1 {
+			return invalid("progress", "crashes of task %d of %d with belief %v", i, tasks, r.Belief)
+		}
+	}
 	return nil
 }
 
@@ -95,7 +149,7 @@
 func (r RoundProgress) clone() RoundProgress {
 	out := RoundProgress{Steps: make([]StepProgress, len(r.Steps))}
 	for i, s := range r.Steps {
-		out.Steps[i] = StepProgress{Done: append(Bitset(nil), s.Done...), FailedRuns: maps.Clone(s.FailedRuns), SavedStates: maps.Clone(s.SavedStates)}
+		out.Steps[i] = StepProgress{Done: append(Bitset(nil), s.Done...), FailedRuns: maps.Clone(s.FailedRuns), SavedStates: maps.Clone(s.SavedStates), Crashes: maps.Clone(s.Crashes)}
 	}
 	return out
 }
--- a/hvnode/crash.go
+++ b/hvnode/crash.go
@@ -26,8 +26,8 @@
 type crashTracker struct {
 	// runs holds the runs that may be on the executor.
 	runs map[hvorder.Run]startedRun
-	// lastResponse is when the executor last listed its runs, and failedAt when the
-	// first call after it failed, or zero.
+	// lastResponse is when the executor last responded, and failedAt when the first call
+	// after it failed, or zero.
 	lastResponse, failedAt time.Time
 	// uncertainty is the time before failedAt in which the executor may have ended.
 	uncertainty time.Duration
@@ -57,8 +57,14 @@
 	}
 }
 
+// responded records a response of the executor.
+func (c *crashTracker) responded(now time.Time) {
+	c.lastResponse, c.failedAt, c.uncertainty = now, time.Time{}, 0
+}
+
 // confirm records that the executor has responded to the start of a run.
-func (c *crashTracker) confirm(run hvorder.Run) {
+func (c *crashTracker) confirm(now time.Time, run hvorder.Run) {
+	c.responded(now)
 	r, ok := c.runs[run]
 	if !ok {
 		return
@@ -73,7 +79,7 @@
 // listed records the lists of the executor. Unless complete is set, runs that are not
 // in them may have started since.
 func (c *crashTracker) listed(now time.Time, state hv.ExecutorState, complete bool) {
-	c.lastResponse, c.failedAt, c.uncertainty = now, time.Time{}, 0
+	c.responded(now)
 	current := make(map[hvorder.Run]startedRun, len(state.Running))
 	for _, r := range state.Running {
 		known := c.runs[runOf(r)]
@@ -93,16 +99,21 @@
 	c.runs = current
 }
 
-// failed records a call that got no response. Until it failed a connection was open,
-// unless the executor did not respond in time or refused the connection.
+// maxNoticeDelay is the time that a node under load takes to notice that a connection
+// has ended.
+const maxNoticeDelay = 50 * time.Millisecond
+
+// failed records a call that got no response. Until shortly before, a connection was
+// open, unless the executor did not respond in time or refused the connection.
 func (c *crashTracker) failed(now time.Time, err error) {
 	refused := hv.KindOf(err) == hv.NotFound
 	if !c.failedAt.IsZero() || hv.KindOf(err) != hv.Uncertain && !refused {
 		return
 	}
 	c.failedAt = now
-	if isTimeout(err) || refused {
-		c.uncertainty = now.Sub(c.lastResponse)
+	c.uncertainty = now.Sub(c.lastResponse)
+	if !isTimeout(err) && !refused {
+		c.uncertainty = min(c.uncertainty, maxNoticeDelay)
 	}
 }
 
--- a/hvnode/crash_test.go
+++ b/hvnode/crash_test.go
@@ -41,7 +41,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.crash.startSent(n.deps.Clock.Now(), run)
-	n.crash.confirm(run)
+	n.crash.confirm(n.deps.Clock.Now(), run)
 }
 
 // refuse makes the executor refuse connections until the node takes it for ended.
@@ -73,7 +73,7 @@
 	n.handleRenewError(errorOfKind(hv.Uncertain), 0)
 	clock.advance(300 * time.Millisecond)
 	// A start that is sent to the executor after its end is no part of the crash.
-	n.startNow(namedRun("3"))
+	n.crash.startSent(clock.now, namedRun("3"))
 	n.refuse()
 	crashes := n.crash.unreported()
 	if len(crashes) != 1 || len(crashes[0].Runs) != 3 {
--- a/hvnode/orders.go
+++ b/hvnode/orders.go
@@ -113,6 +113,7 @@
 			n.applyInitialShare(ctx, run, s.Epoch)
 			return
 		}
+		n.recordFailedStart(err)
 		kind := hv.KindOf(err)
 		if kind == hv.Expired {
 			err = n.checkUsedRun(ctx, run, s.Epoch, err)
@@ -183,11 +184,18 @@
 	}
 }
 
+// recordFailedStart records a start that got no response.
+func (n *Node) recordFailedStart(err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.crash.failed(n.deps.Clock.Now(), err)
+}
+
 // confirmStart records that the executor has responded to a start.
 func (n *Node) confirmStart(run hvorder.Run) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.crash.confirm(run)
+	n.crash.confirm(n.deps.Clock.Now(), run)
 }
 
 // endStart removes a pending start and reports the refusal, if there is one.
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -280,6 +280,7 @@
 	m.Set("hv_cell_lost", c.Lost)
 	m.Set("hv_cell_refused", c.Refused)
 	m.Set("hv_cell_crashes", c.Crashes)
+	m.Set("hv_cell_given_up", c.GivenUp)
 }
 
 // flushLoop stores progress, and sends heartbeats while there is none.
