Report an ended executor sooner and send it no more work meanwhile

What callers saw: after a crash of an executor the owner sent it the tasks of other jobs for a third of a second, as the host looked the emptiest; each was refused and waited 0.2 s more. Cause: a side waits 150 ms after each failed call, and needs two refused connections after the one on which the connection broke. The owner took a refusal because there is no executor like any other: it delayed the task and used the host again. Ruled out: the connection itself (its end is seen within milliseconds). Change: the first calls after a failure follow each other in 20 ms; the owner leaves a host alone for 0.5 s once its executor was not found, and such a task starts elsewhere at once. TestEndedExecutorIsReportedSoon (300 ms, limit 100 ms) and TestNothingStartsOnUnreachableHost failed before.

--- a/hvcell/cell_test.go
+++ b/hvcell/cell_test.go
@@ -79,6 +79,36 @@
 	}
 }
 
+// Guards against tasks that are sent one after the other to a host whose executor has
+// ended, and wait each time, until its node reports the end.
+func TestNothingStartsOnUnreachableHost(t *testing.T) {
+	w := newSimCluster(t, 2)
+	w.attachAll()
+	w.hosts["host-1"].capacityCPU = 1000
+	w.exchange()
+	w.submit(urgentJob(testStep(1, 1000)))
+	w.cell.Plan(w.now)
+	o, ok := w.cell.Orders("host-0")
+	if !ok || len(o.Starts) != 1 {
+		t.Fatalf("orders are %+v, want a start on the larger host", o)
+	}
+	w.cell.Report(w.now, "host-0", hvorder.Report{Refused: []hvorder.Refusal{{Run: o.Starts[0].Run, Kind: hv.NotFound}}})
+	w.submit(urgentJob(testStep(1, 1000)))
+	w.cell.Plan(w.now)
+	if o, _ := w.cell.Orders("host-0"); len(o.Starts) > 0 {
+		t.Errorf("%d tasks start on a host whose executor was not found", len(o.Starts))
+	}
+	if o := w.deliver("host-1"); len(o.Starts) != 1 {
+		t.Errorf("%d tasks start on the other host at once, want 1", len(o.Starts))
+	}
+	w.hosts["host-0"].start()
+	w.exchange()
+	w.exchange()
+	if n := w.runs(); n != 2 {
+		t.Errorf("%d tasks run after the executor is back, want both", n)
+	}
+}
+
 // Guards against two runs of one task when an order was delayed: the run must be
 // blocked before the task starts elsewhere.
 func TestRunOfDelayedOrderIsBlockedFirst(t *testing.T) {
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -138,6 +138,7 @@
 // around the restart may run in the new incarnation, so runs are kept until its full
 // lists are reconciled.
 func (h *host) resetIncarnation(now time.Time, incarnation string) {
+	h.unreachableUntil = time.Time{}
 	if h.crashedIncarnation != "" {
 		h.recoveringUntil = now.Add(recoveryTime)
 	}
@@ -182,6 +183,9 @@
 	}
 }
 
+// unreachableTime is how long no task starts on a host whose executor was not found.
+const unreachableTime = 500 * time.Millisecond
+
 // handleRefusal releases a run whose start the executor refused.
 func (c *Cell) handleRefusal(now time.Time, h *host, f hvorder.Refusal) {
 	r := h.runs[f.Run]
@@ -189,7 +193,12 @@
 		return
 	}
 	c.counts.Refused++
-	r.task.notBefore = now.Add(retryDelay)
+	if f.Kind == hv.NotFound {
+		// The executor has ended; its node reports that shortly after.
+		h.unreachableUntil = now.Add(unreachableTime)
+	} else {
+		r.task.notBefore = now.Add(retryDelay)
+	}
 	if f.Kind == hv.Expired {
 		// The ticket may have been the reason, so a new one is requested.
 		delete(r.task.step.advice.tickets, h.name)
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -170,6 +170,8 @@
 	// starts on the host until trialUntil.
 	trialJob   *job
 	trialUntil time.Time
+	// unreachableUntil is until when no task starts because the executor was not found.
+	unreachableUntil time.Time
 	// recoveringUntil is until when starts are limited after a crash; startWindow is the
 	// begin of the present interval and startsInWindow the number of starts in it.
 	recoveringUntil, startWindow time.Time
--- a/hvnode/crash_test.go
+++ b/hvnode/crash_test.go
@@ -153,6 +153,23 @@
 	}
 }
 
+// Guards against an owner that sends work to an executor for a third of a second after
+// it has ended, because the node waits between the calls that show it: one on which the
+// connection ends and maxRefusedConnections that are refused.
+func TestEndedExecutorIsReportedSoon(t *testing.T) {
+	const limit = 100 * time.Millisecond
+	waited := time.Duration(0)
+	for failures := 1; failures <= maxRefusedConnections; failures++ {
+		waited += retryInterval(failures)
+	}
+	if waited > limit {
+		t.Fatalf("a node waits %v until it reports an ended executor, want at most %v", waited, limit)
+	}
+	if d := retryInterval(100); d < failedRetryInterval {
+		t.Fatalf("a node calls an executor that has long ended every %v, want at least %v", d, failedRetryInterval)
+	}
+}
+
 // Guards against an executor that stops responding and is taken for one that ended
 // when the connection broke: the time of its end is then not known.
 func TestUncertaintyOfCrashTime(t *testing.T) {
--- a/hvnode/renew.go
+++ b/hvnode/renew.go
@@ -25,6 +25,11 @@
 	// failedRetryInterval is the time between retries of a failed renewal or
 	// registration.
 	failedRetryInterval = 150 * time.Millisecond
+	// firstRetryInterval replaces failedRetryInterval for the first firstRetries failures in
+	// a row: until the owner knows that an executor has ended, it sends more work there, and
+	// what ran there waits.
+	firstRetryInterval = 20 * time.Millisecond
+	firstRetries       = 4
 	// maxRefusedConnections is the number of consecutive refused connections after
 	// which the node considers the executor to have ended.
 	maxRefusedConnections = 2
@@ -32,7 +37,7 @@
 
 // renewLoop renews the leases at the executor and keeps the state in the response.
 func (n *Node) renewLoop(ctx context.Context) {
-	refused := 0
+	refused, failures := 0, 0
 	for ctx.Err() == nil {
 		renewal, version, ready := n.nextRenewal()
 		if !ready {
@@ -42,10 +47,11 @@
 		state, err := n.deps.Executor.RenewLeases(ctx, renewal)
 		if err != nil {
 			refused = n.handleRenewError(err, refused)
-			n.waitRenew(ctx, failedRetryInterval)
+			failures++
+			n.waitRenew(ctx, retryInterval(failures))
 			continue
 		}
-		refused = 0
+		refused, failures = 0, 0
 		n.applyState(state, version)
 		n.adjustShares(ctx, state)
 		if n.hasUnreported() {
@@ -57,6 +63,15 @@
 	}
 }
 
+// retryInterval returns the time before the next renewal after a number of failures in a
+// row.
+func retryInterval(failures int) time.Duration {
+	if failures <= firstRetries {
+		return firstRetryInterval
+	}
+	return failedRetryInterval
+}
+
 // waitRenew waits for d or until a renewal is due earlier.
 func (n *Node) waitRenew(ctx context.Context, d time.Duration) {
 	hvtick.Wait(ctx, n.wakeRenew, d)
