Show a job as running only once a host has begun a task of it

Cause: the owner stored the state running with the order of the first start. The start may be refused, as by a host whose executor has ended, or lost, and the job then waits without being counted. Change: a side reports the jobs of which its executor has confirmed a start, at the latest with its next report; the order changes nothing. Lists, ends and crashes say so as well. JobOf of hvjob replaces its copy in hvnode. TestJobIsQueuedUntilTaskBegins failed before in all four cases; TestBegunJobsAreReported guards the report.

--- a/hvcell/cell_test.go
+++ b/hvcell/cell_test.go
@@ -621,3 +621,48 @@
 		t.Fatalf("%d starts after the announcement, want 1", len(o.Starts))
 	}
 }
+
+// Guards against a job that is counted as running although no host has begun any of its
+// tasks: callers are told how many jobs wait.
+func TestJobIsQueuedUntilTaskBegins(t *testing.T) {
+	refused := func(w *simCluster, o hvorder.Orders) {
+		w.cell.Report(w.now, "host-0", hvorder.Report{Refused: []hvorder.Refusal{{Run: o.Starts[0].Run, Kind: hv.Full}}})
+	}
+	for name, lose := range map[string]func(w *simCluster, o hvorder.Orders){
+		"ordered": func(*simCluster, hvorder.Orders) {},
+		"refused": refused,
+		"executor gone": func(w *simCluster, _ hvorder.Orders) {
+			w.cell.Report(w.now, "host-0", hvorder.Report{ExecutorGone: true})
+		},
+		"owner lost": func(w *simCluster, _ hvorder.Orders) {
+			w.store()
+			w.replaceOwner()
+			w.attachAll()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newSimCluster(t, 1)
+			w.attachAll()
+			j := w.submit(urgentJob(testStep(1, 1000)))
+			w.cell.Plan(w.now)
+			o, ok := w.cell.Orders("host-0")
+			if !ok || len(o.Starts) != 1 {
+				t.Fatalf("orders are %+v, want one start", o)
+			}
+			lose(w, o)
+			w.store()
+			if s := w.stored[j.ID].State; s != "" && s != hvjob.Queued {
+				t.Fatalf("job is %q although no task has begun", s)
+			}
+			if name == "ordered" {
+				w.hosts["host-0"].applyOrders(o)
+			}
+			w.advance(time.Second)
+			w.exchange()
+			w.exchange()
+			if s := w.stored[j.ID].State; w.runs() != 1 || s != hvjob.Running {
+				t.Fatalf("job is %q with %d runs, want it running with one", s, w.runs())
+			}
+		})
+	}
+}
--- a/hvcell/crash.go
+++ b/hvcell/crash.go
@@ -145,7 +145,7 @@
 	var blamed []hvcrash.Run
 	for _, r := range k.Runs {
 		age := c.ageOf(now, h, r)
-		if id, err := hvjob.ParseTask(r.Task); err == nil && c.givenUp[id.Job] {
+		if c.givenUp[hvjob.JobOf(r.Task)] {
 			blamed = append(blamed, hvcrash.Run{Belief: giveUpBelief, Age: age})
 			continue
 		}
@@ -154,6 +154,9 @@
 			continue
 		}
 		record := t.crashRecord()
+		if !r.Unconfirmed {
+			c.markJobRunning(t.step.round.job)
+		}
 		out = append(out, suspect{task: t, run: r, input: hvcrash.Run{Belief: c.belief(now, t), Age: age}, before: record, counted: record.Has(r.Run.Run)})
 	}
 	inputs := make([]hvcrash.Run, 0, len(out)+len(blamed))
--- a/hvcell/crash_test.go
+++ b/hvcell/crash_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -155,13 +154,13 @@
 // breakGangs ends the other members of the gangs of lost runs, as executors do.
 func (c *crashCluster) breakGangs(lost map[string]int) {
 	for task := range lost {
-		job, _, _ := strings.Cut(task, ".")
+		job := hvjob.JobOf(task)
 		if !c.gangs[job] {
 			continue
 		}
 		for _, e := range c.hosts {
 			for other, run := range e.running {
-				if _, ok := lost[other]; !ok && strings.HasPrefix(other, job) {
+				if _, ok := lost[other]; !ok && hvjob.JobOf(other) == job {
 					e.end(other, run, hv.EndGangBroken)
 				}
 			}
--- a/hvcell/ends.go
+++ b/hvcell/ends.go
@@ -24,6 +24,7 @@
 	if t == nil || t.done {
 		return
 	}
+	c.markJobRunning(t.step.round.job)
 	if r != nil {
 		c.survivedRun(t, now.Sub(r.started))
 	}
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -125,6 +125,7 @@
 	h.cpuShare = fullShare + r.ShareOffset
 	h.updateThrottled(now)
 	c.observeInterference(r)
+	c.markJobsRunning(r)
 	c.recordSavedStates(h, r.Running)
 	if r.Full {
 		c.reconcile(now, h, r)
@@ -165,6 +166,23 @@
 	return hvorder.Grant{LeaseEnd: h.leaseEnd, AckedEnd: h.storedEnd, Effects: c.effects(h)}
 }
 
+// markJobsRunning changes the state of the jobs of which a host has begun a run.
+func (c *Cell) markJobsRunning(r hvorder.Report) {
+	for _, id := range r.Began {
+		c.markBegun(id)
+	}
+	for _, row := range r.Running {
+		c.markBegun(hvjob.JobOf(row.Task))
+	}
+}
+
+// markBegun changes the state of a job, if it has not ended, to running.
+func (c *Cell) markBegun(id string) {
+	if j := c.jobs[id]; j != nil {
+		c.markJobRunning(j)
+	}
+}
+
 // recordSavedStates keeps the newest saved states of runs, from which their tasks
 // resume if the host is lost.
 func (c *Cell) recordSavedStates(h *host, rows []hv.RunState) {
@@ -257,8 +275,6 @@
 	t.nextRun = max(t.nextRun, ref.Run+1)
 	t.step.nextRun = max(t.step.nextRun, ref.Run+1)
 	h.orders.Profiles = append(h.orders.Profiles, profile(r))
-	j := t.step.round.job
-	c.markJobRunning(j)
 }
 
 // allocate adds a run and its resources to its host.
--- a/hvcell/simcluster_test.go
+++ b/hvcell/simcluster_test.go
@@ -341,7 +341,9 @@
 	for _, s := range o.Starts {
 		if !e.begin(s) {
 			report.Refused = append(report.Refused, hvorder.Refusal{Run: s.Run, Kind: hv.Expired})
+			continue
 		}
+		report.Began = append(report.Began, hvjob.JobOf(s.Task))
 	}
 	report.Incarnation, report.Clock = e.incarnationName(), e.clock()
 	report.Ended = append(report.Ended, e.ended...)
--- a/hvcell/start.go
+++ b/hvcell/start.go
@@ -32,7 +32,6 @@
 	}
 	h.addSpec(j)
 	c.counts.Starts++
-	c.markJobRunning(j)
 	_ = level.Debug(c.options.Logger).Log("msg", "start of a run was ordered", "task", t.name, "run", r.number, "host", h.name, "free", h.free().CPU)
 }
 
@@ -65,7 +64,8 @@
 	return j.Spec, true
 }
 
-// markJobRunning changes the state of a job to running with its first run.
+// markJobRunning changes the state of a job to running once a host has begun a run of
+// it. An order alone may be refused or lost.
 func (c *Cell) markJobRunning(j *job) {
 	if j.progress.State == "" || j.progress.State == hvjob.Queued {
 		j.progress.State = hvjob.Running
--- a/hvjob/job.go
+++ b/hvjob/job.go
@@ -213,6 +213,12 @@
 	return t.Job + "." + strconv.Itoa(t.Round) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
 }
 
+// JobOf returns the identifier of the job of a task, which its name begins with.
+func JobOf(task string) string {
+	id, _, _ := strings.Cut(task, ".")
+	return id
+}
+
 // ParseTask is the inverse of Task.String.
 func ParseTask(name string) (Task, error) {
 	parts := strings.Split(name, ".")
--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -96,6 +96,7 @@
 	startsInFlight int
 	startCalls     int64
 	refused        []hvorder.Refusal
+	began          []string
 	stopped        []hvorder.Run
 	hostReported   bool
 	crash          crashTracker
--- a/hvnode/node_test.go
+++ b/hvnode/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -110,6 +111,25 @@
 	}
 }
 
+// Guards against a job that callers see as queued while a task of it runs, or as running
+// although its start was refused.
+func TestBegunJobsAreReported(t *testing.T) {
+	for _, kind := range []hv.ErrorKind{"", hv.Full} {
+		e := &fakeExecutor{}
+		if kind != "" {
+			e.errs = []error{errorOfKind(kind)}
+		}
+		n := newNode(t, e)
+		if err := n.handleOrders(t.Context(), startOrder(3)); err != nil {
+			t.Fatal(err)
+		}
+		n.waitStarted(t)
+		if begun := slices.Contains(n.began, "0000000000000001"); begun != (kind == "") {
+			t.Errorf("job is reported as begun: %v after a response of kind %q", begun, kind)
+		}
+	}
+}
+
 // Guards against refusals that are not reported to the owner.
 func TestRefusalsAreReported(t *testing.T) {
 	for _, kind := range []hv.ErrorKind{hv.Full, hv.Expired, hv.Conflict, hv.Invalid} {
--- a/hvnode/orders.go
+++ b/hvnode/orders.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
 
 	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvjob"
 	"hibiscusvane.example/hibiscusvane/hvorder"
 	"hibiscusvane.example/hibiscusvane/hvtick"
 )
@@ -50,7 +52,7 @@
 		}
 		n.profiles[s.Run] = s.Profile
 		n.pendingStarts[s.Run] = true
-		job := jobOf(s.Task)
+		job := hvjob.JobOf(s.Task)
 		run := hv.StartRun{Task: s.Task, Run: s.Profile.Run.Run, Spec: o.Specs[job], SavedState: s.SavedState, Ticket: s.Ticket, Epoch: o.Epoch, LeaseEnd: o.LeaseEnd}
 		if ref, ok := o.SpecRefs[job]; ok {
 			go n.startWithSpec(ctx, run, ref)
@@ -78,16 +80,6 @@
 	}
 }
 
-// jobOf returns the identifier of the job of a task, which its name begins with.
-func jobOf(task string) string {
-	for i := range len(task) {
-		if task[i] == '.' {
-			return task[:i]
-		}
-	}
-	return task
-}
-
 // startWithSpec fetches the work description of a run and starts the run.
 func (n *Node) startWithSpec(ctx context.Context, s hv.StartRun, ref hvorder.SpecRef) {
 	text, ok := n.spec(ctx, hvorder.Run{Task: s.Task, Run: s.Run}, s.Epoch, ref)
@@ -196,6 +188,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.crash.confirm(n.deps.Clock.Now(), run)
+	if job := hvjob.JobOf(run.Task); !slices.Contains(n.began, job) {
+		n.began = append(n.began, job)
+	}
 }
 
 // endStart removes a pending start and reports the refusal, if there is one.
--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -112,6 +112,7 @@
 	}
 	r.Refused, n.refused = n.refused, nil
 	r.Stopped, n.stopped = n.stopped, nil
+	r.Began, n.began = n.began, nil
 	r.Crashes = n.crash.unreported()
 	return n.ownerConn, r, true
 }
--- a/hvnode/specs.go
+++ b/hvnode/specs.go
@@ -8,6 +8,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvjob"
 	"hibiscusvane.example/hibiscusvane/hvorder"
 	"hibiscusvane.example/hibiscusvane/hvtick"
 	"hibiscusvane.example/hibiscusvane/hvwire"
@@ -45,7 +46,7 @@
 // spec returns the work description of a run's job. It fetches the description until
 // that succeeds, or returns false once the start is no longer wanted.
 func (n *Node) spec(ctx context.Context, run hvorder.Run, epoch int64, ref hvorder.SpecRef) (string, bool) {
-	job := jobOf(run.Task)
+	job := hvjob.JobOf(run.Task)
 	for ctx.Err() == nil && n.isStartWanted(run, epoch) {
 		text, ok := n.specs.texts.Get(job)
 		if ok && hvorder.SpecChecksum(text) == ref.Checksum {
--- a/hvorder/order.go
+++ b/hvorder/order.go
@@ -118,7 +118,10 @@
 	Full    bool          `json:"full,omitempty"`
 	Running []hv.RunState `json:"running,omitempty"`
 	// Pending lists starts that the executor has not responded to yet.
-	Pending []Run       `json:"pending,omitempty"`
+	Pending []Run `json:"pending,omitempty"`
+	// Began lists the jobs of which the executor has confirmed the start of a run since
+	// the last report.
+	Began   []string    `json:"began,omitempty"`
 	Ended   []hv.RunEnd `json:"ended,omitempty"`
 	Refused []Refusal   `json:"refused,omitempty"`
 	// Stopped lists runs that have ended or can no longer start.
