Withdraw starts without a response when the capacity of a host shrinks

Cause: only the owner compares a start with the capacity, at the time of the order. Ruled out: the owner's own view, which has the new capacity with the next report. Change: when a heartbeat shows less capacity, the side stops the starts that have no response yet, which also blocks a call that is carried out late, and their tasks are placed again. TestPendingStartsAreWithdrawnWhenCapacityShrinks failed before in its three cases of less capacity.

--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -97,6 +97,9 @@
 	startCalls     int64
 	refused        []hvorder.Refusal
 	began          []string
+	// capacityShrunk is true from the announcement of a smaller capacity until the starts
+	// without a response are withdrawn.
+	capacityShrunk bool
 	stopped        []hvorder.Run
 	hostReported   bool
 	crash          crashTracker
@@ -106,6 +109,7 @@
 	wakeReport   chan struct{}
 	wakeRenew    chan struct{}
 	wakeRegister chan struct{}
+	wakeWithdraw chan struct{}
 }
 
 // New returns a node that is not attached to an owner.
@@ -122,13 +126,14 @@
 		wakeReport:    make(chan struct{}, 1),
 		wakeRenew:     make(chan struct{}, 1),
 		wakeRegister:  make(chan struct{}, 1),
+		wakeWithdraw:  make(chan struct{}, 1),
 	}
 }
 
-// Run renews leases, reports and registers until ctx ends.
+// Run renews leases, reports, registers and withdraws starts until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){n.renewLoop, n.reportLoop, n.registerLoop} {
+	for _, loop := range []func(context.Context){n.renewLoop, n.reportLoop, n.registerLoop, n.withdrawLoop} {
 		loops.Go(func() { loop(ctx) })
 	}
 	loops.Wait()
@@ -150,6 +155,10 @@
 func (n *Node) Announce(id string, h hvorder.Host) {
 	n.mu.Lock()
 	old := n.host
+	if old != nil && !old.Capacity.Fits(h.Capacity) {
+		n.capacityShrunk = true
+		hvtick.Wake(n.wakeWithdraw)
+	}
 	n.host, n.executorID = &h, id
 	if h.Draining {
 		n.crash.leaving = h.Incarnation
--- a/hvnode/node_test.go
+++ b/hvnode/node_test.go
@@ -341,3 +341,36 @@
 		t.Fatalf("%d start calls after the withdrawal", len(e.starts)-calls)
 	}
 }
+
+// Guards against a start that is repeated until the executor responds and exceeds a
+// capacity that has shrunk meanwhile, on a host that does not check it itself.
+func TestPendingStartsAreWithdrawnWhenCapacityShrinks(t *testing.T) {
+	for name, c := range map[string]struct {
+		capacity hvjob.Resources
+		stopped  bool
+	}{
+		"less processors": {hvjob.Resources{CPU: 900, Memory: 100, GPU: 1}, true},
+		"less memory":     {hvjob.Resources{CPU: 1000, Memory: 99, GPU: 1}, true},
+		"no accelerator":  {hvjob.Resources{CPU: 1000, Memory: 100}, true},
+		"more":            {hvjob.Resources{CPU: 2000, Memory: 100, GPU: 1}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := &fakeExecutor{}
+			for range 1000 {
+				e.errs = append(e.errs, errorOfKind(hv.Uncertain))
+			}
+			n := newNode(t, e)
+			n.Announce("i-1", hvorder.Host{Incarnation: "1", Capacity: hvjob.Resources{CPU: 1000, Memory: 100, GPU: 1}})
+			if err := n.handleOrders(t.Context(), startOrder(3)); err != nil {
+				t.Fatal(err)
+			}
+			n.Announce("i-1", hvorder.Host{Incarnation: "1", Capacity: c.capacity})
+			n.withdrawAfterShrink(t.Context())
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			if pending := n.pendingStarts[testRun]; pending == c.stopped {
+				t.Fatalf("start is still repeated: %v, want it withdrawn: %v", pending, c.stopped)
+			}
+		})
+	}
+}
--- a/hvnode/orders.go
+++ b/hvnode/orders.go
@@ -80,6 +80,25 @@
 	}
 }
 
+// withdrawLoop cancels starts without a response when the capacity of the host shrinks.
+func (n *Node) withdrawLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		hvtick.Wait(ctx, n.wakeWithdraw, registerInterval)
+		n.withdrawAfterShrink(ctx)
+	}
+}
+
+// withdrawAfterShrink cancels the starts without a response if the capacity of the host
+// has shrunk since they were ordered. The owner places their tasks again.
+func (n *Node) withdrawAfterShrink(ctx context.Context) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.capacityShrunk {
+		n.capacityShrunk = false
+		n.withdrawStarts(ctx, n.epoch)
+	}
+}
+
 // startWithSpec fetches the work description of a run and starts the run.
 func (n *Node) startWithSpec(ctx context.Context, s hv.StartRun, ref hvorder.SpecRef) {
 	text, ok := n.spec(ctx, hvorder.Run{Task: s.Task, Run: s.Run}, s.Epoch, ref)
