Repeat no start of a run that the executor has listed

Cause: the executor carried out two starts without a response, ended the runs and listed their ends, which the owner stored and acknowledged. The side went on repeating the starts, as only a response to the call itself ended them. The executor then restarted under its old identifier, knew nothing of the runs, and carried a repeat out. Ruled out: a second order (one run number), and the crash tests' own job (the tasks are of other jobs). Change: lists end the pending starts of their runs. TestListedStartIsNotRepeated failed before in both cases.

--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -313,9 +313,28 @@
 	now := n.deps.Clock.Now()
 	n.executorState, n.stateVersion, n.stateKnown, n.incarnationConfirmed, n.executorGone = h, version, true, true, false
 	n.crash.listed(now, h, version == n.currentVersionLocked())
+	n.confirmListed(h)
 	n.recordProgress(now, h.Running)
 }
 
+// confirmListed ends the pending starts of runs that the executor lists. A start that is
+// repeated after the executor has restarted would run the task again. The lock is held.
+func (n *Node) confirmListed(h hv.ExecutorState) {
+	for _, r := range h.Running {
+		n.confirmPending(runOf(r))
+	}
+	for _, e := range h.Ended {
+		n.confirmPending(hvorder.Run{Task: e.Task, Run: e.Run})
+	}
+}
+
+func (n *Node) confirmPending(run hvorder.Run) {
+	if n.pendingStarts[run] {
+		delete(n.pendingStarts, run)
+		n.recordBegun(run)
+	}
+}
+
 // handleCallError records a failed call to the executor and reports whether the
 // executor has seen a newer owner.
 func (n *Node) handleCallError(err error) bool {
--- a/hvnode/node_test.go
+++ b/hvnode/node_test.go
@@ -130,6 +130,34 @@
 	}
 }
 
+// Guards against a start whose responses are lost and which is repeated although the
+// executor has listed the run: if the executor restarts, the task runs again after its
+// end was acknowledged.
+func TestListedStartIsNotRepeated(t *testing.T) {
+	for name, state := range map[string]hv.ExecutorState{
+		"running": {Incarnation: "1", ClockMS: 100, Running: []hv.RunState{{Task: testRun.Task, Run: testRun.Run}}},
+		"ended":   {Incarnation: "1", ClockMS: 100, Ended: []hv.RunEnd{{Number: 1, Task: testRun.Task, Run: testRun.Run, Reason: hv.EndDone}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := &fakeExecutor{}
+			for range 1000 {
+				e.errs = append(e.errs, errorOfKind(hv.Uncertain))
+			}
+			n := newNode(t, e)
+			if err := n.handleOrders(t.Context(), startOrder(3)); err != nil {
+				t.Fatal(err)
+			}
+			n.applyState(state, n.currentVersion())
+			n.mu.Lock()
+			pending, begun := n.pendingStarts[testRun], slices.Contains(n.began, "0000000000000001")
+			n.mu.Unlock()
+			if pending || !begun {
+				t.Fatalf("start of a listed run is repeated: %v, reported as begun: %v", pending, begun)
+			}
+		})
+	}
+}
+
 // Guards against refusals that are not reported to the owner.
 func TestRefusalsAreReported(t *testing.T) {
 	for _, kind := range []hv.ErrorKind{hv.Full, hv.Expired, hv.Conflict, hv.Invalid} {
--- a/hvnode/orders.go
+++ b/hvnode/orders.go
@@ -125,6 +125,10 @@
 			return
 		}
 		n.recordFailedStart(err)
+		if !n.isStartWanted(run, s.Epoch) {
+			// The executor has listed the run meanwhile, or the start was withdrawn.
+			return
+		}
 		kind := hv.KindOf(err)
 		if kind == hv.Expired {
 			err = n.checkUsedRun(ctx, run, s.Epoch, err)
@@ -207,6 +211,12 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.crash.confirm(n.deps.Clock.Now(), run)
+	n.recordBegun(run)
+}
+
+// recordBegun records that the executor has begun a run, for the next report. The lock is
+// held.
+func (n *Node) recordBegun(run hvorder.Run) {
 	if job := hvjob.JobOf(run.Task); !slices.Contains(n.began, job) {
 		n.began = append(n.began, job)
 	}
