--- a/hvcontrol/silent_test.go
+++ b/hvcontrol/silent_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -17,6 +16,7 @@
 	"hibiscusvane.example/hibiscusvane/hvmember"
 	"hibiscusvane.example/hibiscusvane/hvplace"
 	"hibiscusvane.example/hibiscusvane/hvwire"
+	"hibiscusvane.example/hibiscusvane/hvwire/hvwiretest"
 )
 
 // steppedClock is a clock that only advance moves.
@@ -36,24 +36,10 @@
 		Logger: log.NewNopLogger(), Mux: hvwire.Mux{}, Violations: func(int, string) {},
 	})
 	c.quorum.SetGates([]string{"g1", "g2", "g3"})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			hvwire.NewConn(nc, c.Mux)
-		}
-	}()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go c.peers.Run(ctx)
-	return c, l.Addr().String()
+	return c, hvwiretest.Serve(t, c.Mux)
 }
 
 func hear(t *testing.T, c *Control, incarnations ...string) {
--- a/hventry/put_test.go
+++ b/hventry/put_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,6 +17,7 @@
 	"hibiscusvane.example/hibiscusvane/hvledger"
 	"hibiscusvane.example/hibiscusvane/hvmetric"
 	"hibiscusvane.example/hibiscusvane/hvwire"
+	"hibiscusvane.example/hibiscusvane/hvwire/hvwiretest"
 	"hibiscusvane.example/hibiscusvane/platform"
 	"hibiscusvane.example/hibiscusvane/platform/platformtest"
 )
@@ -33,12 +33,6 @@
 const ownerProcess = "process-of-the-owner"
 
 func (o *fakeOwner) listen(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	o.addr = l.Addr().String()
 	mux := hvwire.Mux{}
 	hvwire.Handle(mux, "who", func(context.Context, *hvwire.Conn, struct{}) (map[string]string, error) {
 		return map[string]string{"id": ownerProcess}, nil
@@ -47,15 +41,7 @@
 		o.puts.Add(1)
 		return struct{}{}, o.respond(ctx)
 	})
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			hvwire.NewConn(c, mux)
-		}
-	}()
+	o.addr = hvwiretest.Serve(t, mux)
 }
 
 // claimCell claims the cell and sends heartbeats until ctx ends.
--- a/hvnode/specs_test.go
+++ b/hvnode/specs_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -11,6 +10,7 @@
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvorder"
 	"hibiscusvane.example/hibiscusvane/hvwire"
+	"hibiscusvane.example/hibiscusvane/hvwire/hvwiretest"
 )
 
 const testSpec = "work description of the stored job"
@@ -18,26 +18,12 @@
 // serveSpecs listens for spec requests and returns its address.
 func serveSpecs(t *testing.T, answer func() (string, error)) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
 	mux := hvwire.Mux{}
 	hvwire.Handle(mux, hvorder.MethodSpec, func(context.Context, *hvwire.Conn, hvorder.SpecRequest) (hvorder.Spec, error) {
 		text, err := answer()
 		return hvorder.Spec{Text: text}, err
 	})
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			hvwire.NewConn(c, mux)
-		}
-	}()
-	return l.Addr().String()
+	return hvwiretest.Serve(t, mux)
 }
 
 // orderWithRef orders starts of two tasks of a job whose work description is at addr.
--- a/hvowner/link_test.go
+++ b/hvowner/link_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,6 +14,7 @@
 	"hibiscusvane.example/hibiscusvane/hvorder"
 	"hibiscusvane.example/hibiscusvane/hvowner"
 	"hibiscusvane.example/hibiscusvane/hvwire"
+	"hibiscusvane.example/hibiscusvane/hvwire/hvwiretest"
 	"hibiscusvane.example/hibiscusvane/platform"
 	"hibiscusvane.example/hibiscusvane/platform/platformtest"
 )
@@ -35,28 +35,14 @@
 // was paused may attach a connection that was closed in the meantime. Its leases
 // then expire, and its tasks start on no other host.
 func TestNodeWithoutReportsIsReattached(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
 	var attached atomic.Int64
 	mux := hvwire.Mux{}
 	hvwire.Handle(mux, hvorder.MethodAttach, func(context.Context, *hvwire.Conn, hvorder.Attach) (hvorder.Report, error) {
 		attached.Add(1)
 		return hvorder.Report{Node: "side", Incarnation: "1", Full: true}, nil
 	})
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			hvwire.NewConn(c, mux)
-		}
-	}()
 	o := hvowner.New(hvowner.Options{Writer: claim(t), Retention: time.Minute, Clock: hv.SystemClock{}, Metrics: hvmetric.New(4), Logger: log.NewNopLogger()})
-	o.NodeChanged(hvledger.Node{Name: "side", Addr: l.Addr().String()}, false)
+	o.NodeChanged(hvledger.Node{Name: "side", Addr: hvwiretest.Serve(t, mux)}, false)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
