--- /dev/null
+++ b/hvcell/ends_test.go
@@ -0,0 +1,84 @@
+package hvcell
+
+import (
+	"testing"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvjob"
+)
+
+// Guards against a failed run that is counted twice because the previous owner, which
+// stored its end, did not acknowledge it, and against retries beyond the attempts.
+func TestAttemptsAreCountedOnce(t *testing.T) {
+	w := newSimCluster(t, 3)
+	w.attachAll()
+	j := w.submit(urgentJob(testStep(1, 1000)))
+	for i := 1; i <= 3; i++ {
+		w.exchange()
+		if w.runs() != 1 {
+			t.Fatalf("attempt %d did not start", i)
+		}
+		w.finishAll(hv.EndFailed)
+		if i == 1 {
+			// The end is stored, but its acknowledgement is lost with the owner.
+			for name, e := range w.hosts {
+				w.cell.Report(w.now, name, e.report(false))
+			}
+			w.store()
+			w.replaceOwner()
+			w.attachAll()
+		}
+	}
+	w.exchange()
+	if s := w.stored[j.ID].State; s != hvjob.Failed {
+		t.Fatalf("state after 3 failed runs is %q", s)
+	}
+}
+
+// Guards against a panic when a host lists the saved state of a run that has not stopped
+// yet although its job has failed.
+func TestSavedStateOfFailedJob(t *testing.T) {
+	w := newSimCluster(t, 1)
+	w.savedStates = true
+	w.attachAll()
+	s := testStep(2, 1000)
+	s.Checkpoint = true
+	j := w.submit(urgentJob(s))
+	e := w.hosts["host-0"]
+	doomed := hvjob.Task{Job: j.ID}.String()
+	for range 3 {
+		w.exchange()
+		e.end(doomed, e.running[doomed], hv.EndFailed)
+	}
+	w.cell.Report(w.now, e.name, e.report(false))
+	w.advance(time.Second)
+	w.cell.Report(w.now, e.name, e.report(false))
+	w.exchange()
+	w.exchange()
+	if s := w.stored[j.ID].State; s != hvjob.Failed || w.runs() != 0 {
+		t.Fatalf("state %q with %d runs", s, w.runs())
+	}
+}
+
+// Guards against a start beyond the attempts of a queue by an owner that has not read
+// the catalog yet, or whose catalog no longer has the queue.
+func TestAttemptLimitAppliesWithoutCatalog(t *testing.T) {
+	w := newSimCluster(t, 2)
+	w.attachAll()
+	j := w.submit(urgentJob(testStep(1, 1000)))
+	for range 2 {
+		w.exchange()
+		w.finishAll(hv.EndFailed)
+	}
+	w.exchange()
+	w.noCatalog = true
+	w.replaceOwner()
+	w.finishAll(hv.EndFailed)
+	w.attachAll()
+	w.exchange()
+	w.exchange()
+	if s := w.stored[j.ID].State; s != hvjob.Failed || w.runs() != 0 {
+		t.Fatalf("state %q with %d runs after 3 failed runs", s, w.runs())
+	}
+}
--- a/hvcell/evacuation.go
+++ b/hvcell/evacuation.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/go-kit/log/level"
 )
@@ -56,9 +55,3 @@
 		}
 	}
 }
-
-// updateCold records how long a host stays slow after its start or after it was
-// without work.
-func (h *host) updateCold(now time.Time) {
-	h.coldUntil = now.Add(time.Duration(h.info.ColdMillis) * time.Millisecond)
-}
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -38,7 +38,7 @@
 // setInfo records an announcement of the host's executor.
 func (h *host) setInfo(now time.Time, info hvorder.Host) {
 	h.info, h.announced = info, true
-	h.updateCold(now)
+	h.coldUntil = now.Add(time.Duration(info.ColdMillis) * time.Millisecond)
 }
 
 // DropHost removes a host that is not connected and has no runs.
