Stop the other members of a gang when the start of one is refused

What callers could see: after a refused start the other members of the gang held their resources and ended alone after the waiting time of the platform, and only then could the gang start again. Cause: handleRefusal released the refused run only. TestRefusedMemberStopsItsGang failed before.

--- a/hvcell/evacuation.go
+++ b/hvcell/evacuation.go
@@ -44,12 +44,12 @@
 	_ = level.Info(c.options.Logger).Log("msg", "zone of a host is evacuated; starts on it are withdrawn", "host", h.name, "zone", h.info.Zone, "unsent", len(starts), "runs", len(h.runs))
 }
 
-// stopGang stops the other members of the gang of a withdrawn run, which would wait
-// for it in vain.
-func (c *Cell) stopGang(withdrawn *run) {
-	for _, t := range withdrawn.task.step.tasks {
+// stopGang stops the other members of the gang of a run that was withdrawn or refused:
+// they would wait for it in vain.
+func (c *Cell) stopGang(missing *run) {
+	for _, t := range missing.task.step.tasks {
 		for _, r := range slices.Clone(t.runs) {
-			if r.number == withdrawn.number {
+			if r.number == missing.number {
 				c.stopRun(r)
 			}
 		}
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -228,6 +228,9 @@
 	}
 	_ = level.Info(c.options.Logger).Log("msg", "start of a run was refused", "task", f.Task, "run", f.Run.Run, "host", h.name, "kind", f.Kind, "life", h.incarnation)
 	c.releaseRun(r)
+	if r.task.step.spec.Gang {
+		c.stopGang(r)
+	}
 }
 
 // reconcile compares the full lists of a host with its known runs: it adopts runs
--- a/hvcell/hosts_test.go
+++ b/hvcell/hosts_test.go
@@ -258,3 +258,29 @@
 		t.Fatalf("%d starts after the announcement, want 1", len(o.Starts))
 	}
 }
+
+// Guards against the other members of a gang that wait for one whose start was refused
+// until they end alone, and hold their resources meanwhile.
+func TestRefusedMemberStopsItsGang(t *testing.T) {
+	w := newSimCluster(t, 2)
+	w.attachAll()
+	step := testStep(2, 5000)
+	step.Gang = true
+	w.submit(urgentJob(step))
+	w.cell.Plan(w.now)
+	refused, ok := w.cell.Orders("host-0")
+	if !ok || len(refused.Starts) != 1 {
+		t.Fatalf("orders are %+v, want the start of one member", refused)
+	}
+	w.deliver("host-1")
+	w.cell.Report(w.now, "host-0", hvorder.Report{Refused: []hvorder.Refusal{{Run: refused.Starts[0].Run, Kind: hv.Full}}})
+	if o := w.deliver("host-1"); len(o.Stops) != 1 {
+		t.Fatalf("stops of the other member are %v, want one", o.Stops)
+	}
+	w.advance(retryDelay)
+	w.exchange()
+	w.exchange()
+	if n := w.runs(); n != 2 {
+		t.Fatalf("%d members run after the refusal, want both", n)
+	}
+}
