Start the tasks of lost hosts only under a confirmed owner

Cause: a zone with the owner in it is cut off. The owner's leases on the hosts outside expire after 5.45 s, and it acts for 6 s after its last append. In the half second between it starts the tasks of all these hosts again on those of its own zone, although the new owner has already stored and acknowledged their ends. A new owner that waits for leases of hosts that it cannot reach has the same gap. Change: a lease counts as expired only once the owner has appended to the store after it, which a newer owner's epoch would have prevented. Both tests failed before.

--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -64,6 +64,8 @@
 	recovered bool
 	// suspended is true while another gate may have become the owner.
 	suspended bool
+	// confirmedAt is a time at which this gate was the owner for certain.
+	confirmedAt time.Time
 	// evacuated holds the zones on whose hosts no task may start.
 	evacuated map[string]bool
 	counts    Counts
@@ -295,6 +297,13 @@
 	c.suspended = suspended
 }
 
+// Confirm records that this gate was the owner at a time, that of its last append.
+func (c *Cell) Confirm(at time.Time) {
+	if at.After(c.confirmedAt) {
+		c.confirmedAt = at
+	}
+}
+
 // HostsWithOrders returns the names of the connected hosts with pending orders or
 // acknowledgements.
 func (c *Cell) HostsWithOrders() []string {
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -318,7 +318,7 @@
 // states to be stored, stops stragglers and migrates throttled runs.
 func (c *Cell) Tick(now time.Time) {
 	for _, h := range c.hosts {
-		if !h.connected && len(h.runs) > 0 && now.After(h.leaseExpiry) {
+		if !h.connected && len(h.runs) > 0 && c.leasesExpired(now, h) {
 			c.loseRuns(now, h, "leases have expired")
 		}
 	}
@@ -334,6 +334,13 @@
 	c.migrateThrottled(now)
 }
 
+// leasesExpired reports whether all runs on a host have ended for certain and no other
+// owner can have learned of their ends. A host that this owner cannot reach may have
+// reported them to a newer owner, so this gate must have been the owner after the expiry.
+func (c *Cell) leasesExpired(now time.Time, h *host) bool {
+	return now.After(h.leaseExpiry) && c.confirmedAt.After(h.leaseExpiry)
+}
+
 // saveInterval is the interval at which saved states are stored. A new owner that
 // finds no run of a task starts it from the stored state.
 const saveInterval = time.Second
@@ -358,7 +365,7 @@
 		return
 	}
 	for _, h := range c.hosts {
-		if !h.reconciled && now.Before(h.leaseExpiry) {
+		if !h.reconciled && !c.leasesExpired(now, h) {
 			return
 		}
 	}
--- a/hvcell/hosts_test.go
+++ b/hvcell/hosts_test.go
@@ -284,3 +284,55 @@
 		t.Fatalf("%d members run after the refusal, want both", n)
 	}
 }
+
+// Guards against an owner that is cut off with some of its hosts and starts the tasks of
+// all others again: a new owner may have taken note of their ends.
+func TestTasksOfLostHostWaitForConfirmedOwnership(t *testing.T) {
+	w := newSimCluster(t, 2)
+	w.attachAll()
+	w.submit(urgentJob(testStep(1, 1000)))
+	w.exchange()
+	w.cell.NodeDetached(w.now, "host-0")
+	w.cell.NodeDetached(w.now, "host-1")
+	w.advance(2 * time.Second)
+	w.cell.Confirm(w.now)
+	w.advance(20 * time.Second)
+	w.attach("host-1")
+	lost := w.hosts["host-0"]
+	if len(lost.ended) != 1 {
+		t.Fatalf("ends on the lost host are %v, want one", lost.ended)
+	}
+	w.cell.Tick(w.now)
+	w.cell.Plan(w.now)
+	if o, _ := w.cell.Orders("host-1"); len(o.Starts) > 0 {
+		t.Fatal("a task of a lost host starts again although the owner may have been replaced")
+	}
+	w.cell.Confirm(w.now)
+	w.cell.Tick(w.now)
+	w.cell.Plan(w.now)
+	if o, _ := w.cell.Orders("host-1"); len(o.Starts) != 1 {
+		t.Fatal("the task of a lost host does not start again under a confirmed owner")
+	}
+}
+
+// Guards against a new owner that is cut off while it waits for the leases of hosts that it
+// cannot reach, and then starts their tasks although a later owner has them.
+func TestInheritedTasksWaitForConfirmedOwnership(t *testing.T) {
+	w := newSimCluster(t, 2)
+	w.attachAll()
+	w.submit(urgentJob(testStep(1, 1000)))
+	w.replaceOwner()
+	w.cell.Confirm(w.now)
+	w.attach("host-1")
+	w.advance(20 * time.Second)
+	w.cell.Plan(w.now)
+	if o, _ := w.cell.Orders("host-1"); len(o.Starts) > 0 {
+		t.Fatal("an inherited task starts although the owner may have been replaced")
+	}
+	w.cell.Confirm(w.now)
+	w.cell.Tick(w.now)
+	w.cell.Plan(w.now)
+	if o, _ := w.cell.Orders("host-1"); len(o.Starts) != 1 {
+		t.Fatal("the inherited task does not start under a confirmed owner")
+	}
+}
--- a/hvcell/simcluster_test.go
+++ b/hvcell/simcluster_test.go
@@ -296,6 +296,7 @@
 const learnedStoreInterval = 2 * time.Second
 
 func (w *simCluster) store() {
+	w.cell.Confirm(w.now)
 	if w.now.Sub(w.learnedAt) >= learnedStoreInterval {
 		w.learned, w.learnedAt = w.cell.LearnedState(), w.now
 	}
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -229,11 +229,14 @@
 	}
 }
 
-// checkAuthority suspends starts and grants while this gate may no longer own the
-// cell. It is called before each of them and not only by the ticker: a process that
-// was paused may handle a report first. The lock is held.
+// checkAuthority tells the cell when this gate last owned it for certain, and suspends
+// starts and grants while it may no longer do so. It is called before each of them and
+// not only by the ticker: a process that was paused may handle a report first. The lock
+// is held.
 func (o *Owner) checkAuthority() {
-	o.cell.Suspend(o.options.Writer.SinceLastAppend() > authorityTimeout)
+	silence := o.options.Writer.SinceLastAppend()
+	o.cell.Suspend(silence > authorityTimeout)
+	o.cell.Confirm(o.options.Clock.Now().Add(-silence))
 }
 
 func (o *Owner) plan() {
