--- a/cmd/hvgate/platform.go
+++ b/cmd/hvgate/platform.go
@@ -52,7 +52,7 @@
 		Name: s.Node, Zone: s.Zone, Addr: s.PeerAddr, Capacity: s.Capacity, Process: uuid.NewString(),
 		Store: platform.NewStore(s.StoreAddr), CellTopic: platform.CellTopic, Adviser: adviser,
 		Operators:  hventry.OperatorRecords{Topic: platform.OperatorsTopic, CatalogKey: platform.CatalogKey, EvacuationPrefix: platform.EvacuationPrefix, DecodeCatalog: platform.DecodeCatalog},
-		EarlyStart: s.EarlyStart, Retention: s.Retention,
+		EarlyStart: s.EarlyStart, Retention: s.Retention, Policy: s.Policy,
 		Clock: hv.SystemClock{}, Metrics: metrics, Logger: logger,
 	})
 	return &platformGate{settings: s, gate: gate, metrics: metrics, logger: logger}, nil
--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -37,6 +37,7 @@
 	// Retention is how long the state of an ended job stays readable.
 	Retention time.Duration
 	Health    hv.Health
+	Policy    Policy
 	// OnJobEnd is called with the time from the submission to the end of each job
 	// that completes or fails; it may be nil.
 	OnJobEnd func(queue string, s hvjob.State, took time.Duration)
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -331,6 +331,7 @@
 	c.markSavedStates(now)
 	c.updateRisk(now)
 	c.checkStragglers(now)
+	c.checkTails(now)
 	c.migrateThrottled(now)
 }
 
--- a/hvcell/pick.go
+++ b/hvcell/pick.go
@@ -27,20 +27,20 @@
 	if t.step.spec.BestEffort {
 		limit = impactLimit(t, hosts, impacts)
 	}
-	return bestHost(now, t, hosts, impacts, func(h *host, impact float64) bool {
+	return c.bestHost(now, t, hosts, impacts, func(h *host, impact float64) bool {
 		return impact <= limit && c.obstacle(now, t, h, impact) == ""
 	})
 }
 
 // bestHost returns the host with the best score among those that fit accepts, or nil.
-func bestHost(now time.Time, t *task, hosts []*host, impacts []float64, fit func(h *host, impact float64) bool) *host {
+func (c *Cell) bestHost(now time.Time, t *task, hosts []*host, impacts []float64, fit func(h *host, impact float64) bool) *host {
 	var found *host
 	top := 0.0
 	for i, h := range hosts {
 		if !fit(h, impacts[i]) {
 			continue
 		}
-		if score := score(now, t, h, impacts[i]); found == nil || score > top {
+		if score := c.score(now, t, h, impacts[i]); found == nil || score > top {
 			found, top = h, score
 		}
 	}
@@ -60,7 +60,7 @@
 // pickIgnoringImpact returns the host with the best score among those without a hard
 // obstacle, or nil.
 func (c *Cell) pickIgnoringImpact(now time.Time, t *task, hosts []*host) *host {
-	return bestHost(now, t, hosts, c.impacts(t, hosts), func(h *host, _ float64) bool {
+	return c.bestHost(now, t, hosts, c.impacts(t, hosts), func(h *host, _ float64) bool {
 		return c.hardObstacle(now, t, h) == ""
 	})
 }
@@ -94,6 +94,8 @@
 		return "busy"
 	case s.BestEffort && h.tooThrottled(impact):
 		return "slowed"
+	case s.BestEffort && c.colocationObstacle(t, h, impact) != "":
+		return c.colocationObstacle(t, h, impact)
 	case !c.options.Health.Usable(now, h.name):
 		return "quarantine"
 	}
@@ -113,6 +115,9 @@
 	if !s.spec.Allocation().Fits(s.available(h)) {
 		return "room"
 	}
+	if name := c.reservationObstacle(now, t, h); name != "" {
+		return name
+	}
 	return c.constraintObstacle(now, s, h)
 }
 
@@ -175,7 +180,7 @@
 	return 0
 }
 
-func score(now time.Time, t *task, h *host, impact float64) float64 {
+func (c *Cell) score(now time.Time, t *task, h *host, impact float64) float64 {
 	s := t.step.spec
 	score := 0.0
 	if s.DataRack != "" && s.DataRack == h.info.Rack {
@@ -190,5 +195,6 @@
 	if s.LatencyTarget > 0 {
 		score += colocationScore(s.Image, h.images(isServing))
 	}
+	score += c.packingScore(t, h) + c.servingScore(t, h)
 	return score + t.step.riskScore(now, h) - weightImpact*impact
 }
--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -53,6 +53,7 @@
 		h.reserved = hvjob.Resources{}
 	}
 	list := c.candidates(now, hosts)
+	c.prepareReservations(now, list, hosts)
 	held := c.startTrials(now, list, hosts)
 	for _, cand := range list {
 		if cand.step.spec.Gang {
@@ -61,6 +62,7 @@
 		}
 		c.placeTasks(now, cand.step, hosts, held)
 	}
+	c.preempt(now, list, hosts)
 }
 
 // candidates returns the steps with waiting tasks in scheduling order.
@@ -90,6 +92,7 @@
 		}
 	}
 	slices.SortFunc(out, compare)
+	c.orderBySharing(now, out)
 	for _, cand := range out {
 		if cand.step.needsAdvice() {
 			c.awaitingAdvice = append(c.awaitingAdvice, cand.step)
--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -13,6 +13,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvcell"
 	"hibiscusvane.example/hibiscusvane/hvledger"
 	"hibiscusvane.example/hibiscusvane/hvmetric"
 	"hibiscusvane.example/hibiscusvane/hvorder"
@@ -61,6 +62,7 @@
 	Operators  OperatorRecords
 	EarlyStart time.Duration
 	Retention  time.Duration
+	Policy     hvcell.Policy
 	Clock      hv.Clock
 	Metrics    *hvmetric.Registry
 	Logger     log.Logger
@@ -179,7 +181,7 @@
 	}
 	owner := hvowner.New(hvowner.Options{
 		Writer: w, ClaimOffset: claimOffset, Learned: g.replica.Learned(), StoreFailed: g.relay.Failed, Adviser: g.options.Adviser, EarlyStart: g.options.EarlyStart, Retention: g.options.Retention,
-		Clock: g.options.Clock, Metrics: g.options.Metrics, Logger: g.options.Logger,
+		Policy: g.options.Policy, Clock: g.options.Clock, Metrics: g.options.Metrics, Logger: g.options.Logger,
 	})
 	g.mu.Lock()
 	g.owner = owner
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -58,6 +58,7 @@
 	EarlyStart time.Duration
 	// Retention is how long the state of an ended job stays readable.
 	Retention time.Duration
+	Policy    hvcell.Policy
 	Clock     hv.Clock
 	Metrics   *hvmetric.Registry
 	Logger    log.Logger
@@ -94,7 +95,7 @@
 	health := hvhealth.New(hvhealth.Options{HostCount: owner.hostCount})
 	owner.cell = hvcell.New(hvcell.Options{
 		Epoch: o.Writer.Claim().Epoch, ClaimOffset: o.ClaimOffset, ClaimedAt: o.Clock.Now(), LeaseDuration: leaseDuration, PreviousAuthority: previousAuthority,
-		EarlyStart: o.EarlyStart, Retention: o.Retention, Health: health, OnJobEnd: owner.observeJobEnd, Logger: o.Logger,
+		EarlyStart: o.EarlyStart, Retention: o.Retention, Policy: o.Policy, Health: health, OnJobEnd: owner.observeJobEnd, Logger: o.Logger,
 	})
 	owner.restoreLearned(o.Learned)
 	return owner
