Refuse jobs whose record the store would refuse

What callers could see: a job with very long names (image, label, rack) is accepted by the check, but the store refuses its record of over 256 KiB. The owner appends it with its own progress, takes the refusal for the loss of the cell and steps down; the caller gets a 504, submits again, and the next owner steps down as well. The progress of a job with 10,000 tasks and saved states of 32 bytes takes 420,626 bytes and does the same without a caller. Change: such a job is refused as invalid before it is sent, and such progress is stored without its saved states, which hosts have too. TestRecordsFitTheStore failed before.

--- a/hvjob/progress.go
+++ b/hvjob/progress.go
@@ -97,6 +97,17 @@
 	return r
 }
 
+// WithoutSavedStates returns a copy without the saved states of tasks.
+func (p Progress) WithoutSavedStates() Progress {
+	p = p.Clone()
+	for _, r := range p.Rounds {
+		for i := range r.Steps {
+			r.Steps[i].SavedStates = nil
+		}
+	}
+	return p
+}
+
 // Check returns an error if the progress does not fit the job.
 func (p Progress) Check(j Job) error {
 	for n, r := range p.Rounds {
--- a/hvledger/ledger_test.go
+++ b/hvledger/ledger_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -348,3 +350,34 @@
 		t.Fatalf("progress is %+v, want that of the record that fits the job", e.Progress)
 	}
 }
+
+// Guards against a record that the store refuses as too large and that ends the ownership
+// of each owner in turn: that of a job with long names, or of the progress of a job with
+// many saved states.
+func TestRecordsFitTheStore(t *testing.T) {
+	const limit = 256 << 10
+	large := job(1)
+	large.Steps[0].Image = strings.Repeat("i", limit)
+	if _, err := hvledger.JobRecord(large); hv.KindOf(err) != hv.Invalid {
+		t.Errorf("error for a job over the limit is %v, want one of kind %v", err, hv.Invalid)
+	}
+	wide := job(2)
+	wide.Steps[0].Count = 10_000
+	round := hvjob.NewRoundProgress(wide)
+	round.Steps[0].SavedStates = map[int]string{}
+	for i := range wide.Steps[0].Count {
+		round.Steps[0].SavedStates[i] = strings.Repeat("s", 32)
+	}
+	round.Steps[0].Done.Set(7)
+	rec, err := hvledger.ProgressRecord(wide.ID, hvjob.Progress{State: hvjob.Running, Rounds: map[int]hvjob.RoundProgress{0: round}})
+	if err != nil || len(rec.Value) > limit {
+		t.Fatalf("progress takes %d bytes, %v", len(rec.Value), err)
+	}
+	var stored hvjob.Progress
+	if err := json.Unmarshal(rec.Value, &stored); err != nil || !stored.Rounds[0].Steps[0].Done.Has(7) {
+		t.Errorf("stored progress lost a done task: %v", err)
+	}
+	if len(round.Steps[0].SavedStates) != wide.Steps[0].Count {
+		t.Error("encoding removed the saved states in memory")
+	}
+}
--- a/hvledger/record.go
+++ b/hvledger/record.go
@@ -46,8 +46,24 @@
 	Released bool `json:"released,omitempty"`
 }
 
-// JobRecord returns the record that accepts a job.
-func JobRecord(j hvjob.Job) (hv.KeyedRecord, error) { return encode(jobPrefix+j.ID, j) }
+const (
+	// maxJobBytes limits the record of a job. The store refuses an append with a record
+	// over 256 KiB, and an owner whose append is refused gives up the cell.
+	maxJobBytes = 128 << 10
+	// maxProgressBytes is the size from which the record of a job's progress is stored
+	// without saved states, which the hosts have too.
+	maxProgressBytes = 240 << 10
+)
+
+// JobRecord returns the record that accepts a job. An error of kind Invalid means that
+// the job is too large.
+func JobRecord(j hvjob.Job) (hv.KeyedRecord, error) {
+	rec, err := encode(jobPrefix+j.ID, j)
+	if err == nil && len(rec.Value) > maxJobBytes {
+		err = failure("encode", hv.Invalid, "job %s takes %d bytes, the limit is %d", j.ID, len(rec.Value), maxJobBytes)
+	}
+	return rec, err
+}
 
 // CancelRecord returns the record that cancels a job.
 func CancelRecord(id string) hv.KeyedRecord {
@@ -56,7 +72,11 @@
 
 // ProgressRecord returns the record that stores a job's progress.
 func ProgressRecord(id string, p hvjob.Progress) (hv.KeyedRecord, error) {
-	return encode(progressPrefix+id, p)
+	rec, err := encode(progressPrefix+id, p)
+	if err == nil && len(rec.Value) > maxProgressBytes {
+		return encode(progressPrefix+id, p.WithoutSavedStates())
+	}
+	return rec, err
 }
 
 // Register stores the registration of a node.
