Share contended capacity and let urgent tasks preempt

Cause: candidates are ordered by use, priority and goal alone, so a flood of one queue, zone or size of jobs leaves the others nothing, and an urgent task waits for as long as the runs of less urgent queues last.

Change: while a step waits for capacity, queues, callers' zones and sizes of jobs start work up to floors of their service's capacity, lowest use first; what is left is lent in the usual order. Late work gets one start in eight after 10 s. A task of a more urgent queue that has waited for 300 ms stops the runs on one host that lose least; the capacity is kept for it until they have ended. The tasks of a preemption are stored as exempt from further ones. Jobs carry the zone of the gate that accepted them. All of it is off without Policy.Sharing.

--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -9,6 +9,7 @@
 
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvcrash"
+	"hibiscusvane.example/hibiscusvane/hvfair"
 	"hibiscusvane.example/hibiscusvane/hvinterference"
 	"hibiscusvane.example/hibiscusvane/hvjob"
 	"hibiscusvane.example/hibiscusvane/hvorder"
@@ -84,13 +85,18 @@
 	// awaitingAdvice holds the waiting steps that need tickets, in the scheduling
 	// order of the last call of Plan.
 	awaitingAdvice []*step
+	sharing        sharing
 }
 
 // Counts holds totals since the cell was claimed, and the current numbers of jobs,
 // waiting tasks, runs and hosts.
 type Counts struct {
 	Starts, Done, Failed, Lost, Stopped, Refused, Crashes, GivenUp int64
-	Jobs, Waiting, Running, Hosts                                  int64
+	// Preempted counts the runs that were stopped for more urgent tasks, HoldsExpired the
+	// tasks that did not start on the capacity freed for them, and LateTurns the starts of
+	// late work before other work.
+	Preempted, HoldsExpired, LateTurns int64
+	Jobs, Waiting, Running, Hosts      int64
 }
 
 type endedJob struct {
@@ -100,7 +106,7 @@
 
 // New returns a Cell without jobs and hosts.
 func New(o Options) *Cell {
-	return &Cell{options: o, jobs: map[string]*job{}, hosts: map[string]*host{}, givenUp: map[string]bool{}, suspectJobs: map[string]*job{}, estimate: newEstimator(), interference: hvinterference.NewChangeModel(effectPrior, tailVariance)}
+	return &Cell{options: o, jobs: map[string]*job{}, hosts: map[string]*host{}, givenUp: map[string]bool{}, suspectJobs: map[string]*job{}, estimate: newEstimator(), interference: hvinterference.NewChangeModel(effectPrior, tailVariance), sharing: sharing{accounts: map[accountKey]*account{}, sizes: map[string]*hvfair.Sizes{}}}
 }
 
 // SetCatalog replaces the catalog of queues, unless the current one is newer. Runs go
@@ -131,7 +137,7 @@
 		return
 	}
 	c.seq++
-	entry := &job{Job: j, offset: offset, seq: c.seq, progress: p.Clone(), rounds: map[int]*round{}, inherited: offset < c.options.ClaimOffset, queue: j.QueueSettings, specChecksum: hvorder.SpecChecksum(j.Spec), taskCount: j.TaskCount()}
+	entry := &job{Job: j, offset: offset, seq: c.seq, progress: p.Clone(), rounds: map[int]*round{}, inherited: offset < c.options.ClaimOffset, queue: j.QueueSettings, specChecksum: hvorder.SpecChecksum(j.Spec), taskCount: j.TaskCount(), size: c.classifyJob(j)}
 	if c.catalog != nil {
 		if q, ok := c.catalog.Queue(j.Queue); ok {
 			entry.queue = q
@@ -204,13 +210,16 @@
 	spec := &r.job.Steps[i]
 	s := &step{spec: spec, index: i, round: r, runsPerHost: map[*host]int{}, nextRun: c.firstRun()}
 	for k := range spec.Count {
-		t := &task{step: s, index: k, done: p.Done.Has(k), saved: p.SavedStates[k], nextRun: c.firstRun()}
+		t := &task{step: s, index: k, done: p.Done.Has(k), saved: p.SavedStates[k], nextRun: c.firstRun(), exempt: p.Exempt.Has(k)}
 		t.name = hvjob.Task{Job: r.job.ID, Round: r.number, Step: i, Index: k}.String()
 		if t.done {
 			s.done++
 		} else {
 			s.waiting++
 		}
+		if t.exempt {
+			s.sharing.exempt = append(s.sharing.exempt, t)
+		}
 		s.tasks = append(s.tasks, t)
 	}
 	return s
--- a/hvcell/ends.go
+++ b/hvcell/ends.go
@@ -199,6 +199,7 @@
 	delete(h.runs, r.ref())
 	h.allocated = h.allocated.Sub(r.allocation)
 	h.countCPU(t.step.spec, -1)
+	c.countUse(r, -1)
 	if t.step.runsPerHost[h]--; t.step.runsPerHost[h] <= 0 {
 		delete(t.step.runsPerHost, h)
 	}
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -128,6 +128,7 @@
 	h.updateThrottled(now)
 	c.observeInterference(r)
 	c.markJobsRunning(r)
+	c.markSaved(now, h, r.Running)
 	c.recordSavedStates(h, r.Running)
 	if r.Full {
 		c.reconcile(now, h, r)
@@ -290,6 +291,7 @@
 	h.runs[r.ref()] = r
 	h.allocated = h.allocated.Add(r.allocation)
 	h.countCPU(t.step.spec, 1)
+	c.countUse(r, 1)
 	t.step.runsPerHost[h]++
 	if len(t.runs) == 0 {
 		t.step.waiting--
--- a/hvcell/pick.go
+++ b/hvcell/pick.go
@@ -115,6 +115,9 @@
 	if !s.spec.Allocation().Fits(s.available(h)) {
 		return "room"
 	}
+	if name := c.heldObstacle(t, h); name != "" {
+		return name
+	}
 	if name := c.reservationObstacle(now, t, h); name != "" {
 		return name
 	}
--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -41,6 +41,8 @@
 	usefulness usefulness
 	// longRunning steps are placed first, as they serve users at all times.
 	longRunning bool
+	// position is the used part of the shares of its work under contention.
+	position position
 }
 
 // Plan adds orders to start the waiting tasks for which a host has capacity.
@@ -55,13 +57,7 @@
 	list := c.candidates(now, hosts)
 	c.prepareReservations(now, list, hosts)
 	held := c.startTrials(now, list, hosts)
-	for _, cand := range list {
-		if cand.step.spec.Gang {
-			c.placeGang(now, cand.step, hosts)
-			continue
-		}
-		c.placeTasks(now, cand.step, hosts, held)
-	}
+	c.placeAll(now, list, hosts, held)
 	c.preempt(now, list, hosts)
 }
 
@@ -126,7 +122,7 @@
 	ra, rb := a.step.round, b.step.round
 	return cmp.Or(
 		cmp.Compare(a.usefulness, b.usefulness),
-		cmp.Compare(ra.job.queue.Priority, rb.job.queue.Priority),
+		comparePriority(a, b),
 		cmp.Compare(ra.goal, rb.goal),
 		cmp.Compare(ra.job.seq, rb.job.seq),
 		cmp.Compare(a.step.index, b.step.index),
@@ -160,15 +156,15 @@
 	return ok && s.EnforcesCapacity
 }
 
-// placeTasks starts the waiting tasks of a step for which a host has capacity, other
-// than held ones.
-func (c *Cell) placeTasks(now time.Time, s *step, hosts []*host, held map[*task]bool) {
+// placeTasks starts up to limit waiting tasks of a step for which a host has capacity,
+// other than held ones, and reports whether the limit prevented more starts.
+func (c *Cell) placeTasks(now time.Time, s *step, hosts []*host, held map[*task]bool, limit int) bool {
 	placed := 0
 	starved := s.isStarved(now)
 	// full is true once no host was found for a task without avoided hosts.
 	full := false
-	for _, t := range s.tasks {
-		if s.waiting == 0 {
+	for _, t := range s.placementOrder() {
+		if s.waiting == 0 || placed == limit {
 			break
 		}
 		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) || held[t] {
@@ -199,6 +195,7 @@
 	if placed > 0 {
 		c.logPlaced(now, s, placed)
 	}
+	return placed == limit && s.waiting > 0
 }
 
 // logPlaced logs the number of starts of a step in one plan.
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"hibiscusvane.example/hibiscusvane/hvfair"
 	"hibiscusvane.example/hibiscusvane/hvjob"
 	"hibiscusvane.example/hibiscusvane/hvorder"
 )
@@ -37,6 +38,8 @@
 	// crashVersion counts the changes of what is known of crashes under its tasks, and
 	// storedCrashVersion those that are stored.
 	crashVersion, storedCrashVersion int
+	// size is the class of the job by its work.
+	size hvfair.Size
 }
 
 type round struct {
@@ -73,7 +76,8 @@
 	// last did so.
 	suspectedSince time.Time
 	// advice is used if hosts need a ticket to run the step.
-	advice advice
+	advice  advice
+	sharing stepSharing
 }
 
 type task struct {
@@ -92,6 +96,10 @@
 	notBefore time.Time
 	// reserved is the reservation of a long-running task that waits.
 	reserved reservation
+	// exempt is true once the task was preempted or has preempted: its runs are not
+	// stopped by preemption any more. hold is the capacity kept for it, or nil.
+	exempt bool
+	hold   *hold
 }
 
 type runPhase int
@@ -113,6 +121,10 @@
 	saved      string
 	// adopted is true if an earlier owner started the run.
 	adopted bool
+	// account is where the use of the run is counted, and savedAt when its saved state
+	// last changed; both are kept for sharing only.
+	account *account
+	savedAt time.Time
 }
 
 func (r *run) ref() hvorder.Run { return hvorder.Run{Task: r.task.name, Run: r.number} }
@@ -181,7 +193,9 @@
 	startsInWindow               int
 	// riskyUntil is until when other tasks avoid the host because of a risky one.
 	riskyUntil time.Time
-	orders     hvorder.Orders
+	// hold is the capacity that is kept for a task that stopped runs, or nil.
+	hold   *hold
+	orders hvorder.Orders
 }
 
 func (h *host) free() hvjob.Resources { return h.info.Capacity.Sub(h.allocated) }
--- a/hventry/jobs.go
+++ b/hventry/jobs.go
@@ -33,7 +33,7 @@
 		g.recordDecision("submit", j.ID, "known")
 		return 0, nil
 	}
-	j.Gate = g.options.Addr
+	j.Gate, j.Zone = g.options.Addr, g.options.Zone
 	g.submitted.Add(j.ID, j.Spec)
 	rec, err := hvledger.JobRecord(j)
 	if err != nil {
--- a/hvfair/shares.go
+++ b/hvfair/shares.go
@@ -111,18 +111,20 @@
 	// turnsPerLate is the number of starts of which late work gets one.
 	turnsPerLate = 8
 	// maxLateTurns bounds the turns that late work saves while no host can start it.
-	maxLateTurns = 2
+	maxLateTurns = 8
 )
 
 // LateTurns counts the turns of late work.
-type LateTurns struct{ credit float64 }
+type LateTurns struct {
+	// credit is in starts of others; turnsPerLate-1 of them earn one of late work.
+	credit int
+}
 
 // Due returns the number of starts that late work has before all others.
-func (t LateTurns) Due() int { return int(t.credit) }
+func (t LateTurns) Due() int { return t.credit / (turnsPerLate - 1) }
 
 // After returns the turns after others and late work have started tasks.
 func (t LateTurns) After(others, late int) LateTurns {
-	// In sevenths, as seven starts of others earn one of late work.
-	t.credit += float64(others)/(turnsPerLate-1) - float64(late)
-	return LateTurns{min(max(t.credit, 0), maxLateTurns)}
+	t.credit += others - (turnsPerLate-1)*late
+	return LateTurns{min(max(t.credit, 0), maxLateTurns*(turnsPerLate-1))}
 }
--- a/hvjob/job.go
+++ b/hvjob/job.go
@@ -129,6 +129,8 @@
 	// Gate is the address of the gate that accepted the job, which nodes ask for Spec;
 	// it is empty if that is not known.
 	Gate string `json:"gate,omitempty"`
+	// Zone is the zone of that gate; it is empty if that is not known.
+	Zone string `json:"zone,omitempty"`
 }
 
 // Rounds returns the number of times that the steps run.
--- a/hvjob/progress.go
+++ b/hvjob/progress.go
@@ -51,6 +51,9 @@
 	SavedStates map[int]string `json:"saved,omitempty"`
 	// Crashes holds what is known of tasks whose hosts crashed, by the index of the task.
 	Crashes map[int]CrashRecord `json:"crashes,omitempty"`
+	// Exempt holds the indexes of the tasks whose runs no preemption stops any more, or is
+	// empty.
+	Exempt Bitset `json:"exempt,omitempty"`
 }
 
 // CrashRecord is what is known of a task that was on hosts when they crashed. It is
@@ -117,6 +120,9 @@
 	if len(p.Done) != len(NewBitset(tasks)) {
 		return invalid("progress", "set of done tasks has %d bytes for %d tasks", len(p.Done), tasks)
 	}
+	if len(p.Exempt) > 0 && len(p.Exempt) != len(NewBitset(tasks)) {
+		return invalid("progress", "set of exempt tasks has %d bytes for %d tasks", len(p.Exempt), tasks)
+	}
 	for i := range p.FailedRuns {
 		if i < 0 || i >= tasks {
 			return invalid("progress", "failed run of task %d of %d", i, tasks)
@@ -149,7 +155,7 @@
 func (r RoundProgress) clone() RoundProgress {
 	out := RoundProgress{Steps: make([]StepProgress, len(r.Steps))}
 	for i, s := range r.Steps {
-		out.Steps[i] = StepProgress{Done: append(Bitset(nil), s.Done...), FailedRuns: maps.Clone(s.FailedRuns), SavedStates: maps.Clone(s.SavedStates), Crashes: maps.Clone(s.Crashes)}
+		out.Steps[i] = StepProgress{Done: append(Bitset(nil), s.Done...), FailedRuns: maps.Clone(s.FailedRuns), SavedStates: maps.Clone(s.SavedStates), Crashes: maps.Clone(s.Crashes), Exempt: append(Bitset(nil), s.Exempt...)}
 	}
 	return out
 }
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -285,6 +285,9 @@
 	m.Set("hv_cell_refused", c.Refused)
 	m.Set("hv_cell_crashes", c.Crashes)
 	m.Set("hv_cell_given_up", c.GivenUp)
+	m.Set("hv_preempted", c.Preempted)
+	m.Set("hv_preemption_holds_expired", c.HoldsExpired)
+	m.Set("hv_late_turns", c.LateTurns)
 }
 
 // flushLoop stores progress, and sends heartbeats while there is none.
