--- a/hvcell/random_test.go
+++ b/hvcell/random_test.go
@@ -49,6 +49,12 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		m := &faultMachine{simCluster: newSimCluster(rt, rapid.IntRange(1, 4).Draw(rt, "hosts")), delayed: map[string][]hvorder.Orders{}}
 		m.savedStates = true
+		m.policy = Policy{Sharing: rapid.Bool().Draw(rt, "sharing"), CheckpointInterval: 500 * time.Millisecond, RestoreTime: 600 * time.Millisecond, StopTime: 400 * time.Millisecond}
+		m.cell.options.Policy = m.policy
+		if m.policy.Sharing {
+			// Small hosts, so that work waits and urgent tasks preempt.
+			m.setCapacity(2500)
+		}
 		m.attachAll()
 		rt.Repeat(map[string]func(*rapid.T){
 			"submit": func(t *rapid.T) {
@@ -140,6 +146,12 @@
 					m.exchange()
 				}
 			},
+			"contend": func(t *rapid.T) {
+				if m.storeDown || !m.policy.Sharing {
+					t.Skip("no exchange with the store or no sharing")
+				}
+				m.contend()
+			},
 			"time": func(t *rapid.T) {
 				m.advance(time.Duration(rapid.IntRange(50, 3000).Draw(t, "ms")) * time.Millisecond)
 			},
@@ -148,6 +160,31 @@
 	})
 }
 
+// contend fills the hosts with work of one queue and lets a more urgent task wait until it
+// may preempt.
+func (m *faultMachine) contend() {
+	for name := range m.hosts {
+		delete(m.delayed, name)
+		m.attach(name)
+	}
+	batch := urgentJob(testStep(3*len(m.hosts), 1000))
+	batch.Queue = "batch"
+	for _, j := range []hvjob.Job{batch, urgentJob(testStep(1, 1000))} {
+		m.submit(j)
+		m.exchange()
+		m.advance(200 * time.Millisecond)
+	}
+	m.exchange()
+	m.advance(200 * time.Millisecond)
+	m.cell.Plan(m.now)
+}
+
+func (m *faultMachine) setCapacity(cpu int64) {
+	for _, e := range m.hosts {
+		e.capacityCPU = cpu
+	}
+}
+
 // dropEndedCalls drops late orders for hosts whose executor has ended or restarted: a
 // node reports that only after its calls have ended.
 func (m *faultMachine) dropEndedCalls() {
@@ -175,6 +212,7 @@
 func (m *faultMachine) recoverAll(t *rapid.T) {
 	m.delayed = nil
 	m.evacuate()
+	m.setCapacity(8000)
 	for _, e := range m.hosts {
 		if !e.alive {
 			e.start()
--- /dev/null
+++ b/hvcell/sharing_test.go
@@ -0,0 +1,214 @@
+package hvcell
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvfair"
+	"hibiscusvane.example/hibiscusvane/hvjob"
+)
+
+const shareStep = 50 * time.Millisecond
+
+// shareCluster is a cluster under contention in which each run takes as long as its job
+// says, and on which no host may exceed its capacity.
+type shareCluster struct {
+	*simCluster
+	// runTimes holds the run times by job; others run for 600 ms. Services run on.
+	runTimes map[string]time.Duration
+	jobByID  map[string]hvjob.Job
+	// deaf holds the hosts that do not receive stops.
+	deaf map[string]bool
+	// stops counts the stops of the runs of each task.
+	stops map[string]int
+}
+
+func newShareCluster(t *testing.T, hosts int) *shareCluster {
+	t.Helper()
+	c := &shareCluster{simCluster: newSimCluster(t, hosts), runTimes: map[string]time.Duration{}, jobByID: map[string]hvjob.Job{}, deaf: map[string]bool{}, stops: map[string]int{}}
+	c.policy = Policy{Sharing: true, CheckpointInterval: 500 * time.Millisecond, RestoreTime: 600 * time.Millisecond, StopTime: 400 * time.Millisecond}
+	c.authority = 0
+	c.replaceOwner()
+	c.attachAll()
+	return c
+}
+
+// add submits a job of one step to a queue from a zone.
+func (c *shareCluster) add(queue, zone string, runTime time.Duration, s hvjob.Step) hvjob.Job {
+	j := c.submit(hvjob.Job{Queue: queue, Zone: zone, Steps: []hvjob.Step{s}})
+	c.runTimes[j.ID], c.jobByID[j.ID] = runTime, j
+	return j
+}
+
+// play exchanges messages in steps of virtual time and calls each in every step, before runs end.
+func (c *shareCluster) play(d time.Duration, each func()) {
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.exchangeInOrder()
+		if each != nil {
+			each()
+		}
+		for name, e := range c.hosts {
+			used := int64(0)
+			for task, run := range e.running {
+				j := c.jobByID[hvjob.JobOf(task)]
+				used += j.Steps[0].Need.CPU
+				if !j.Steps[0].LongRunning && c.now.Sub(e.startTimes[task]) >= c.runTimes[j.ID] {
+					e.end(task, run, hv.EndDone)
+				}
+			}
+			if used > e.capacityCPU {
+				c.t.Fatalf("%d on %s, its capacity is %d", used, name, e.capacityCPU)
+			}
+		}
+		c.advance(shareStep)
+	}
+}
+
+func (c *shareCluster) exchangeInOrder() {
+	names := (&crashCluster{simCluster: c.simCluster}).names()
+	for _, name := range names {
+		if c.cell.hosts[name].connected {
+			c.hosts[name].applyGrant(c.cell.Report(c.now, name, c.hosts[name].report(false)))
+		}
+	}
+	c.store()
+	c.cell.Tick(c.now)
+	c.cell.Plan(c.now)
+	for _, name := range names {
+		o, ok := c.cell.Orders(name)
+		for _, s := range o.Stops {
+			c.stops[s.Task]++
+		}
+		if c.deaf[name] {
+			o.Stops = nil
+		}
+		if ok {
+			c.hosts[name].applyOrders(o)
+		}
+	}
+}
+
+// count returns the number of runs and of waiting tasks of the jobs that match.
+func (c *shareCluster) count(match func(hvjob.Job) bool) (running, waiting int) {
+	for _, e := range c.hosts {
+		for task := range e.running {
+			if match(c.jobByID[hvjob.JobOf(task)]) {
+				running++
+			}
+		}
+	}
+	for _, j := range c.cell.jobs {
+		if match(j.Job) {
+			for _, r := range j.rounds {
+				waiting += r.steps[0].waiting
+			}
+		}
+	}
+	return running, waiting
+}
+
+func inQueue(name string) func(hvjob.Job) bool {
+	return func(j hvjob.Job) bool { return j.Queue == name }
+}
+
+// checkFloor keeps 150 waiting tasks of one kind and 40 of another on 4 hosts of 8
+// cores, and fails if the second kind has less than its floor once the first runs ended.
+func checkFloor(t *testing.T, flood, few func(c *shareCluster) hvjob.Job, ofFew func(hvjob.Job) bool, floor float64) {
+	t.Helper()
+	c := newShareCluster(t, 4)
+	others := func(j hvjob.Job) bool { return !ofFew(j) }
+	least, start := 32, c.now
+	c.play(12*time.Second, func() {
+		for _, waiting := c.count(others); waiting < 150; _, waiting = c.count(others) {
+			flood(c)
+		}
+		for _, waiting := c.count(ofFew); c.now.Sub(start) > time.Second && waiting < 40; _, waiting = c.count(ofFew) {
+			few(c)
+		}
+		if running, _ := c.count(ofFew); c.now.Sub(start) > 3*time.Second {
+			least = min(least, running)
+		}
+		if c.runs() < 32 && c.now.Sub(start) > time.Second {
+			t.Fatalf("%d of 32 cores are used while work waits", c.runs())
+		}
+	})
+	if float64(least) < floor*32-1 {
+		t.Fatalf("%d of 32 cores at least, the floor is %.1f", least, floor*32)
+	}
+}
+
+// Guards against a flood of one queue, zone or size that takes the floor of another, and
+// against a share that leaves capacity idle.
+func TestFloodLeavesOthersTheirFloor(t *testing.T) {
+	job := func(queue, zone string, tasks int) func(*shareCluster) hvjob.Job {
+		return func(c *shareCluster) hvjob.Job {
+			return c.add(queue, zone, 600*time.Millisecond, testStep(tasks, 1000))
+		}
+	}
+	t.Run("urgent against batch", func(t *testing.T) {
+		checkFloor(t, job("first", "a", 5), job("second", "a", 5), inQueue("second"), 1.0/3)
+	})
+	t.Run("batch against urgent", func(t *testing.T) {
+		checkFloor(t, job("second", "a", 5), job("first", "a", 5), inQueue("first"), 2.0/3)
+	})
+	t.Run("zone against zone", func(t *testing.T) {
+		checkFloor(t, job("first", "a", 5), job("first", "b", 5), func(j hvjob.Job) bool { return j.Zone == "b" }, 1.0/2)
+	})
+	t.Run("small against large", func(t *testing.T) {
+		checkFloor(t, job("first", "a", 1), job("first", "a", 40), func(j hvjob.Job) bool { return j.Steps[0].Count > 1 }, 1.0/2)
+	})
+	t.Run("large against small", func(t *testing.T) {
+		mixed := func(c *shareCluster) hvjob.Job {
+			for range 12 {
+				job("first", "a", 1)(c)
+			}
+			return job("first", "a", 60)(c)
+		}
+		checkFloor(t, mixed, job("first", "b", 1), func(j hvjob.Job) bool { return j.Steps[0].Count == 1 }, 1.0/2)
+	})
+}
+
+// Guards against late work that never starts while work in time arrives, and against late
+// work that takes more than its turns.
+func TestLateWorkGetsOneTurnInEight(t *testing.T) {
+	c := newShareCluster(t, 2)
+	late := testStep(40, 1000)
+	late.Estimate = 1
+	var j hvjob.Job
+	start, before := c.now, 0
+	starts := int64(0)
+	c.play(30*time.Second, func() {
+		for _, waiting := c.count(inQueue("first")); waiting < 100; _, waiting = c.count(inQueue("first")) {
+			c.add("first", "a", 600*time.Millisecond, testStep(5, 1000))
+		}
+		if j.ID == "" {
+			j = c.add("batch", "a", 600*time.Millisecond, late)
+		}
+		if running, waiting := c.count(inQueue("batch")); c.now.Sub(start) < 13*time.Second {
+			// The first seconds are for the cutoff of the job and the wait of 10 s.
+			before, starts = 40-waiting, c.cell.counts.Starts
+		} else if waiting > 2 {
+			turns := float64(c.cell.counts.Starts-starts) / 8
+			if got := float64(40 - waiting - before); got < turns-3 || got > turns+3 {
+				t.Fatalf("%.0f late tasks of %.0f turns, %d run", got, turns, running)
+			}
+		}
+	})
+	if _, waiting := c.count(inQueue("batch")); waiting > 30 {
+		t.Fatalf("%d of 40 late tasks wait", waiting)
+	}
+}
+
+// Guards against equal jobs that count as large, and against large ones that do not.
+func TestSizesByWork(t *testing.T) {
+	var s hvfair.Sizes
+	var got []hvfair.Size
+	for i := range 100 {
+		got = append(got, s.Classify([]float64{1, 1, 5, 1, 1, 5, 1, 1, 1, 9}[i%10]))
+	}
+	if slices.Contains(got[:10], hvfair.Large) || got[99] != hvfair.Largest || got[95] != hvfair.Large || got[98] != hvfair.Usual {
+		t.Fatal(got)
+	}
+}
--- a/hvcell/simcluster_test.go
+++ b/hvcell/simcluster_test.go
@@ -40,6 +40,7 @@
 	savedStates bool
 	// evacuated holds the evacuated zones.
 	evacuated []string
+	policy    Policy
 	// learned is the stored learned state, as of learnedAt.
 	learned   LearnedState
 	learnedAt time.Time
@@ -76,6 +77,9 @@
 var queues = map[string]hvjob.Queue{
 	"urgent": {Name: "urgent", Service: "desk", MaxAttempts: 3, Stretch: 1.5, Slack: 250},
 	"batch":  {Name: "batch", Service: "desk", Priority: 2, MaxAttempts: 2, Stretch: 2, Slack: 1000},
+	// Jobs of these queues are in time for a minute, also under overload.
+	"first":  {Name: "first", Service: "desk", MaxAttempts: 3, Stretch: 2, Slack: 60_000},
+	"second": {Name: "second", Service: "desk", Priority: 2, MaxAttempts: 3, Stretch: 2, Slack: 60_000},
 	// Tasks of this queue start only with a ticket.
 	"advised": {Name: "advised", Service: "desk", MaxAttempts: 2, Stretch: 2, Slack: 1000, Advice: &hvjob.Advice{BaseMillis: 50, PerHostMillis: 10, ValidMillis: 3000}},
 }
@@ -103,7 +107,7 @@
 	w.epoch++
 	w.cell = New(Options{
 		Epoch: w.epoch, ClaimOffset: int64(len(w.jobs)), ClaimedAt: w.now, LeaseDuration: 5 * time.Second, PreviousAuthority: w.authority,
-		Retention: time.Minute, Logger: log.NewNopLogger(),
+		Retention: time.Minute, Policy: w.policy, Logger: log.NewNopLogger(),
 		Health: hvhealth.New(hvhealth.Options{HostCount: func() int { return len(w.hosts) }}),
 	})
 	if !w.noCatalog {
