--- a/hvfair/victims.go
+++ b/hvfair/victims.go
@@ -21,15 +21,17 @@
 // less. It reports false if all together do not suffice or more than limit runs would
 // be stopped.
 func Choose(missing Amount, units []Unit, limit int) (chosen []int, loss float64, ok bool) {
-	order := make([]int, len(units))
-	for i := range order {
-		order[i] = i
+	var order []int
+	for i, u := range units {
+		if u.Runs <= limit {
+			order = append(order, i)
+		}
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(units[a].Loss, units[b].Loss) })
 	freed := Amount{}
 	single := -1
 	for _, i := range order {
-		if single < 0 && missing.Fits(units[i].Freed) && units[i].Runs <= limit {
+		if single < 0 && missing.Fits(units[i].Freed) {
 			single = i
 		}
 		if missing.Fits(freed) {
@@ -48,7 +50,10 @@
 	if single >= 0 && (runs > limit || units[single].Loss < loss) {
 		return []int{single}, units[single].Loss, true
 	}
-	return chosen, loss, runs <= limit
+	if runs > limit {
+		return nil, 0, false
+	}
+	return chosen, loss, true
 }
 
 // reduce leaves out the units that are not needed, the last first.
