--- a/hvcell/preempt_test.go
+++ b/hvcell/preempt_test.go
@@ -35,11 +35,20 @@
 // that stops more than it needs, and against a stopped run that counts as failed or whose
 // task does not go first in its queue.
 func TestUrgentTaskPreempts(t *testing.T) {
+	t.Run("ordinary", func(t *testing.T) { checkPreemption(t, none) })
+	t.Run("best effort", func(t *testing.T) { checkPreemption(t, func(s *hvjob.Step) { s.BestEffort = true }) })
+}
+
+func checkPreemption(t *testing.T, change func(*hvjob.Step)) {
+	t.Helper()
 	c := newShareCluster(t, 4)
-	j := c.fill(none)
-	c.add("second", "a", time.Minute, testStep(20, 1000))
-	c.play(time.Second, nil)
-	c.add("first", "a", 2*time.Second, testStep(1, 1000))
+	j := c.fill(change)
+	waiting, urgent := testStep(20, 1000), testStep(1, 1000)
+	change(&waiting)
+	change(&urgent)
+	c.add("second", "a", time.Minute, waiting)
+	c.play(shareStep, nil)
+	c.add("first", "a", 500*time.Millisecond, urgent)
 	c.play(350*time.Millisecond, nil)
 	if n := c.stoppedTasks(); n > 0 {
 		t.Fatalf("%d runs are stopped within 300 ms", n)
@@ -48,7 +57,8 @@
 	if running, _ := c.count(inQueue("first")); running != 1 || c.stoppedTasks() != 1 || c.cell.counts.Preempted != 1 {
 		t.Fatalf("%d runs of the urgent job after 0.5 s, %d runs stopped", running, len(c.stops))
 	}
-	c.play(2500*time.Millisecond, nil)
+	// Less than the time after which a waiting best-effort step starts a task anywhere.
+	c.play(700*time.Millisecond, nil)
 	if running, _ := c.count(func(o hvjob.Job) bool { return o.ID == j.ID }); running != 32 {
 		t.Fatalf("%d of 32 runs after the urgent job has ended, the stopped task goes first", running)
 	}
--- a/hvcell/sharing.go
+++ b/hvcell/sharing.go
@@ -31,6 +31,8 @@
 	// loggedAt is when the order of shares was last logged.
 	loggedAt time.Time
 	limiter  hvfair.Limiter
+	// searchedAt is when runs to stop were last searched for.
+	searchedAt time.Time
 	// holds holds the capacity that is kept for tasks that preempted.
 	holds []*hold
 }
--- a/hvcell/sharing_preempt.go
+++ b/hvcell/sharing_preempt.go
@@ -14,10 +14,12 @@
 const (
 	// preemptionDelay is how long a task waits before it may stop runs.
 	preemptionDelay = 300 * time.Millisecond
-	// preemptionRetryDelay is the interval between searches for runs that a step may stop.
-	preemptionRetryDelay = 100 * time.Millisecond
-	// maxSearches bounds the searches over all hosts in one plan.
-	maxSearches = 4
+	// preemptionRetryDelay is how long a step for which no runs were found lets others
+	// search.
+	preemptionRetryDelay = 300 * time.Millisecond
+	// searchInterval is the least time between two searches for runs to stop: one over 300
+	// hosts takes about 0.4 ms.
+	searchInterval = 20 * time.Millisecond
 	// holdSlack is how much longer than a stop takes freed capacity is kept: the orders
 	// and the list of ends have to be sent as well.
 	holdSlack = time.Second
@@ -41,32 +43,39 @@
 	if !c.sharing.contended {
 		return
 	}
-	searches, allowed := 0, -1
+	if now.Sub(c.sharing.searchedAt) < searchInterval {
+		return
+	}
 	for _, cand := range list {
-		if !c.mayPreempt(now, cand) {
+		t := c.preemptor(now, cand)
+		if t == nil {
 			continue
 		}
-		if allowed < 0 {
-			allowed = c.sharing.limiter.Allowed(now, c.runCount())
+		allowed := c.sharing.limiter.Allowed(now, c.runCount())
+		if allowed == 0 {
+			return
 		}
-		for _, t := range cand.step.placementOrder() {
-			if allowed == 0 || searches == maxSearches {
-				return
-			}
-			if t.done || len(t.runs) > 0 || t.hold != nil || now.Before(t.notBefore) {
-				continue
-			}
-			searches++
-			n := c.preemptFor(now, t, hosts, allowed)
-			if n == 0 {
-				cand.step.sharing.retryAt = now.Add(preemptionRetryDelay)
-				break
-			}
-			allowed -= n
+		c.sharing.searchedAt = now
+		if !c.preemptFor(now, t, hosts, allowed) {
+			cand.step.sharing.retryAt = now.Add(preemptionRetryDelay)
 		}
+		return
 	}
 }
 
+// preemptor returns the first task of a candidate that may stop runs, or nil.
+func (c *Cell) preemptor(now time.Time, cand candidate) *task {
+	if !c.mayPreempt(now, cand) {
+		return nil
+	}
+	for _, t := range cand.step.placementOrder() {
+		if !t.done && len(t.runs) == 0 && t.hold == nil && !now.Before(t.notBefore) {
+			return t
+		}
+	}
+	return nil
+}
+
 // mayPreempt reports whether the tasks of a step may stop runs. Long-running tasks and
 // gangs may not: capacity is reserved for the former, and the latter need several hosts.
 func (c *Cell) mayPreempt(now time.Time, cand candidate) bool {
@@ -89,10 +98,10 @@
 	return n
 }
 
-// preemptFor stops runs on the host where least is lost with them, if a task fits there
-// afterwards, and returns their number. Hosts that have not responded to a stop are passed
+// preemptFor stops up to limit runs on the host where least is lost with them, and reports
+// whether a task fits there afterwards. Hosts that have not responded to a stop are passed
 // over.
-func (c *Cell) preemptFor(now time.Time, t *task, hosts []*host, limit int) int {
+func (c *Cell) preemptFor(now time.Time, t *task, hosts []*host, limit int) bool {
 	var best *host
 	var victims []*run
 	least := 0.0
@@ -114,10 +123,11 @@
 			victims = append(victims, sets[i]...)
 		}
 	}
-	if best != nil {
-		c.stopVictims(now, t, best, victims, least)
+	if best == nil {
+		return false
 	}
-	return len(victims)
+	c.stopVictims(now, t, best, victims, least)
+	return true
 }
 
 // obstacleBesideRoom reports whether anything other than the resources in use rules out a
--- a/hvcell/sharing_test.go
+++ b/hvcell/sharing_test.go
@@ -53,7 +53,7 @@
 			used := int64(0)
 			for task, run := range e.running {
 				j := c.jobByID[hvjob.JobOf(task)]
-				used += j.Steps[0].Need.CPU
+				used += j.Steps[0].Allocation().CPU
 				if !j.Steps[0].LongRunning && c.now.Sub(e.startTimes[task]) >= c.runTimes[j.ID] {
 					e.end(task, run, hv.EndDone)
 				}
--- a/hvcell/sharing_victims.go
+++ b/hvcell/sharing_victims.go
@@ -24,7 +24,7 @@
 	if r.phase != phaseActive || r.task.exempt || now.Sub(r.started) < minVictimAge {
 		return false
 	}
-	if s.round.job.queue.Priority <= t.step.round.job.queue.Priority || c.findTask(r.task.name) != r.task {
+	if s.round.job.queue.Priority <= t.step.round.job.queue.Priority {
 		return false
 	}
 	if a := r.account.parent.parent; a.position() < 1 {
