Let preempted tasks start before the floors of their zone and size count

Steps with preempted tasks were ordered first in their queue, but a zone or size that used its floor held them back until the others of the queue had started. A gate's test checks that jobs carry its zone.

--- a/hvcell/sharing.go
+++ b/hvcell/sharing.go
@@ -90,18 +90,20 @@
 func comparePriority(a, b candidate) int {
 	return cmp.Or(
 		cmp.Compare(a.step.round.job.queue.Priority, b.step.round.job.queue.Priority),
-		-cmp.Compare(a.step.exemptWaiting(), b.step.exemptWaiting()),
+		-cmp.Compare(min(a.step.exemptWaiting(), 1), min(b.step.exemptWaiting(), 1)),
 	)
 }
 
-// exemptWaiting returns 1 if a task of the step waits that was preempted or preempts, else 0.
+// exemptWaiting returns the number of waiting tasks of the step that were preempted or
+// have preempted.
 func (s *step) exemptWaiting() int {
+	n := 0
 	for _, t := range s.sharing.exempt {
 		if !t.done && len(t.runs) == 0 {
-			return 1
+			n++
 		}
 	}
-	return 0
+	return n
 }
 
 // placementOrder returns the tasks of a step in the order in which they start: those for
@@ -194,7 +196,7 @@
 		}
 		var next []candidate
 		for _, cand := range list {
-			if c.placeStep(now, cand.step, hosts, held, cand.step.sharing.account.tasksToFloor(cand.step.spec, floors)) {
+			if c.placeStep(now, cand.step, hosts, held, cand.step.tasksToFloor(floors)) {
 				next = append(next, cand)
 			}
 		}
--- a/hvcell/sharing_accounts.go
+++ b/hvcell/sharing_accounts.go
@@ -205,6 +205,18 @@
 	return n
 }
 
+// tasksToFloor returns how many tasks of the step may start until one of the floors down to
+// a depth is reached. Preempted tasks go first in their queue, so only its floor counts for
+// them.
+func (s *step) tasksToFloor(depth int) int {
+	a := s.sharing.account
+	n := a.tasksToFloor(s.spec, depth)
+	if exempt := s.exemptWaiting(); n < exempt {
+		n = min(exempt, a.tasksToFloor(s.spec, depthQueue))
+	}
+	return n
+}
+
 // classifyJob returns the size class of a new job.
 func (c *Cell) classifyJob(j hvjob.Job) hvfair.Size {
 	if !c.options.Policy.Sharing {
--- a/hventry/put_test.go
+++ b/hventry/put_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"sync"
@@ -27,7 +28,9 @@
 type fakeOwner struct {
 	respond func(ctx context.Context) error
 	puts    atomic.Int64
-	addr    string
+	// zone is that of the job in the last put.
+	zone atomic.Value
+	addr string
 }
 
 const ownerProcess = "process-of-the-owner"
@@ -37,8 +40,13 @@
 	hvwire.Handle(mux, "who", func(context.Context, *hvwire.Conn, struct{}) (map[string]string, error) {
 		return map[string]string{"id": ownerProcess}, nil
 	})
-	hvwire.Handle(mux, "put", func(ctx context.Context, _ *hvwire.Conn, _ hv.KeyedRecord) (struct{}, error) {
+	hvwire.Handle(mux, "put", func(ctx context.Context, _ *hvwire.Conn, rec hv.KeyedRecord) (struct{}, error) {
 		o.puts.Add(1)
+		var j hvjob.Job
+		if err := json.Unmarshal(rec.Value, &j); err != nil {
+			t.Error(err)
+		}
+		o.zone.Store(j.Zone)
 		return struct{}{}, o.respond(ctx)
 	})
 	o.addr = hvwiretest.Serve(t, mux)
@@ -65,7 +73,8 @@
 }
 
 // Guards against jobs that are lost or delayed when the owner of the cell does not
-// store them: the gate must store them itself.
+// store them: the gate must store them itself. Guards also against jobs without the zone
+// of their gate.
 func TestGateStoresJobsIfOwnerDoesNot(t *testing.T) {
 	for _, c := range []struct {
 		name    string
@@ -93,7 +102,7 @@
 			o.listen(t)
 			o.claimCell(ctx, t, store)
 			g := hventry.New(hventry.Options{
-				Name: "gate", Addr: "127.0.0.1:1", Process: "p", Store: store, CellTopic: platform.CellTopic,
+				Name: "gate", Zone: "north", Addr: "127.0.0.1:1", Process: "p", Store: store, CellTopic: platform.CellTopic,
 				Operators: hventry.OperatorRecords{Topic: platform.OperatorsTopic, CatalogKey: platform.CatalogKey, EvacuationPrefix: platform.EvacuationPrefix, DecodeCatalog: decodeCatalog},
 				Retention: time.Minute, Clock: hv.SystemClock{}, Metrics: hvmetric.New(4), Logger: log.NewNopLogger(),
 			})
@@ -115,6 +124,9 @@
 			if took := time.Since(began); took > c.maxDuration {
 				t.Errorf("three jobs took %v, want at most %v", took, c.maxDuration)
 			}
+			if zone := o.zone.Load(); zone != "north" {
+				t.Errorf("the zone of the job is %v, want that of the gate", zone)
+			}
 			stored := 0
 			for id := 1; id <= 3; id++ {
 				stored += fakeStore.Count(platform.CellTopic, "job/"+newJob(id).ID)
