--- a/hvcell/sharing_test.go
+++ b/hvcell/sharing_test.go
@@ -170,6 +170,29 @@
 	})
 }
 
+// Guards against a flood of short tasks that keeps services from starting.
+func TestFloodLeavesServicesTheirRoom(t *testing.T) {
+	c := newShareCluster(t, 4)
+	service := testStep(6, 4000)
+	service.LongRunning = true
+	submitted := false
+	c.play(4*time.Second, func() {
+		for _, waiting := c.count(inQueue("first")); waiting < 100; _, waiting = c.count(inQueue("first")) {
+			c.add("first", "a", 600*time.Millisecond, testStep(5, 1000))
+		}
+		if c.cell.counts.Done > 0 && !submitted {
+			c.add("second", "a", 0, service)
+			submitted = true
+		}
+	})
+	if running, _ := c.count(inQueue("second")); running != 6 {
+		t.Fatalf("%d of 6 tasks of a service run", running)
+	}
+	if running, _ := c.count(inQueue("first")); running != 8 {
+		t.Fatalf("short tasks use %d of the other 8 cores", running)
+	}
+}
+
 // Guards against late work that never starts while work in time arrives, and against late
 // work that takes more than its turns.
 func TestLateWorkGetsOneTurnInEight(t *testing.T) {
