Take stops by an earlier owner for preemptions, and test holds and gangs

An owner lost after a stop and before its append left no record, so the next one could preempt the same task again; TestPreemptionSurvivesOwner showed it with the owner replaced 0.4 s after the submission.

--- a/hvcell/ends.go
+++ b/hvcell/ends.go
@@ -34,6 +34,7 @@
 		t.progress().save(t.index, e.SavedState)
 		c.markChanged(t.step.round.job)
 	}
+	c.exemptIfStopped(t, r, e)
 	switch e.Reason {
 	case hv.EndDone:
 		c.handleDone(now, h, t, r)
--- a/hvcell/preempt_test.go
+++ b/hvcell/preempt_test.go
@@ -132,8 +132,10 @@
 		if running, _ := c.count(inQueue("first")); running != 1 {
 			t.Fatalf("%d runs of the urgent job under the new owner", running)
 		}
-		c.add("first", "a", time.Second, testStep(3, 1000))
-		c.play(5*time.Second, nil)
+		for range 5 {
+			c.add("first", "a", 300*time.Millisecond, testStep(1, 1000))
+			c.play(1200*time.Millisecond, nil)
+		}
 		c.stoppedTasks()
 		c.finishAll(hv.EndDone)
 		c.play(2*time.Second, nil)
@@ -163,11 +165,32 @@
 			t.Fatalf("%d tasks of a service miss, %d may", most, budget)
 		}
 	}
-	c := newShareCluster(t, 2)
-	c.fill(func(s *hvjob.Step) { s.Gang = true })
-	c.add("first", "a", time.Second, testStep(4, 1000))
-	c.play(5*time.Second, nil)
-	if len(c.stops) > 0 {
-		t.Fatalf("%d members of a gang on two hosts are stopped", len(c.stops))
+	for _, k := range []struct{ filler, cpu, stops int }{{62, 1000, 0}, {63, 500, 2}} {
+		c := newShareCluster(t, 8)
+		c.add("first", "a", time.Minute, testStep(k.filler, 1000))
+		c.play(time.Second, nil)
+		gang := testStep(2, int64(k.cpu))
+		gang.Gang = true
+		c.add("second", "a", time.Minute, gang)
+		c.play(time.Second, nil)
+		c.add("first", "a", time.Second, testStep(1, 1000))
+		c.play(time.Second, nil)
+		if len(c.stops) != k.stops {
+			t.Fatalf("%d members of a gang beside %d others are stopped, want %d", len(c.stops), k.filler, k.stops)
+		}
+	}
+}
+
+// Guards against capacity that is freed by one of two stops and goes to other work before
+// the second run has ended.
+func TestPreemptionKeepsFreedCapacity(t *testing.T) {
+	c := newShareCluster(t, 8)
+	c.fill(none)
+	c.add("second", "a", time.Minute, testStep(20, 1000))
+	c.play(shareStep, nil)
+	c.add("first", "a", time.Second, testStep(1, 2000))
+	c.play(600*time.Millisecond, nil)
+	if running, _ := c.count(inQueue("first")); running != 1 || c.stoppedTasks() != 2 {
+		t.Fatalf("%d urgent runs, %d runs stopped, want 1 and 2", running, len(c.stops))
 	}
 }
--- a/hvcell/sharing_preempt.go
+++ b/hvcell/sharing_preempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvfair"
 	"hibiscusvane.example/hibiscusvane/hvjob"
 )
@@ -175,6 +176,14 @@
 	c.markChanged(t.step.round.job)
 }
 
+// exemptIfStopped excludes a task from preemption if an earlier owner stopped its run: it
+// may have done so for an urgent task and been lost before that was stored.
+func (c *Cell) exemptIfStopped(t *task, r *run, e hv.RunEnd) {
+	if c.options.Policy.Sharing && e.Reason == hv.EndStopped && (r == nil || r.phase == phaseActive) {
+		c.exempt(t)
+	}
+}
+
 // checkHolds releases the capacity that is kept for tasks that have started or need it no
 // more, and for those whose victims have not stopped in time.
 func (c *Cell) checkHolds(now time.Time) {
--- a/hvcell/sharing_test.go
+++ b/hvcell/sharing_test.go
@@ -8,6 +8,7 @@
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvfair"
 	"hibiscusvane.example/hibiscusvane/hvjob"
+	"hibiscusvane.example/hibiscusvane/hvorder"
 )
 
 const shareStep = 50 * time.Millisecond
@@ -21,13 +22,15 @@
 	jobByID  map[string]hvjob.Job
 	// deaf holds the hosts that do not receive stops.
 	deaf map[string]bool
+	// pending holds the stops that a host has not carried out: it takes one in each step.
+	pending map[string][]hvorder.Run
 	// stops counts the stops of the runs of each task.
 	stops map[string]int
 }
 
 func newShareCluster(t *testing.T, hosts int) *shareCluster {
 	t.Helper()
-	c := &shareCluster{simCluster: newSimCluster(t, hosts), runTimes: map[string]time.Duration{}, jobByID: map[string]hvjob.Job{}, deaf: map[string]bool{}, stops: map[string]int{}}
+	c := &shareCluster{simCluster: newSimCluster(t, hosts), runTimes: map[string]time.Duration{}, jobByID: map[string]hvjob.Job{}, deaf: map[string]bool{}, pending: map[string][]hvorder.Run{}, stops: map[string]int{}}
 	c.policy = Policy{Sharing: true, CheckpointInterval: 500 * time.Millisecond, RestoreTime: 600 * time.Millisecond, StopTime: 400 * time.Millisecond}
 	c.authority = 0
 	c.replaceOwner()
@@ -84,9 +87,14 @@
 		if c.deaf[name] {
 			o.Stops = nil
 		}
-		if ok {
-			c.hosts[name].applyOrders(o)
+		o.Stops = append(c.pending[name], o.Stops...)
+		if ok = ok || len(o.Stops) > 0; !ok {
+			continue
 		}
+		n := min(len(o.Stops), 1)
+		c.pending[name], o.Stops = o.Stops[n:], o.Stops[:n]
+		o.Epoch, o.Incarnation = c.epoch, c.hosts[name].incarnationName()
+		c.hosts[name].applyOrders(o)
 	}
 }
 
