--- a/hvcell/preempt_test.go
+++ b/hvcell/preempt_test.go
@@ -77,9 +77,7 @@
 		if step++; step%10 == 0 {
 			c.add("first", "a", time.Second, testStep(12, 2000))
 		}
-		for _, waiting := c.count(inQueue("second")); waiting < 20; _, waiting = c.count(inQueue("second")) {
-			c.add("second", "a", 3*time.Second, testStep(10, 1000))
-		}
+		c.keep(20, inQueue("second"), func(c *shareCluster) { c.add("second", "a", 3*time.Second, testStep(10, 1000)) })
 		for ; before < c.cell.counts.Preempted; before++ {
 			at = append(at, c.now)
 		}
@@ -156,9 +154,7 @@
 		c.play(10*time.Second, nil)
 		most := 0
 		c.play(30*time.Second, func() {
-			if _, waiting := c.count(inQueue("first")); waiting < 4 {
-				c.add("first", "a", time.Second, testStep(4, 1000))
-			}
+			c.keep(4, inQueue("first"), func(c *shareCluster) { c.add("first", "a", time.Second, testStep(4, 1000)) })
 			most = max(most, c.cell.unavailable(c.now, c.cell.jobs[j.ID].rounds[0].steps[0]))
 		})
 		if most != budget {
--- a/hvcell/sharing_test.go
+++ b/hvcell/sharing_test.go
@@ -1,12 +1,10 @@
 package hvcell
 
 import (
-	"slices"
 	"testing"
 	"time"
 
 	hv "hibiscusvane.example/hibiscusvane"
-	"hibiscusvane.example/hibiscusvane/hvfair"
 	"hibiscusvane.example/hibiscusvane/hvjob"
 	"hibiscusvane.example/hibiscusvane/hvorder"
 )
@@ -16,7 +14,7 @@
 // shareCluster is a cluster under contention in which each run takes as long as its job
 // says, and on which no host may exceed its capacity.
 type shareCluster struct {
-	*simCluster
+	*crashCluster
 	// runTimes holds the run times by job; others run for 600 ms. Services run on.
 	runTimes map[string]time.Duration
 	jobByID  map[string]hvjob.Job
@@ -30,9 +28,9 @@
 
 func newShareCluster(t *testing.T, hosts int) *shareCluster {
 	t.Helper()
-	c := &shareCluster{simCluster: newSimCluster(t, hosts), runTimes: map[string]time.Duration{}, jobByID: map[string]hvjob.Job{}, deaf: map[string]bool{}, pending: map[string][]hvorder.Run{}, stops: map[string]int{}}
+	c := &shareCluster{crashCluster: newCrashCluster(t, hosts), runTimes: map[string]time.Duration{}, jobByID: map[string]hvjob.Job{}, deaf: map[string]bool{}, pending: map[string][]hvorder.Run{}, stops: map[string]int{}}
+	c.simCluster.intercept = c.intercept
 	c.policy = Policy{Sharing: true, CheckpointInterval: 500 * time.Millisecond, RestoreTime: 600 * time.Millisecond, StopTime: 400 * time.Millisecond}
-	c.authority = 0
 	c.replaceOwner()
 	c.attachAll()
 	return c
@@ -48,7 +46,7 @@
 // play exchanges messages in steps of virtual time and calls each in every step, before runs end.
 func (c *shareCluster) play(d time.Duration, each func()) {
 	for end := c.now.Add(d); c.now.Before(end); {
-		c.exchangeInOrder()
+		c.exchangeUnlessLost()
 		if each != nil {
 			each()
 		}
@@ -69,33 +67,20 @@
 	}
 }
 
-func (c *shareCluster) exchangeInOrder() {
-	names := (&crashCluster{simCluster: c.simCluster}).names()
-	for _, name := range names {
-		if c.cell.hosts[name].connected {
-			c.hosts[name].applyGrant(c.cell.Report(c.now, name, c.hosts[name].report(false)))
-		}
+// intercept records the stops in orders and passes one stop in each step to a host, or none
+// to a deaf one.
+func (c *shareCluster) intercept(name string, o hvorder.Orders) hvorder.Orders {
+	for _, s := range o.Stops {
+		c.stops[s.Task]++
 	}
-	c.store()
-	c.cell.Tick(c.now)
-	c.cell.Plan(c.now)
-	for _, name := range names {
-		o, ok := c.cell.Orders(name)
-		for _, s := range o.Stops {
-			c.stops[s.Task]++
-		}
-		if c.deaf[name] {
-			o.Stops = nil
-		}
-		o.Stops = append(c.pending[name], o.Stops...)
-		if ok = ok || len(o.Stops) > 0; !ok {
-			continue
-		}
-		n := min(len(o.Stops), 1)
-		c.pending[name], o.Stops = o.Stops[n:], o.Stops[:n]
-		o.Epoch, o.Incarnation = c.epoch, c.hosts[name].incarnationName()
-		c.hosts[name].applyOrders(o)
+	if c.deaf[name] {
+		o.Stops = nil
 	}
+	o.Stops = append(c.pending[name], o.Stops...)
+	n := min(len(o.Stops), 1)
+	c.pending[name], o.Stops = o.Stops[n:], o.Stops[:n]
+	o.Epoch, o.Incarnation = c.epoch, c.hosts[name].incarnationName()
+	return o
 }
 
 // count returns the number of runs and of waiting tasks of the jobs that match.
@@ -121,61 +106,61 @@
 	return func(j hvjob.Job) bool { return j.Queue == name }
 }
 
-// checkFloor keeps 150 waiting tasks of one kind and 40 of another on 4 hosts of 8
-// cores, and fails if the second kind has less than its floor once the first runs ended.
-func checkFloor(t *testing.T, flood, few func(c *shareCluster) hvjob.Job, ofFew func(hvjob.Job) bool, floor float64) {
-	t.Helper()
-	c := newShareCluster(t, 4)
-	others := func(j hvjob.Job) bool { return !ofFew(j) }
-	least, start := 32, c.now
-	c.play(12*time.Second, func() {
-		for _, waiting := c.count(others); waiting < 150; _, waiting = c.count(others) {
-			flood(c)
-		}
-		for _, waiting := c.count(ofFew); c.now.Sub(start) > time.Second && waiting < 40; _, waiting = c.count(ofFew) {
-			few(c)
-		}
-		if running, _ := c.count(ofFew); c.now.Sub(start) > 3*time.Second {
-			least = min(least, running)
-		}
-		if c.runs() < 32 && c.now.Sub(start) > time.Second {
-			t.Fatalf("%d of 32 cores are used while work waits", c.runs())
-		}
-	})
-	if float64(least) < floor*32-1 {
-		t.Fatalf("%d of 32 cores at least, the floor is %.1f", least, floor*32)
+// keep submits jobs until that many tasks of those that match wait.
+func (c *shareCluster) keep(n int, match func(hvjob.Job) bool, submit func(*shareCluster)) {
+	for _, waiting := c.count(match); waiting < n; _, waiting = c.count(match) {
+		submit(c)
 	}
 }
 
-// Guards against a flood of one queue, zone or size that takes the floor of another, and
-// against a share that leaves capacity idle.
+// submits returns a function that submits a job of short tasks.
+func submits(queue, zone string, tasks int) func(*shareCluster) {
+	return func(c *shareCluster) { c.add(queue, zone, 600*time.Millisecond, testStep(tasks, 1000)) }
+}
+
+// Guards against a flood of one queue, zone or size that takes the floor of another on 4
+// hosts of 8 cores, and against a share that leaves capacity idle.
 func TestFloodLeavesOthersTheirFloor(t *testing.T) {
-	job := func(queue, zone string, tasks int) func(*shareCluster) hvjob.Job {
-		return func(c *shareCluster) hvjob.Job {
-			return c.add(queue, zone, 600*time.Millisecond, testStep(tasks, 1000))
+	isSmall := func(j hvjob.Job) bool { return j.Steps[0].Count == 1 }
+	mixed := func(c *shareCluster) {
+		for range 12 {
+			submits("first", "a", 1)(c)
 		}
+		submits("first", "a", 60)(c)
 	}
-	t.Run("urgent against batch", func(t *testing.T) {
-		checkFloor(t, job("first", "a", 5), job("second", "a", 5), inQueue("second"), 1.0/3)
-	})
-	t.Run("batch against urgent", func(t *testing.T) {
-		checkFloor(t, job("second", "a", 5), job("first", "a", 5), inQueue("first"), 2.0/3)
-	})
-	t.Run("zone against zone", func(t *testing.T) {
-		checkFloor(t, job("first", "a", 5), job("first", "b", 5), func(j hvjob.Job) bool { return j.Zone == "b" }, 1.0/2)
-	})
-	t.Run("small against large", func(t *testing.T) {
-		checkFloor(t, job("first", "a", 1), job("first", "a", 40), func(j hvjob.Job) bool { return j.Steps[0].Count > 1 }, 1.0/2)
-	})
-	t.Run("large against small", func(t *testing.T) {
-		mixed := func(c *shareCluster) hvjob.Job {
-			for range 12 {
-				job("first", "a", 1)(c)
+	for _, k := range []struct {
+		name       string
+		flood, few func(*shareCluster)
+		isFew      func(hvjob.Job) bool
+		floor      float64
+	}{
+		{"urgent against batch", submits("first", "a", 5), submits("second", "a", 5), inQueue("second"), 1.0 / 3},
+		{"batch against urgent", submits("second", "a", 5), submits("first", "a", 5), inQueue("first"), 2.0 / 3},
+		{"zone against zone", submits("first", "a", 5), submits("first", "b", 5), func(j hvjob.Job) bool { return j.Zone == "b" }, 1.0 / 2},
+		{"small against large", submits("first", "a", 1), submits("first", "a", 40), func(j hvjob.Job) bool { return !isSmall(j) }, 1.0 / 2},
+		{"large against small", mixed, submits("first", "b", 1), isSmall, 1.0 / 2},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			c := newShareCluster(t, 4)
+			least, start := 32, c.now
+			c.play(12*time.Second, func() {
+				c.keep(150, func(j hvjob.Job) bool { return !k.isFew(j) }, k.flood)
+				if c.now.Sub(start) > time.Second {
+					c.keep(40, k.isFew, k.few)
+					if c.runs() < 32 {
+						t.Fatalf("%d of 32 cores are used while work waits", c.runs())
+					}
+				}
+				if running, _ := c.count(k.isFew); c.now.Sub(start) > 3*time.Second {
+					least = min(least, running)
+				}
+			})
+			// A task cannot be divided.
+			if float64(least) < k.floor*32-1 {
+				t.Fatalf("%d of 32 cores at least, the floor is %.1f", least, k.floor*32)
 			}
-			return job("first", "a", 60)(c)
-		}
-		checkFloor(t, mixed, job("first", "b", 1), func(j hvjob.Job) bool { return j.Steps[0].Count == 1 }, 1.0/2)
-	})
+		})
+	}
 }
 
 // Guards against a flood of short tasks that keeps services from starting.
@@ -185,9 +170,7 @@
 	service.LongRunning = true
 	submitted := false
 	c.play(4*time.Second, func() {
-		for _, waiting := c.count(inQueue("first")); waiting < 100; _, waiting = c.count(inQueue("first")) {
-			c.add("first", "a", 600*time.Millisecond, testStep(5, 1000))
-		}
+		c.keep(100, inQueue("first"), submits("first", "a", 5))
 		if c.cell.counts.Done > 0 && !submitted {
 			c.add("second", "a", 0, service)
 			submitted = true
@@ -211,9 +194,7 @@
 	start, before := c.now, 0
 	starts := int64(0)
 	c.play(30*time.Second, func() {
-		for _, waiting := c.count(inQueue("first")); waiting < 100; _, waiting = c.count(inQueue("first")) {
-			c.add("first", "a", 600*time.Millisecond, testStep(5, 1000))
-		}
+		c.keep(100, inQueue("first"), submits("first", "a", 5))
 		if j.ID == "" {
 			j = c.add("batch", "a", 600*time.Millisecond, late)
 		}
@@ -231,15 +212,3 @@
 		t.Fatalf("%d of 40 late tasks wait", waiting)
 	}
 }
-
-// Guards against equal jobs that count as large, and against large ones that do not.
-func TestSizesByWork(t *testing.T) {
-	var s hvfair.Sizes
-	var got []hvfair.Size
-	for i := range 100 {
-		got = append(got, s.Classify([]float64{1, 1, 5, 1, 1, 5, 1, 1, 1, 9}[i%10]))
-	}
-	if slices.Contains(got[:10], hvfair.Large) || got[99] != hvfair.Largest || got[95] != hvfair.Large || got[98] != hvfair.Usual {
-		t.Fatal(got)
-	}
-}
--- a/hvcell/simcluster_test.go
+++ b/hvcell/simcluster_test.go
@@ -41,6 +41,8 @@
 	// evacuated holds the evacuated zones.
 	evacuated []string
 	policy    Policy
+	// intercept changes the orders that are delivered to a host; it may be nil.
+	intercept func(host string, o hvorder.Orders) hvorder.Orders
 	// learned is the stored learned state, as of learnedAt.
 	learned   LearnedState
 	learnedAt time.Time
@@ -317,7 +319,10 @@
 // deliver carries out the orders for a host and returns them.
 func (w *simCluster) deliver(name string) hvorder.Orders {
 	o, ok := w.cell.Orders(name)
-	if ok {
+	if w.intercept != nil {
+		o = w.intercept(name, o)
+	}
+	if ok || len(o.Stops) > 0 {
 		w.checkEvacuation(name, o)
 		w.hosts[name].applyOrders(o)
 	}
--- a/hvfair/fair_test.go
+++ b/hvfair/fair_test.go
@@ -52,3 +52,15 @@
 		t.Errorf("%d of 10 within 2 s", n)
 	}
 }
+
+// Guards against equal jobs that count as large, and against large ones that do not.
+func TestSizesByWork(t *testing.T) {
+	var s Sizes
+	var got []Size
+	for i := range 100 {
+		got = append(got, s.Classify([]float64{1, 1, 5, 1, 1, 5, 1, 1, 1, 9}[i%10]))
+	}
+	if slices.Contains(got[:10], Large) || got[99] != Largest || got[95] != Large || got[98] != Usual {
+		t.Fatal(got)
+	}
+}
