--- a/hvcell/ends.go
+++ b/hvcell/ends.go
@@ -34,6 +34,7 @@
 		t.progress().save(t.index, e.SavedState)
 		c.markChanged(t.step.round.job)
 	}
+	c.exemptIfStopped(t, r, e)
 	switch e.Reason {
 	case hv.EndDone:
 		c.handleDone(now, h, t, r)
@@ -199,6 +200,7 @@
 	delete(h.runs, r.ref())
 	h.allocated = h.allocated.Sub(r.allocation)
 	h.countCPU(t.step.spec, -1)
+	c.countUse(r, -1)
 	if t.step.runsPerHost[h]--; t.step.runsPerHost[h] <= 0 {
 		delete(t.step.runsPerHost, h)
 	}
--- a/hventry/put_test.go
+++ b/hventry/put_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -37,8 +38,11 @@
 	hvwire.Handle(mux, "who", func(context.Context, *hvwire.Conn, struct{}) (map[string]string, error) {
 		return map[string]string{"id": ownerProcess}, nil
 	})
-	hvwire.Handle(mux, "put", func(ctx context.Context, _ *hvwire.Conn, _ hv.KeyedRecord) (struct{}, error) {
+	hvwire.Handle(mux, "put", func(ctx context.Context, _ *hvwire.Conn, rec hv.KeyedRecord) (struct{}, error) {
 		o.puts.Add(1)
+		if !strings.Contains(string(rec.Value), `"zone":"north"`) {
+			t.Errorf("job without the zone of its gate: %s", rec.Value)
+		}
 		return struct{}{}, o.respond(ctx)
 	})
 	o.addr = hvwiretest.Serve(t, mux)
@@ -65,7 +69,8 @@
 }
 
 // Guards against jobs that are lost or delayed when the owner of the cell does not
-// store them: the gate must store them itself.
+// store them: the gate must store them itself. Guards also against jobs without the zone
+// of their gate.
 func TestGateStoresJobsIfOwnerDoesNot(t *testing.T) {
 	for _, c := range []struct {
 		name    string
@@ -93,7 +98,7 @@
 			o.listen(t)
 			o.claimCell(ctx, t, store)
 			g := hventry.New(hventry.Options{
-				Name: "gate", Addr: "127.0.0.1:1", Process: "p", Store: store, CellTopic: platform.CellTopic,
+				Name: "gate", Zone: "north", Addr: "127.0.0.1:1", Process: "p", Store: store, CellTopic: platform.CellTopic,
 				Operators: hventry.OperatorRecords{Topic: platform.OperatorsTopic, CatalogKey: platform.CatalogKey, EvacuationPrefix: platform.EvacuationPrefix, DecodeCatalog: decodeCatalog},
 				Retention: time.Minute, Clock: hv.SystemClock{}, Metrics: hvmetric.New(4), Logger: log.NewNopLogger(),
 			})
