Report the ends that an executor listed before it exited

Cause: when an executor has ended, its side discards the lists with ends that it has not reported yet, and the owner takes the run for lost. The last task of a draining executor is hit, as the executor exits 10 ms after it is done. Change: the side keeps such ends until a report with them has been answered; the owner applies them before it releases the runs.

--- a/hvcell/ends.go
+++ b/hvcell/ends.go
@@ -46,6 +46,17 @@
 	}
 }
 
+// handleLastEnds applies the ends of an executor that has ended. A node may report them
+// more than once, so those that only release a run count while the run is known.
+func (c *Cell) handleLastEnds(now time.Time, h *host, ends []hv.RunEnd) {
+	for _, e := range ends {
+		known := h.runs[hvorder.Run{Task: e.Task, Run: e.Run}] != nil
+		if known || e.Reason == hv.EndDone || e.Reason == hv.EndFailed {
+			c.handleEnd(now, h, e)
+		}
+	}
+}
+
 func (c *Cell) logEnd(h *host, e hv.RunEnd) {
 	_ = level.Info(c.options.Logger).Log("msg", "run ended without completing its task", "task", e.Task, "run", e.Run, "host", h.name, "how", e.Reason, "number", e.Number)
 }
--- a/hvcell/ends_test.go
+++ b/hvcell/ends_test.go
@@ -82,3 +82,26 @@
 		t.Fatalf("state %q with %d runs after 3 failed runs", s, w.runs())
 	}
 }
+
+// Guards against a task that runs again because its executor ended right after it was
+// done: the end comes with the report that the executor has gone.
+func TestEndBeforeExecutorIsGoneCounts(t *testing.T) {
+	w := newSimCluster(t, 2)
+	w.attachAll()
+	j := w.submit(urgentJob(testStep(1, 1000)))
+	w.exchange()
+	for name, e := range w.hosts {
+		for task, run := range e.running {
+			e.alive, e.running = false, map[string]int{}
+			r := e.report(false)
+			r.LastEnds = []hv.RunEnd{{Number: 1, Task: task, Run: run, Reason: hv.EndDone}}
+			for range 2 {
+				w.cell.Report(w.now, name, r)
+			}
+		}
+	}
+	w.exchange()
+	if s := w.stored[j.ID].State; s != hvjob.Complete || w.runs() != 0 {
+		t.Fatalf("state is %q with %d runs, want the job complete", s, w.runs())
+	}
+}
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -95,6 +95,7 @@
 	if r.Host != nil {
 		h.setInfo(now, *r.Host)
 	}
+	c.handleLastEnds(now, h, r.LastEnds)
 	c.handleCrashes(now, h, r.Crashes)
 	if r.ExecutorGone {
 		c.loseRuns(now, h, "executor has ended")
--- a/hvnode/crash_test.go
+++ b/hvnode/crash_test.go
@@ -185,3 +185,29 @@
 		t.Fatalf("crashes are %+v, want one 1500 ms after the start, uncertain by 1400 ms", k)
 	}
 }
+
+// Guards against tasks that run again although they were done just before their executor
+// ended: it listed the end, and exits before the node has reported it, or before the owner
+// has stored it.
+func TestLastEndsOfExecutorAreReported(t *testing.T) {
+	for name, end := range map[string]func(n *Node){
+		"exits":    func(n *Node) { n.refuse() },
+		"restarts": func(n *Node) { n.list("2", 10) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			n, _ := newClockedNode(t)
+			n.startNow(testRun)
+			done := hv.RunEnd{Number: 1, Task: testRun.Task, Run: testRun.Run, Reason: hv.EndDone}
+			n.applyState(hv.ExecutorState{Incarnation: "1", ClockMS: 100, Ended: []hv.RunEnd{done}}, n.currentVersion())
+			n.Leave("i-1")
+			end(n)
+			r, err := n.attach(context.Background(), nil, hvorder.Attach{Epoch: 4, Owner: "other"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(r.LastEnds) != 1 || r.LastEnds[0] != done {
+				t.Fatalf("last ends are %+v, want %+v", r.LastEnds, done)
+			}
+		})
+	}
+}
--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -101,8 +101,10 @@
 	// without a response are withdrawn.
 	capacityShrunk bool
 	stopped        []hvorder.Run
-	hostReported   bool
-	crash          crashTracker
+	// lastEnds holds the unacknowledged ends of executors that have ended.
+	lastEnds     []hv.RunEnd
+	hostReported bool
+	crash        crashTracker
 	// fullReported is true once the owner has been sent a full report.
 	fullReported bool
 
@@ -262,7 +264,7 @@
 func (n *Node) fullReport() hvorder.Report {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	r := hvorder.Report{Epoch: n.epoch, Node: n.name, Host: n.host, ExecutorGone: n.executorGone && n.startsInFlight == 0, Crashes: n.crash.unreported()}
+	r := hvorder.Report{Epoch: n.epoch, Node: n.name, Host: n.host, ExecutorGone: n.executorGone && n.startsInFlight == 0, Crashes: n.crash.unreported(), LastEnds: n.lastEnds}
 	n.hostReported = n.host != nil
 	if n.hasFullState() {
 		n.fillReport(&r)
--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -61,6 +61,7 @@
 	n.mu.Lock()
 	if n.ownerConn == conn {
 		n.crash.acknowledged(grant.AckedCrash)
+		n.lastEnds = n.lastEnds[min(len(r.LastEnds), len(n.lastEnds)):]
 	}
 	if r.Epoch == n.epoch && r.Incarnation == n.executorState.Incarnation {
 		n.leaseEnd = max(n.leaseEnd, grant.LeaseEnd)
@@ -114,6 +115,7 @@
 	r.Stopped, n.stopped = n.stopped, nil
 	r.Began, n.began = n.began, nil
 	r.Crashes = n.crash.unreported()
+	r.LastEnds = n.lastEnds
 	return n.ownerConn, r, true
 }
 
--- a/hvorder/order.go
+++ b/hvorder/order.go
@@ -121,9 +121,12 @@
 	Pending []Run `json:"pending,omitempty"`
 	// Began lists the jobs of which the executor has confirmed the start of a run since
 	// the last report.
-	Began   []string    `json:"began,omitempty"`
-	Ended   []hv.RunEnd `json:"ended,omitempty"`
-	Refused []Refusal   `json:"refused,omitempty"`
+	Began []string    `json:"began,omitempty"`
+	Ended []hv.RunEnd `json:"ended,omitempty"`
+	// LastEnds lists ends of an executor that has ended and can list them no more, as far
+	// as they are not acknowledged.
+	LastEnds []hv.RunEnd `json:"last,omitempty"`
+	Refused  []Refusal   `json:"refused,omitempty"`
 	// Stopped lists runs that have ended or can no longer start.
 	Stopped []Run `json:"stopped,omitempty"`
 	// Stalled lists runs that have made no progress for some time.
