Limit best-effort work on a host by the expected tail latency of its services

With Policy.Colocation a host takes interfering tasks while the expected ratio of each tail to its target stays low; nodes report that ratio with each change of a tail.

--- a/hvcell/colocation.go
+++ b/hvcell/colocation.go
@@ -1,66 +1,64 @@
 package hvcell
 
-// Weights of the terms that place services on few hosts, and other work so that it takes
-// least from best-effort work.
+// maxTail is the logarithm of the ratio of tail latency to target up to which a host
+// takes best-effort tasks that interfere. The node lowers their share above 0.8 (-0.22);
+// the distance covers the swing of the load while the task runs.
+const maxTail = -0.42
+
 const (
-	// weightOpenHost is subtracted for a serving task on a host without services: such
-	// hosts are open to best-effort work that interferes. It exceeds weightOtherImage, as
-	// a host without services takes every best-effort image.
-	weightOpenHost = 1.5
-	// weightSpread is subtracted for a serving task in a rack, and again in a zone, that
-	// has all tasks of its step, so that the loss of one takes few of them.
-	weightSpread = 0.5
-	// weightBeside is added for a task that does no harm on a host with services: hosts
-	// without services are left to the tasks that would. It exceeds weightFree.
-	weightBeside = 1.5
-	// weightBudget is subtracted for a serving task on a host that has as many tasks of
-	// its step as may be down at the same time. It exceeds all other terms that place
-	// serving tasks.
-	weightBudget = 4.0
+	// unmeasuredTail is the logarithm of that ratio without best-effort tasks that is
+	// assumed until it is measured. It leaves room for one task of an unknown image.
+	unmeasuredTail = maxTail - 0.2
+	// tailDecay is the weight of a new measurement, one each 0.45 s, that is lower than
+	// the value from earlier ones. Higher values replace it at once: the load of a service
+	// swings by half within 10 s, longer than a best-effort task runs.
+	tailDecay = 0.2
+	// maxLogTail bounds a reported logarithm.
+	maxLogTail = 5
 )
 
+// colocationRules holds the parameters of colocation, which the model of it varies.
+type colocationRules struct {
+	// limitTails is true if a host takes best-effort tasks up to maxTail.
+	limitTails      bool
+	maxTail, spread float64
+	rank, fill      float64
+	mix             float64
+}
+
 // colocationObstacle returns the name of the obstacle if a best-effort task would push the
 // services of a host over their latency target, or an empty string.
-func (c *Cell) colocationObstacle(_ *task, _ *host, _ float64) string { return "" }
+func (c *Cell) colocationObstacle(t *task, h *host, impact float64) string {
+	if c.colocation.limitTails && impact > lowImpact && c.tailWith(t.step.spec, h) > c.colocation.maxTail {
+		return "latency"
+	}
+	return ""
+}
 
 // servingScore returns the part of a host's score that places services so that
 // best-effort work disturbs few of them.
 func (c *Cell) servingScore(t *task, h *host) float64 {
-	if !c.options.Policy.Colocation {
-		return 0
-	}
 	s := t.step
+	score := 0.0
 	switch {
 	case s.spec.LatencyTarget > 0:
-		return c.packedScore(s, h)
-	case h.servingCPU == 0:
-		return 0
-	case s.spec.BestEffort && c.impact(t, h) > lowImpact:
-		return 0
-	case h.bestEffortCPU+s.spec.Need.CPU > h.unusedCPU():
-		return 0
-	}
-	return weightBeside
-}
-
-// packedScore returns the score of a host for a serving task: the fuller hosts with
-// services first, and among equal ones those in racks and zones with few tasks of the
-// step.
-func (c *Cell) packedScore(s *step, h *host) float64 {
-	score := 0.0
-	if h.servingCPU == 0 {
-		score -= weightOpenHost
-	}
-	if total := float64(h.info.Capacity.CPU); total > 0 {
-		// The first term offsets the preference for the emptiest host.
-		score -= weightFree * float64(h.unusedCPU()-h.bestEffortCPU) / total
-		score += weightFree * float64(h.servingCPU) / total
-	}
-	if budget := s.spec.DisruptionBudget; budget > 0 && s.runsPerHost[h] >= budget {
-		score -= weightBudget
+		if c.colocation.spread > 0 {
+			rack, zone := s.concentration(h)
+			score -= c.colocation.spread * (rack + zone)
+		}
+		if n := len(h.serving); n > 1 {
+			score += c.colocation.mix * float64(n)
+		}
+	case s.spec.BestEffort && len(h.serving) > 0 && c.colocation.rank > 0 && c.impact(t, h) > lowImpact:
+		score -= c.colocation.rank * c.tailWith(s.spec, h)
+	case s.spec.BestEffort && c.colocation.fill > 0:
+		tail := -1.5
+		if len(h.serving) > 0 {
+			tail = max(tail, c.tailWith(s.spec, h))
+		}
+		score += c.colocation.fill * min(tail, 0)
 	}
-	rack, zone := s.concentration(h)
-	return score - weightSpread*(rack+zone)
+	return score
 }
 
 // concentration returns the fractions of the runs of a step that are in the rack and in
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -124,6 +124,7 @@
 			c.abandonRun(now, run)
 		}
 	}
+	c.observeTails(h, r)
 	h.cpuShare = fullShare + r.ShareOffset
 	h.updateThrottled(now)
 	c.observeInterference(r)
@@ -301,10 +302,13 @@
 // countCPU adds a run to the processors of best-effort or serving tasks, or with
 // sign -1 removes it.
 func (h *host) countCPU(s *hvjob.Step, sign int64) {
+	h.pressuresValid = false
 	if s.BestEffort {
+		h.bestEffort = addImage(h.bestEffort, s, sign)
 		h.bestEffortCPU += sign * s.Need.CPU
 	}
 	if s.LatencyTarget > 0 {
+		h.serving = addImage(h.serving, s, sign)
 		h.servingCPU += sign * s.Allocation().CPU
 	}
 }
--- a/hvcell/interference.go
+++ b/hvcell/interference.go
@@ -67,6 +67,9 @@
 			loadChanges[image] = float64(load) / hvorder.CoreScale
 		}
 	}
+	if len(r.TailChanges) > 0 {
+		c.effectsVersion++
+	}
 	for _, t := range r.TailChanges {
 		c.interference.Observe(t.Image, loadChanges, float64(t.LogChange)/hvorder.LogScale)
 	}
--- a/hvcell/pick.go
+++ b/hvcell/pick.go
@@ -24,7 +24,7 @@
 func (c *Cell) pickAmong(now time.Time, t *task, hosts []*host) *host {
 	impacts := c.impacts(t, hosts)
 	limit := math.Inf(1)
-	if t.step.spec.BestEffort {
+	if t.step.spec.BestEffort && !c.colocation.limitTails {
 		limit = impactLimit(t, hosts, impacts)
 	}
 	return c.bestHost(now, t, hosts, impacts, func(h *host, impact float64) bool {
--- a/hvcell/simcluster_test.go
+++ b/hvcell/simcluster_test.go
@@ -67,6 +67,8 @@
 	alive bool
 	// startTimes holds when each task in running was started.
 	startTimes map[string]time.Time
+	// shareReduction is by how much the node lowers the share of best-effort work.
+	shareReduction int
 	// crashes holds the crashes that the owner has not acknowledged, as the node beside
 	// the executor keeps them, and lastCrash is the number of the last one.
 	crashes   []hvorder.Crash
@@ -202,7 +204,7 @@
 		// A node sends the full lists of a new incarnation.
 		full = true
 	}
-	r.Incarnation, r.Clock, r.Full = e.incarnationName(), e.clock(), full
+	r.Incarnation, r.Clock, r.Full, r.ShareOffset = e.incarnationName(), e.clock(), full, -e.shareReduction
 	r.Ended = append(r.Ended, e.ended...)
 	if full || e.cluster.savedStates {
 		for task, run := range e.running {
@@ -348,7 +350,7 @@
 		}
 		report.Began = append(report.Began, hvjob.JobOf(s.Task))
 	}
-	report.Incarnation, report.Clock = e.incarnationName(), e.clock()
+	report.Incarnation, report.Clock, report.ShareOffset = e.incarnationName(), e.clock(), -e.shareReduction
 	report.Ended = append(report.Ended, e.ended...)
 	e.applyGrant(e.cluster.cell.Report(e.cluster.now, e.name, report))
 }
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -150,6 +150,12 @@
 	// bestEffortCPU is the processor demand of the best-effort tasks, and servingCPU
 	// the processors allocated to tasks with a latency target.
 	bestEffortCPU, servingCPU int64
+	// serving and bestEffort hold the same by image, sorted by image. pressures caches
+	// what Cell.pressures returns for them.
+	serving, bestEffort []imageLoad
+	pressures           []float64
+	pressuresValid      bool
+	pressuresVersion    int64
 	// cpuShare is the CPU share in percent that the node leaves to interfering
 	// best-effort tasks.
 	cpuShare int
--- a/hvnode/share.go
+++ b/hvnode/share.go
@@ -152,8 +152,10 @@
 		n.tailChanges = n.tailChanges[:0]
 		for run, tail := range tails {
 			if old := n.tails[run]; old > 0 && tail > 0 {
+				p := n.profiles[run]
 				change := hvorder.LogScale * math.Log(float64(tail)/float64(old))
-				n.tailChanges = append(n.tailChanges, hvorder.TailChange{Image: n.profiles[run].Image, LogChange: int64(change)})
+				ratio := hvorder.LogScale * math.Log(float64(tail)/float64(p.LatencyTarget))
+				n.tailChanges = append(n.tailChanges, hvorder.TailChange{Image: p.Image, LogChange: int64(change), LogRatio: int64(ratio)})
 			}
 		}
 	}
--- a/hvorder/order.go
+++ b/hvorder/order.go
@@ -192,6 +192,9 @@
 	// LogChange is the natural logarithm of the ratio of the last two measurements, in
 	// thousandths.
 	LogChange int64 `json:"change"`
+	// LogRatio is the natural logarithm of the ratio of the last measurement to the
+	// latency target, in thousandths. Nodes before it was added do not send it.
+	LogRatio int64 `json:"ratio,omitempty"`
 }
 
 // Grant is the response to a report.
