--- a/hvcell/colocation_model_test.go
+++ b/hvcell/colocation_model_test.go
@@ -273,11 +273,11 @@
 var modelBase, modelSpread = 0.45, 2
 
 func TestColocationModel(t *testing.T) {
-	rules := []colocationRules{{}, {limitTails: true, maxTail: -0.42}, {limitTails: true, maxTail: -0.42, spread: 0.5}, {limitTails: true, maxTail: -0.42, rank: 0.5}, {limitTails: true, maxTail: -0.42, fill: 0.5}, {limitTails: true, maxTail: -0.42, mix: 0.3}, {limitTails: true, maxTail: -0.32}}
+	rules := []colocationRules{{}, {limitTails: true, maxTail: -0.3, mix: 0.4, spread: 0.2}, {limitTails: true, maxTail: -0.42, mix: 0.4, spread: 0.2}, {limitTails: true, maxTail: -0.52, mix: 0.4, spread: 0.2}, {limitTails: true, maxTail: -0.65, mix: 0.4, spread: 0.2}}
 	for _, env := range []struct {
 		base   float64
 		spread int
-	}{{0.45, 2}, {0.45, 1}} {
+	}{{0.35, 1}, {0.45, 1}, {0.55, 1}} {
 		modelBase, modelSpread = env.base, env.spread
 		t.Run(fmt.Sprint(env), func(t *testing.T) {
 			for _, r := range rules {
@@ -295,7 +295,22 @@
 								mixed++
 							}
 						}
-						t.Logf("%v; open hosts %d, mixed %d, rules %+v", out, open, mixed, r)
+						obst := map[string]int{}
+			waiting := 0
+			var bec, un int64
+			hosts := m.cell.usable(m.now)
+			for _, cand := range m.cell.candidates(m.now, hosts) {
+				waiting += cand.step.waiting
+				for _, h := range hosts {
+					obst[m.cell.obstacle(m.now, cand.step.tasks[0], h, m.cell.impact(cand.step.tasks[0], h))]++
+				}
+			}
+			for _, h := range hosts {
+				bec += h.bestEffortCPU
+				un += h.unusedCPU()
+			}
+			t.Log(obst, waiting, bec, un)
+			t.Logf("%v; open hosts %d, mixed %d, rules %+v", out, open, mixed, r)
 					}
 				})
 			}
