--- a/hvcell/malformed_test.go
+++ b/hvcell/malformed_test.go
@@ -48,7 +48,7 @@
 					r.Refused = append(r.Refused, hvorder.Refusal{Run: x, Kind: hv.ErrorKind(x.Task)})
 				}
 				r.ShareOffset = int(number.Draw(t, "share") % 1000)
-				r.TailChanges, r.LoadChanges = []hvorder.TailChange{{LogChange: number.Draw(t, "tail")}}, map[string]int64{"": number.Draw(t, "load")}
+				r.TailChanges, r.LoadChanges = []hvorder.TailChange{{LogChange: number.Draw(t, "tail"), LogRatio: number.Draw(t, "ratio")}}, map[string]int64{"": number.Draw(t, "load")}
 				w.cell.Report(w.now, rapid.SampledFrom([]string{"host-0", "host-1", "other"}).Draw(t, "name"), r)
 			},
 			"plan": func(*rapid.T) {
--- a/hvcell/random_test.go
+++ b/hvcell/random_test.go
@@ -49,13 +49,18 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		m := &faultMachine{simCluster: newSimCluster(rt, rapid.IntRange(1, 4).Draw(rt, "hosts")), delayed: map[string][]hvorder.Orders{}}
 		m.savedStates = true
+		m.policy.Colocation = rapid.Bool().Draw(rt, "colocation")
+		m.cell.options.Policy = m.policy
 		m.attachAll()
 		rt.Repeat(map[string]func(*rapid.T){
 			"submit": func(t *rapid.T) {
 				second := testStep(rapid.IntRange(1, 4).Draw(t, "second"), 1500)
 				second.After = []int{0}
 				second.Checkpoint = true
-				j := urgentJob(testStep(rapid.IntRange(1, 5).Draw(t, "first"), 1000), second)
+				second.BestEffort, second.Image = rapid.Bool().Draw(t, "best-effort"), "program"
+				first := testStep(rapid.IntRange(1, 5).Draw(t, "first"), 1000)
+				first.Image, first.LatencyTarget = "service", rapid.SampledFrom([]int64{0, 50}).Draw(t, "target")
+				j := urgentJob(first, second)
 				j.Queue = rapid.SampledFrom([]string{"urgent", "batch"}).Draw(t, "queue")
 				m.submit(j)
 			},
@@ -116,6 +121,16 @@
 					e.applyGrant(m.cell.Report(m.now, e.name, r))
 				}
 			},
+			"latency": func(t *rapid.T) {
+				e := m.host(t)
+				r := e.report(false)
+				r.LoadChanges = map[string]int64{"program": 1500}
+				r.TailChanges = []hvorder.TailChange{{Image: "service", LogChange: rapid.Int64Range(-500, 500).Draw(t, "change"), LogRatio: rapid.Int64Range(-2000, 1000).Draw(t, "ratio")}}
+				if h := m.cell.hosts[e.name]; h.connected {
+					m.dropEndedCalls()
+					e.applyGrant(m.cell.Report(m.now, e.name, r))
+				}
+			},
 			"evacuate": func(t *rapid.T) {
 				m.evacuate(rapid.SampledFrom([][]string{nil, {"north"}, {"south"}, {"north", "south"}}).Draw(t, "zones")...)
 			},
--- a/hvcell/simcluster_test.go
+++ b/hvcell/simcluster_test.go
@@ -30,6 +30,8 @@
 	stored    map[string]hvjob.Progress
 	cancelled map[string]bool
 	epoch     int64
+	// policy is the policy of the owners.
+	policy Policy
 	// authority is how long after a claim the previous owner may have granted leases.
 	authority time.Duration
 	// noCatalog is true if new owners have not read the catalog yet.
@@ -105,7 +107,7 @@
 	w.epoch++
 	w.cell = New(Options{
 		Epoch: w.epoch, ClaimOffset: int64(len(w.jobs)), ClaimedAt: w.now, LeaseDuration: 5 * time.Second, PreviousAuthority: w.authority,
-		Retention: time.Minute, Logger: log.NewNopLogger(),
+		Retention: time.Minute, Policy: w.policy, Logger: log.NewNopLogger(),
 		Health: hvhealth.New(hvhealth.Options{HostCount: func() int { return len(w.hosts) }}),
 	})
 	if !w.noCatalog {
