Look up effects only for hosts that have the processors

The interference model adds the programs of a sample in a fixed order, so that the same samples give the same effects.

--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -87,6 +87,8 @@
 	// loggedColocation is what was logged at colocationLogged.
 	loggedColocation ColocationCounts
 	colocationLogged time.Time
+	// hostBuffer is reused by withUnusedCPU.
+	hostBuffer []*host
 	// effectsVersion counts the changes of the estimated effects.
 	effectsVersion int64
 }
--- a/hvcell/colocation_load.go
+++ b/hvcell/colocation_load.go
@@ -88,3 +88,22 @@
 		}
 	}
 }
+
+// hasUnusedCPU reports whether other tasks leave a host the processors that a best-effort
+// task needs.
+func (h *host) hasUnusedCPU(s *hvjob.Step) bool {
+	return h.bestEffortCPU+s.Need.CPU <= h.unusedCPU()
+}
+
+// withUnusedCPU returns the hosts that have the processors for a best-effort task, until
+// the next call. Under load few hosts are left, so the effects of the task on all others
+// need not be looked up.
+func (c *Cell) withUnusedCPU(t *task, hosts []*host) []*host {
+	c.hostBuffer = c.hostBuffer[:0]
+	for _, h := range hosts {
+		if h.hasUnusedCPU(t.step.spec) {
+			c.hostBuffer = append(c.hostBuffer, h)
+		}
+	}
+	return c.hostBuffer
+}
--- a/hvcell/colocation_model_test.go
+++ b/hvcell/colocation_model_test.go
@@ -167,8 +167,9 @@
 	for _, r := range runs {
 		if s := r.task.step.spec; s.LatencyTarget > 0 {
 			tail := math.Log(0.45) + m.swing(r.task.step.round.job.ID)
-			for program, cores := range loads {
-				tail += m.effects[s.Image][program] * cores
+			for p := range modelPrograms {
+				program := fmt.Sprint("program-", p)
+				tail += m.effects[s.Image][program] * loads[program]
 			}
 			tails[r.task.name] = tail + 0.1*m.rand.NormFloat64()
 			worst = max(worst, math.Exp(tails[r.task.name]))
--- a/hvcell/pick.go
+++ b/hvcell/pick.go
@@ -23,6 +23,9 @@
 // nil. Best-effort tasks also keep to their impact limit, unless the tail latencies limit
 // them.
 func (c *Cell) pickAmong(now time.Time, t *task, hosts []*host) *host {
+	if t.step.spec.BestEffort && c.options.Policy.Colocation {
+		hosts = c.withUnusedCPU(t, hosts)
+	}
 	impacts := c.impacts(t, hosts)
 	limit := math.Inf(1)
 	if t.step.spec.BestEffort && !c.options.Policy.Colocation {
@@ -91,7 +94,7 @@
 	switch name := c.hardObstacle(now, t, h); {
 	case name != "":
 		return name
-	case s.BestEffort && h.bestEffortCPU+s.Need.CPU > h.unusedCPU():
+	case s.BestEffort && !h.hasUnusedCPU(s):
 		return "busy"
 	case s.BestEffort && h.tooThrottled(impact):
 		return "slowed"
--- a/hvinterference/changes.go
+++ b/hvinterference/changes.go
@@ -1,6 +1,10 @@
 package hvinterference
 
-import "math"
+import (
+	"maps"
+	"math"
+	"slices"
+)
 
 const (
 	// maxChange bounds the absolute value of the logarithm of one change of a tail
@@ -100,16 +104,19 @@
 		c.services[service] = n
 	}
 	y := min(max(change, -maxChange), maxChange)
-	for program, load := range loadChanges {
+	// In a fixed order, so that the same samples give exactly the same effects.
+	programs := slices.Sorted(maps.Keys(loadChanges))
+	for _, program := range programs {
 		initial := c.initialEstimate(service, program)
 		n.add(program, initial.Mean, c.noise/initial.Variance)
-		y -= initial.Mean * load
+		y -= initial.Mean * loadChanges[program]
 	}
-	for p, x := range loadChanges {
+	for _, p := range programs {
 		i, ok := n.index[p]
 		if !ok {
 			continue
 		}
+		x := loadChanges[p]
 		n.b[i] += x * y
 		for q, z := range loadChanges {
 			if j, ok := n.index[q]; ok {
