--- a/hvnode/share.go
+++ b/hvnode/share.go
@@ -155,13 +155,21 @@
 				p := n.profiles[run]
 				change := hvorder.LogScale * math.Log(float64(tail)/float64(old))
 				ratio := hvorder.LogScale * math.Log(float64(tail)/float64(p.LatencyTarget))
-				n.tailChanges = append(n.tailChanges, hvorder.TailChange{Image: p.Image, LogChange: int64(change), LogRatio: int64(ratio)})
+				n.tailChanges = append(n.tailChanges, hvorder.TailChange{Image: p.Image, LogChange: int64(change), LogRatio: nonZero(int64(ratio))})
 			}
 		}
 	}
 	n.lastMeasured, n.tails, n.loads = now, tails, loads
 }
 
+// nonZero returns n, or 1 for 0, as a ratio of 0 counts as not measured.
+func nonZero(n int64) int64 {
+	if n == 0 {
+		return 1
+	}
+	return n
+}
+
 // decideShares returns the shares of best-effort work that interferes or may do so
 // and of harmless best-effort work. The lock is held.
 func (n *Node) decideShares(m measurement) (interfering, harmless int) {
--- a/hvnode/share_test.go
+++ b/hvnode/share_test.go
@@ -75,3 +75,20 @@
 		t.Fatalf("%v are reported again", again)
 	}
 }
+
+// Guards against an owner that cannot tell how near a service is to its target.
+func TestTailsAreReportedRelativeToTarget(t *testing.T) {
+	n := New("side", Deps{Clock: hv.SystemClock{}})
+	run := hvorder.Run{Task: "service", Run: 1}
+	n.profiles[run] = hvorder.Profile{Run: run, LatencyTarget: 50, Image: "image"}
+	n.recordChanges(map[hvorder.Run]int{run: 50}, nil)
+	n.recordChanges(map[hvorder.Run]int{run: 25}, nil)
+	want := hvorder.TailChange{Image: "image", LogChange: -693, LogRatio: -693}
+	if len(n.tailChanges) != 1 || n.tailChanges[0] != want {
+		t.Fatalf("changes are %v, want %v", n.tailChanges, want)
+	}
+	n.recordChanges(map[hvorder.Run]int{run: 50}, nil)
+	if got := n.tailChanges[0].LogRatio; got != 1 {
+		t.Fatalf("ratio of a tail at its target is %d, want 1, as 0 counts as not measured", got)
+	}
+}
--- a/hvorder/order.go
+++ b/hvorder/order.go
@@ -193,7 +193,8 @@
 	// thousandths.
 	LogChange int64 `json:"change"`
 	// LogRatio is the natural logarithm of the ratio of the last measurement to the
-	// latency target, in thousandths. Nodes before it was added do not send it.
+	// latency target, in thousandths, but 1 for 0: a node that does not send it did not
+	// measure it.
 	LogRatio int64 `json:"ratio,omitempty"`
 }
 
