--- a/hvcell/colocation_test.go
+++ b/hvcell/colocation_test.go
@@ -91,6 +91,20 @@
 	}
 }
 
+// Guards against a new owner that fills a host before the nodes have reported the tails.
+func TestNewOwnerAssumesTailsUntilReported(t *testing.T) {
+	w := colocationCluster(t)
+	w.advance(learnedStoreInterval)
+	w.exchange()
+	w.replaceOwner()
+	w.attachAll()
+	w.submit(urgentJob(bestEffortStep(8, "best-effort")))
+	w.exchange()
+	if n := w.countImage("best-effort"); n != 0 {
+		t.Errorf("%d interfering tasks start with assumed tails, want none", n)
+	}
+}
+
 // Guards against the loss of one zone taking most tasks of a service that could have run
 // in both.
 func TestServiceSurvivesLossOfZone(t *testing.T) {
