--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -86,6 +86,13 @@
 	// order of the last call of Plan.
 	awaitingAdvice []*step
 	sharing        sharing
+	// loggedColocation is what was logged at colocationLogged.
+	loggedColocation ColocationCounts
+	colocationLogged time.Time
+	// hostBuffer is reused by withUnusedCPU.
+	hostBuffer []*host
+	// effectsVersion counts the changes of the estimated effects.
+	effectsVersion int64
 }
 
 // Counts holds totals since the cell was claimed, and the current numbers of jobs,
--- a/hvcell/migration.go
+++ b/hvcell/migration.go
@@ -69,7 +69,8 @@
 		if !s.BestEffort || s.Gang || r.phase != phaseActive || !s.Checkpoint && now.Sub(r.started) > restartableAge {
 			continue
 		}
-		if impact := c.impact(r.task, h); impact > worst && c.hasBetterHost(now, r.task, h, hosts) {
+		impact := c.impact(r.task, h)
+		if tie := best != nil && impact == worst && r.task.name < best.task.name; (impact > worst || tie) && c.hasBetterHost(now, r.task, h, hosts) {
 			best, worst = r, impact
 		}
 	}
--- a/hvcell/simcluster_test.go
+++ b/hvcell/simcluster_test.go
@@ -30,6 +30,8 @@
 	stored    map[string]hvjob.Progress
 	cancelled map[string]bool
 	epoch     int64
+	// policy is the policy of the owners.
+	policy Policy
 	// authority is how long after a claim the previous owner may have granted leases.
 	authority time.Duration
 	// noCatalog is true if new owners have not read the catalog yet.
@@ -40,7 +42,6 @@
 	savedStates bool
 	// evacuated holds the evacuated zones.
 	evacuated []string
-	policy    Policy
 	// intercept changes the orders that are delivered to a host; it may be nil.
 	intercept func(host string, o hvorder.Orders) hvorder.Orders
 	// learned is the stored learned state, as of learnedAt.
@@ -70,6 +71,8 @@
 	alive bool
 	// startTimes holds when each task in running was started.
 	startTimes map[string]time.Time
+	// shareReduction is by how much the node lowers the share of best-effort work.
+	shareReduction int
 	// crashes holds the crashes that the owner has not acknowledged, as the node beside
 	// the executor keeps them, and lastCrash is the number of the last one.
 	crashes   []hvorder.Crash
@@ -208,7 +211,7 @@
 		// A node sends the full lists of a new incarnation.
 		full = true
 	}
-	r.Incarnation, r.Clock, r.Full = e.incarnationName(), e.clock(), full
+	r.Incarnation, r.Clock, r.Full, r.ShareOffset = e.incarnationName(), e.clock(), full, -e.shareReduction
 	r.Ended = append(r.Ended, e.ended...)
 	if full || e.cluster.savedStates {
 		for task, run := range e.running {
@@ -357,7 +360,7 @@
 		}
 		report.Began = append(report.Began, hvjob.JobOf(s.Task))
 	}
-	report.Incarnation, report.Clock = e.incarnationName(), e.clock()
+	report.Incarnation, report.Clock, report.ShareOffset = e.incarnationName(), e.clock(), -e.shareReduction
 	report.Ended = append(report.Ended, e.ended...)
 	e.applyGrant(e.cluster.cell.Report(e.cluster.now, e.name, report))
 }
--- a/hvorder/order.go
+++ b/hvorder/order.go
@@ -195,6 +195,10 @@
 	// LogChange is the natural logarithm of the ratio of the last two measurements, in
 	// thousandths.
 	LogChange int64 `json:"change"`
+	// LogRatio is the natural logarithm of the ratio of the last measurement to the
+	// latency target, in thousandths, but 1 for 0: a node that does not send it did not
+	// measure it.
+	LogRatio int64 `json:"ratio,omitempty"`
 }
 
 // Grant is the response to a report.
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -288,6 +288,10 @@
 	m.Set("hv_preempted", c.Preempted)
 	m.Set("hv_preemption_holds_expired", c.HoldsExpired)
 	m.Set("hv_late_turns", c.LateTurns)
+	l := o.cell.Colocation()
+	m.Set("hv_cell_hosts_serving", l.Serving)
+	m.Set("hv_cell_hosts_mixed", l.Mixed)
+	m.Set("hv_cell_hosts_limited", l.Limited)
 }
 
 // flushLoop stores progress, and sends heartbeats while there is none.
