Move and copy runs that a slow host holds up

A step of 20 to 40 tasks ends with its slowest. A run that its host slows is now told from one that is long by the CPU share of the host and by the runs beside it, and is copied or moved if that pays; the part is off unless Policy.Tail is set.

--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -70,6 +70,10 @@
 	// evacuated holds the zones on whose hosts no task may start.
 	evacuated map[string]bool
 	counts    Counts
+	// moves holds the tasks whose runs were stopped to go on at other hosts, until they do.
+	moves []*task
+	// paces holds the measured speeds of the runs, if Policy.Tail is set.
+	paces *paces
 	// crashHistory and crashRates say how often hosts crash and which queues have jobs
 	// that crash them; recentCrashes holds the crashes within blameWindow.
 	crashHistory  hvcrash.History
@@ -90,7 +94,10 @@
 // waiting tasks, runs and hosts.
 type Counts struct {
 	Starts, Done, Failed, Lost, Stopped, Refused, Crashes, GivenUp int64
-	Jobs, Waiting, Running, Hosts                                  int64
+	// Copies and Moves count second runs and runs that were stopped to go on elsewhere;
+	// CopiesFirst counts the tasks of which the second run was done first.
+	Copies, Moves, CopiesFirst    int64
+	Jobs, Waiting, Running, Hosts int64
 }
 
 type endedJob struct {
@@ -243,9 +250,7 @@
 	for _, r := range j.rounds {
 		for _, s := range r.steps {
 			for _, t := range s.tasks {
-				for _, run := range t.runs {
-					c.stopRun(run)
-				}
+				c.stopAll(t)
 			}
 		}
 	}
--- a/hvcell/ends.go
+++ b/hvcell/ends.go
@@ -29,7 +29,7 @@
 	if r != nil {
 		c.survivedRun(t, now.Sub(r.started))
 	}
-	if e.SavedState != "" && t.step.spec.Checkpoint {
+	if e.SavedState != "" && t.step.spec.Checkpoint && !t.isBehind(r) {
 		t.saved = e.SavedState
 		t.progress().save(t.index, e.SavedState)
 		c.markChanged(t.step.round.job)
@@ -89,6 +89,10 @@
 		took := now.Sub(r.started)
 		t.step.runTimes.add(took)
 		c.estimate.observe(t.step, took)
+		if r.copied && len(t.runs) > 0 {
+			c.counts.CopiesFirst++
+			_ = level.Info(c.options.Logger).Log("msg", "second run of a task is done before the first", "task", t.name, "run", r.number, "host", h.name)
+		}
 	}
 	if t.step.spec.LongRunning {
 		return
@@ -120,9 +124,7 @@
 	if t.step.spec.Gang {
 		return
 	}
-	for _, other := range t.runs {
-		c.stopRun(other)
-	}
+	c.stopAll(t)
 }
 
 // advanceRound updates the ready steps of a round, and completes the round, and the
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -128,10 +128,11 @@
 	h.updateThrottled(now)
 	c.observeInterference(r)
 	c.markJobsRunning(r)
-	c.recordSavedStates(h, r.Running)
 	if r.Full {
 		c.reconcile(now, h, r)
 	}
+	h.recordProgress(now, r.Clock, r.Running)
+	c.recordSavedStates(h, r.Running)
 	g := c.grant(now, h, r)
 	g.AckedCrash = h.storedCrash
 	return g
@@ -193,10 +194,10 @@
 		if r == nil || row.SavedState == "" || row.SavedState == r.saved || !r.task.step.spec.Checkpoint {
 			continue
 		}
-		r.saved = row.SavedState
+		r.saved, r.savedPercent = row.SavedState, row.Percent
 		// The progress is nil for runs of an ended job, which hosts list until they have
 		// stopped.
-		if p := r.task.progress(); p != nil {
+		if p := r.task.progress(); p != nil && !r.task.isBehind(r) {
 			p.save(r.task.index, row.SavedState)
 			r.task.step.round.job.unstoredStates = true
 		}
@@ -315,7 +316,7 @@
 }
 
 // Tick releases runs whose leases have expired, sets up due rounds, marks saved
-// states to be stored, stops stragglers and migrates throttled runs.
+// states to be stored, stops stragglers and moves slow and throttled runs.
 func (c *Cell) Tick(now time.Time) {
 	for _, h := range c.hosts {
 		if !h.connected && len(h.runs) > 0 && c.leasesExpired(now, h) {
@@ -330,9 +331,14 @@
 	}
 	c.markSavedStates(now)
 	c.updateRisk(now)
+	if c.options.Policy.Tail {
+		c.paces = c.measurePaces(now)
+	}
 	c.checkStragglers(now)
 	c.checkTails(now)
-	c.migrateThrottled(now)
+	if !c.options.Policy.Tail {
+		c.migrateThrottled(now)
+	}
 }
 
 // leasesExpired reports whether all runs on a host have ended for certain and no other
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -83,7 +83,10 @@
 	done    bool
 	runs    []*run
 	nextRun int
-	saved   string
+	// saved is the state that the next run resumes from.
+	saved string
+	// relocations counts how often the task was moved or copied.
+	relocations int
 	// avoidedHosts holds the hosts on which a run failed, stalled or could not start.
 	avoidedHosts map[string]bool
 	// abandonedRuns counts the runs that were stopped as stalled or as stragglers.
@@ -110,9 +113,16 @@
 	phase      runPhase
 	started    time.Time
 	allocation hvjob.Resources
-	saved      string
+	// saved is the last saved state that the host has reported, with savedPercent, the
+	// progress of the run at that time.
+	saved        string
+	savedPercent int
 	// adopted is true if an earlier owner started the run.
 	adopted bool
+	// copied is true for a run that was started beside another one.
+	copied bool
+	// progress is what the host has reported of its progress.
+	progress runProgress
 }
 
 func (r *run) ref() hvorder.Run { return hvorder.Run{Task: r.task.name, Run: r.number} }
@@ -156,6 +166,10 @@
 	// throttledSince is when cpuShare fell to migrationShare, or zero, and
 	// lastMigration when a run was last migrated off the host.
 	throttledSince, lastMigration time.Time
+	// slowness is the median ratio of the usual to the measured speed of the runs on the
+	// host, when there was more than one at slownessAt.
+	slowness   float64
+	slownessAt time.Time
 	// processedEnd is the number of the last end that was processed, storedEnd that of
 	// the last one whose effect is stored, and ackedEnd that of the last one that was
 	// acknowledged to the node.
--- a/hvcell/straggler.go
+++ b/hvcell/straggler.go
@@ -37,6 +37,9 @@
 		// other.
 		return false
 	}
+	if c.paces != nil && c.paces.isLong(r) {
+		return false
+	}
 	expected := c.estimate.taskTime(s)
 	factor := time.Duration(unmeasuredFactor)
 	if s.runTimes.n > 0 {
