Report the progress of runs that are older than a second

An owner that moves slow runs needs the speed of runs without checkpoints, which nodes never reported. If it asks for that at the attach, a node adds the changed percentage of such runs to the reports that it sends anyway, at most once a second for each run and without the saved state.

--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -75,8 +75,10 @@
 	// reportedEnd is the number of the last end that was reported.
 	reportedEnd   int64
 	reportedSaved map[hvorder.Run]string
-	pendingStarts map[hvorder.Run]bool
-	profiles      map[hvorder.Run]hvorder.Profile
+	// progressReports selects runs to report because of their progress.
+	progressReports progressReports
+	pendingStarts   map[hvorder.Run]bool
+	profiles        map[hvorder.Run]hvorder.Profile
 	// effects holds the images that interfere with the serving tasks of the host,
 	// as in a grant; it is nil until the first grant.
 	effects map[string]int64
@@ -213,6 +215,7 @@
 		n.leaseEnd = 0
 	}
 	n.epoch, n.ownerConn, n.lastOwnerContact = req.Epoch, c, n.deps.Clock.Now()
+	n.progressReports = progressReports{wanted: req.Progress}
 	n.refused, n.stopped, n.fullReported = nil, nil, false
 	n.crash.attached()
 	n.mu.Unlock()
--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -101,7 +101,7 @@
 		r.Incarnation, r.Clock = n.executorState.Incarnation, n.executorState.ClockMS
 	case n.stateKnown:
 		r.Incarnation, r.Clock = n.executorState.Incarnation, n.executorState.ClockMS
-		r.Running = n.unreportedSaved()
+		r.Running = n.unreportedRuns()
 		r.Ended = n.unreportedEnds()
 	}
 	if n.stateKnown {
@@ -117,19 +117,22 @@
 	return n.ownerConn, r, true
 }
 
-// unreportedSaved returns the runs with a saved state that has not been reported.
-func (n *Node) unreportedSaved() []hv.RunState {
+// unreportedRuns returns the runs with a saved state that has not been reported, and
+// those whose progress is due.
+func (n *Node) unreportedRuns() []hv.RunState {
 	var out []hv.RunState
+	sent := map[hvorder.Run]bool{}
 	current := make(map[hvorder.Run]string, len(n.executorState.Running))
 	for _, r := range n.executorState.Running {
 		run := runOf(r)
 		current[run] = r.SavedState
 		if r.SavedState != "" && n.reportedSaved[run] != r.SavedState {
 			out = append(out, r)
+			sent[run] = true
 		}
 	}
 	n.reportedSaved = current
-	return out
+	return append(out, n.progressReports.selectDue(n.deps.Clock.Now(), n.executorState.Running, sent)...)
 }
 
 // unreportedEnds returns the ends that have not been reported.
--- a/hvorder/order.go
+++ b/hvorder/order.go
@@ -30,6 +30,8 @@
 type Attach struct {
 	Epoch int64  `json:"epoch"`
 	Owner string `json:"owner"`
+	// Progress asks for the progress of runs beside that with their saved states.
+	Progress bool `json:"progress,omitempty"`
 }
 
 // Orders is a batch of orders of an owner for the executor of one host.
