Measure the speed of runs over at least 4 percent

Percentages are whole numbers: two reports of a run of 100 s differ by 0 or 1, and such a run counted as slow or as making no progress. A speed now spans at least 4 percent or 2 s. Run times of resumed runs, which did a part of the task, no longer lower the mean that others are compared with, if Policy.Tail is set.

--- a/hvcell/ends.go
+++ b/hvcell/ends.go
@@ -86,9 +86,12 @@
 	c.counts.Done++
 	c.options.Health.Record(now, h.name, h.info.Rack, t.name, true)
 	if r != nil {
-		took := now.Sub(r.started)
-		t.step.runTimes.add(took)
-		c.estimate.observe(t.step, took)
+		if !r.resumed || !c.options.Policy.Tail {
+			// The run did the whole task.
+			took := now.Sub(r.started)
+			t.step.runTimes.add(took)
+			c.estimate.observe(t.step, took)
+		}
 		if r.copied && len(t.runs) > 0 {
 			c.counts.CopiesFirst++
 			_ = level.Info(c.options.Logger).Log("msg", "second run of a task is done before the first", "task", t.name, "run", r.number, "host", h.name)
--- a/hvcell/progress.go
+++ b/hvcell/progress.go
@@ -9,9 +9,14 @@
 )
 
 const (
-	// minSampleGap is the least time between two samples that a speed is calculated from:
-	// percentages are whole numbers, and a task of 10 s makes 3% in this time.
-	minSampleGap = 300 * time.Millisecond
+	// minStep is the progress in percent, and minWindow the time instead of it, from which a
+	// speed is calculated: percentages are whole numbers.
+	minStep   = 4
+	minWindow = 2 * time.Second
+	// maxWindow is the time after which an older sample is dropped.
+	maxWindow = 5 * time.Second
+	// rounding is the mean part of a percent that the last percentage lacks.
+	rounding = 0.5
 	// minSilence is the least time without a sample after which a run counts as making no
 	// progress. A node that is asked for progress reports each change within a second.
 	minSilence = 2 * time.Second
@@ -37,38 +42,39 @@
 	return s.at.Sub(earlier.at)
 }
 
-// runProgress holds the last two samples of a run; those with a zero time are missing. The
-// start of a run is no sample: the first report after it may be late by as much as a short
-// task takes, while the executor's clock tells the exact time between two reports.
-type runProgress struct{ last, previous progressSample }
+// runProgress holds the last sample of a run, the one before it from which the progress is
+// minStep or the time maxWindow, and the one before that. The start of a run is no sample:
+// the first report after it may be late by as much as a short task takes, while the
+// executor's clock tells the exact time between two reports.
+type runProgress struct{ last, previous, oldest progressSample }
 
 // add adds a sample. A percentage below the last one, as after a resume from an older
 // state, begins anew.
 func (p *runProgress) add(s progressSample) {
-	switch {
-	case s.percent < p.last.percent:
-		*p = runProgress{last: s}
-	case p.last.at.IsZero() || !p.previous.at.IsZero() && s.since(p.last) < minSampleGap:
-		p.last = s
-	default:
-		p.previous, p.last = p.last, s
+	if p.last.at.IsZero() || s.percent < p.last.percent {
+		*p = runProgress{last: s, previous: s, oldest: s}
+		return
+	}
+	p.last = s
+	if s.percent-p.previous.percent >= minStep || s.since(p.previous) >= maxWindow {
+		p.oldest, p.previous = p.previous, s
 	}
 }
 
 // speed returns the present speed in percent per second. It reports false while it is
 // not known.
 func (p *runProgress) speed(now time.Time) (float64, bool) {
-	if p.previous.at.IsZero() {
-		return 0, false
-	}
-	elapsed := p.last.since(p.previous)
-	if elapsed < minSampleGap {
-		return 0, false
-	}
-	if silence := now.Sub(p.last.at); silence > max(2*elapsed, minSilence) {
-		elapsed += silence
+	for _, from := range []progressSample{p.previous, p.oldest} {
+		elapsed, step := p.last.since(from), p.last.percent-from.percent
+		if elapsed <= 0 || step < minStep && elapsed < minWindow {
+			continue
+		}
+		if silence := now.Sub(p.last.at); silence > max(elapsed, minSilence) {
+			elapsed += silence
+		}
+		return (float64(step) + rounding) / elapsed.Seconds(), true
 	}
-	return float64(p.last.percent-p.previous.percent) / elapsed.Seconds(), true
+	return 0, false
 }
 
 // isRecent reports whether the speed is known from a recent sample.
--- a/hvcell/start.go
+++ b/hvcell/start.go
@@ -20,7 +20,7 @@
 	j := t.step.round.job
 	start := hvorder.Start{Profile: profile(r)}
 	if t.step.spec.Checkpoint {
-		start.SavedState = t.saved
+		start.SavedState, r.resumed = t.saved, t.saved != ""
 	}
 	if t.step.needsAdvice() {
 		start.Ticket, _ = t.step.ticket(now, h)
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -119,6 +119,8 @@
 	savedPercent int
 	// adopted is true if an earlier owner started the run.
 	adopted bool
+	// resumed is true for a run that was started from a saved state.
+	resumed bool
 	// copied is true for a run that was started beside another one.
 	copied bool
 	// progress is what the host has reported of its progress.
--- a/hvcell/tail.go
+++ b/hvcell/tail.go
@@ -69,10 +69,10 @@
 	var list []slowRun
 	for _, h := range c.hosts {
 		for _, r := range h.runs {
-			if !c.isRelocatable(now, r) {
+			if r.phase != phaseActive || !r.task.step.hasTail() {
 				continue
 			}
-			if s, ok := c.paces.slowRun(r); ok {
+			if s, ok := c.paces.slowRun(r); ok && c.isRelocatable(now, r) {
 				step := r.task.step
 				s.usefulness, s.unfinished = c.usefulness(now, step.round), len(step.tasks)-step.done
 				list = append(list, s)
--- a/hvcell/tail_test.go
+++ b/hvcell/tail_test.go
@@ -129,6 +129,25 @@
 	}
 }
 
+// Guards against a task that is moved again and again because each host becomes slow.
+func TestTaskIsMovedTwiceAtMost(t *testing.T) {
+	w, j := newTailCluster(t, tailPolicy, 2.5, checkpointed)
+	unlucky := hvjob.Task{Job: j.ID}.String()
+	w.work(j, 20*time.Second, func() {
+		w.checkRelocations(t)
+		// Three hosts stand for as many as it takes.
+		w.cell.findTask(unlucky).avoidedHosts = nil
+		for _, e := range w.hosts {
+			if e.speed = 50; e.running[unlucky] > 0 {
+				e.speed = 2.5
+			}
+		}
+	})
+	if k := w.cell.findTask(unlucky); k == nil || k.relocations != maxRelocations {
+		t.Fatalf("task is %+v, want it moved twice and not done", k)
+	}
+}
+
 // Guards against second runs that take the processors for which others wait.
 func TestNothingIsCopiedWhileTasksWait(t *testing.T) {
 	w, j := newTailCluster(t, tailPolicy, 2.5, speculative)
@@ -182,6 +201,9 @@
 		"owner lost after the copy": {speculative, func(s *state) {
 			s.exchange()
 			newOwner(s)
+			if n := len(s.cell.findTask(s.task.name).runs); n != 2 {
+				s.Errorf("%d runs under the new owner, want 2", n)
+			}
 		}, 0},
 		"start of the copy lost": {speculative, func(s *state) { s.attach(intercept(s)) }, 0},
 		"start of the copy late": {speculative, func(s *state) {
--- a/hvcell/tailpace.go
+++ b/hvcell/tailpace.go
@@ -161,24 +161,24 @@
 // slowRun returns what an action on a run is decided from. It reports false if the run
 // is not slow or its host is not the cause.
 func (p *paces) slowRun(r *run) (slowRun, bool) {
+	usual := p.usualSpeed(r.task.step)
+	speed, measured := r.progress.speed(p.now)
+	if measured && ratioOf(usual, speed) < slowRatio {
+		return slowRun{}, false
+	}
 	factor := p.hostFactor(r)
 	if factor < slowRatio {
 		return slowRun{}, false
 	}
-	usual := p.usualSpeed(r.task.step)
 	s := slowRun{run: r, left: fullPercent - r.progress.last.percent, full: usual}
 	s.here, s.deviation = p.cell.remaining(p.now, r)
-	switch speed, ok := r.progress.speed(p.now); {
-	case ok && ratioOf(usual, speed) < slowRatio:
-		return slowRun{}, false
-	case ok && p.usual[r.task.step] == 0 && !p.isThrottled(r):
-		// Only the estimate of the caller says that the run is slow.
+	switch {
+	case !p.isThrottled(r) && (!measured || p.usual[r.task.step] == 0):
+		// At most the estimate of the caller says that the run is slow.
 		return slowRun{}, false
-	case ok && speed > 0:
+	case measured:
 		s.full = min(speed*factor, usual)
-	case !ok && !p.isThrottled(r):
-		return slowRun{}, false
-	case !ok:
+	default:
 		s.left = int(math.Ceil(min(s.here.Seconds()*usual, fullPercent)))
 		s.here, s.deviation = scale(s.here, factor), scale(s.deviation, factor)
 	}
