--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -285,6 +285,9 @@
 	m.Set("hv_cell_refused", c.Refused)
 	m.Set("hv_cell_crashes", c.Crashes)
 	m.Set("hv_cell_given_up", c.GivenUp)
+	m.Set("hv_copies", c.Copies)
+	m.Set("hv_copies_first", c.CopiesFirst)
+	m.Set("hv_moves", c.Moves)
 }
 
 // flushLoop stores progress, and sends heartbeats while there is none.
