--- a/hvcell/tail.go
+++ b/hvcell/tail.go
@@ -53,7 +53,9 @@
 			continue
 		}
 		action := c.relocationOf(now, s)
-		if action == copyRun && waiting.has(s.task.step) {
+		if waiting.has(s.task.step) && (action == copyRun || s.usefulness != usefulInTime) {
+			// The waiting tasks need the capacity. A move gives back what it takes, but work
+			// that leaves throttled hosts takes more of the others.
 			continue
 		}
 		if c.relocate(now, s, action, hosts) {
--- a/hvcell/tail_test.go
+++ b/hvcell/tail_test.go
@@ -148,13 +148,21 @@
 	}
 }
 
-// Guards against second runs that take the processors for which others wait.
-func TestNothingIsCopiedWhileTasksWait(t *testing.T) {
-	w, j := newTailCluster(t, tailPolicy, 2.5, speculative)
-	w.submit(urgentJob(testStep(1, 8000)))
-	w.work(j, 5*time.Second, func() {})
-	if n := w.cell.counts.Copies; n != 0 {
-		t.Fatalf("%d copies while an urgent task waits", n)
+// Guards against second runs, and moves of rounds that are late anyway, that take the
+// processors for which others wait.
+func TestWaitingTasksComeBeforeRelocations(t *testing.T) {
+	late := func(s *hvjob.Step) { s.Checkpoint, s.Estimate = true, 200 }
+	for name, edit := range map[string]func(s *hvjob.Step){"copies": speculative, "moves of a late round": late} {
+		for _, waits := range []bool{true, false} {
+			w, j := newTailCluster(t, tailPolicy, 2.5, edit)
+			if waits {
+				w.submit(urgentJob(testStep(1, 8000)))
+			}
+			w.work(j, 2500*time.Millisecond, func() {})
+			if n := w.cell.counts; (n.Copies+n.Moves == 0) != waits {
+				t.Errorf("%s: %d copies and %d moves while an urgent task waits: %v", name, n.Copies, n.Moves, waits)
+			}
+		}
 	}
 }
 
