Restart no adopted runs without checkpoints

A new owner does not know how old the runs are that it adopts: a run counted as just begun and was restarted with the loss of its work. No test covers this.

--- a/hvcell/tail.go
+++ b/hvcell/tail.go
@@ -96,7 +96,8 @@
 }
 
 // relocationOf returns what pays for a slow run: the time until the task would be done
-// on another host must be shorter than that on its own by the error of the two.
+// on another host must be shorter than that on its own by the error of the two. The age of
+// an adopted run, whose work a restart would lose, is not known.
 func (c *Cell) relocationOf(now time.Time, s slowRun) relocation {
 	policy, spec := c.options.Policy, s.task.step.spec
 	rest, whole := atSpeed(s.left, s.full), atSpeed(fullPercent, s.full)
@@ -117,7 +118,7 @@
 		if pays(policy.StopTime+policy.RestoreTime, rest) {
 			return moveRun
 		}
-	case restartFraction*now.Sub(s.started) <= s.here && pays(policy.StopTime, whole):
+	case !s.adopted && restartFraction*now.Sub(s.started) <= s.here && pays(policy.StopTime, whole):
 		return restartRun
 	}
 	return leave
