--- a/hvcell/colocation_model_test.go
+++ b/hvcell/colocation_model_test.go
@@ -130,7 +130,7 @@
 		return int(a.task.step.round.job.seq*100+int64(a.task.index)) - int(b.task.step.round.job.seq*100+int64(b.task.index))
 	})
 	unused, demand := float64(e.capacityCPU)/1000, 0.0
-	share := 1 - float64(e.shareReduction)/100
+	share := 1 + float64(e.shareOffset)/100
 	for _, r := range runs {
 		switch s := r.task.step.spec; {
 		case s.BestEffort:
@@ -182,8 +182,8 @@
 	report := e.report(false)
 	if measure {
 		m.measure(name, runs, tails, loads, &report)
-		e.shareReduction = m.control(e.shareReduction, worst, len(tails) > 0)
-		report.ShareOffset = -e.shareReduction
+		e.shareOffset = -m.control(-e.shareOffset, worst, len(tails) > 0)
+		report.ShareOffset = e.shareOffset
 	}
 	e.applyGrant(m.cell.Report(m.now, name, report))
 }
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -292,6 +292,9 @@
 	m.Set("hv_cell_hosts_serving", l.Serving)
 	m.Set("hv_cell_hosts_mixed", l.Mixed)
 	m.Set("hv_cell_hosts_limited", l.Limited)
+	m.Set("hv_copies", c.Copies)
+	m.Set("hv_copies_first", c.CopiesFirst)
+	m.Set("hv_moves", c.Moves)
 }
 
 // flushLoop stores progress, and sends heartbeats while there is none.
