--- a/cmd/hvgate/main.go
+++ b/cmd/hvgate/main.go
@@ -12,8 +12,14 @@
 // version is set by the build.
 var version = "dev"
 
+// platformOptions are the flags of a gate on the users' platform.
+type platformOptions struct {
+	Sharing bool `long:"sharing" description:"On the users' platform, divide contended capacity between queues, zones and sizes of jobs, and let urgent work preempt"`
+}
+
 func main() {
-	os.Exit(hvdaemon.Main(hvdaemon.Program{Component: "gate", Version: version, Build: build, BuildPlatform: onPlatform}))
+	var o platformOptions
+	os.Exit(hvdaemon.Main(hvdaemon.Program{Component: "gate", Version: version, Build: build, BuildPlatform: o.build, Options: &o}))
 }
 
 func build(path string, logs *hvlogger.Root) (hvdaemon.Daemon, error) {
--- a/cmd/hvgate/platform.go
+++ b/cmd/hvgate/platform.go
@@ -37,11 +37,12 @@
 	logger   log.Logger
 }
 
-func onPlatform(logs *hvlogger.Root) (hvdaemon.Daemon, error) {
+func (o *platformOptions) build(logs *hvlogger.Root) (hvdaemon.Daemon, error) {
 	s, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
 	if err != nil {
 		return nil, err
 	}
+	s.Policy.Sharing = o.Sharing
 	logger := log.With(logs.Component("gate"), "node", s.Node)
 	metrics := hvmetric.New(hvmetric.DefaultCallerLimit)
 	var adviser hv.Adviser
--- a/hvdaemon/daemon.go
+++ b/hvdaemon/daemon.go
@@ -50,13 +50,22 @@
 	// BuildPlatform returns the daemon for the users' platform. Its logs go to
 	// standard output.
 	BuildPlatform func(logs *hvlogger.Root) (Daemon, error)
+	// Options is a pointer to a struct with the flags of this program alone, or nil.
+	Options any
 }
 
 // Main runs the daemon of a program and returns its exit code. SIGTERM and
 // SIGINT stop it gracefully, SIGHUP reloads the local settings.
 func Main(p Program) int {
 	var opts options
-	if _, err := flags.NewParser(&opts, flags.Default).Parse(); err != nil {
+	parser := flags.NewParser(&opts, flags.Default)
+	if p.Options != nil {
+		if _, err := parser.AddGroup(p.Component, "", p.Options); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitUsage
+		}
+	}
+	if _, err := parser.Parse(); err != nil {
 		if flags.WroteHelp(err) {
 			return exitOK
 		}
