Refuse requests that a slow store would answer too late

Cause: while the store was slow or away, requests waited to their end and failed; records that were still in the owner's queue got 504 although nothing was sent.

--- a/cmd/hvgate/platform.go
+++ b/cmd/hvgate/platform.go
@@ -27,6 +27,10 @@
 	// exitReserve is the part of the grace period before SIGKILL that is left for
 	// the exit of the process.
 	exitReserve = time.Second
+	// loopReserve is the part of exitReserve in which the loops of the gate end. A
+	// write to a connection whose peer does not read blocks one for up to 3 s, which
+	// must not delay the exit.
+	loopReserve = 400 * time.Millisecond
 )
 
 // platformGate is a gate that runs on the users' platform.
@@ -79,7 +83,7 @@
 	<-ctx.Done()
 	p.stop(servers, releaseCell)
 	cancel()
-	wg.Wait()
+	p.waitForLoops(&wg)
 	_ = level.Info(p.logger).Log("msg", "gate has stopped")
 	return nil
 }
@@ -116,8 +120,25 @@
 	time.Sleep(min(notReadyDelay, time.Until(deadline)))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
+	var stops sync.WaitGroup
 	for _, s := range servers {
-		s.Stop(ctx)
+		stops.Go(func() { s.Stop(ctx) })
+	}
+	stops.Wait()
+}
+
+// waitForLoops waits until the loops of the gate have ended, for at most loopReserve.
+// What they still do has no effect that the exit of the process could harm.
+func (p *platformGate) waitForLoops(wg *sync.WaitGroup) {
+	ended := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(loopReserve):
+		_ = level.Warn(p.logger).Log("msg", "loops of the gate did not end in time; the process exits")
 	}
 }
 
--- a/hvdaemon/serve.go
+++ b/hvdaemon/serve.go
@@ -19,6 +19,9 @@
 	headerTimeout = 5 * time.Second
 	// idleTimeout is the time after which idle connections of callers are closed.
 	idleTimeout = 60 * time.Second
+	// cancelReserve is how long before the end of a graceful shutdown the contexts of
+	// requests end. It is left for their responses.
+	cancelReserve = 400 * time.Millisecond
 )
 
 // Server is an HTTP server on one address.
@@ -26,6 +29,8 @@
 	http     *http.Server
 	listener net.Listener
 	logger   log.Logger
+	// cancelRequests ends the contexts of all requests.
+	cancelRequests context.CancelFunc
 }
 
 // Listen binds an address and returns a server for it.
@@ -34,8 +39,9 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	return &Server{http: s, listener: l, logger: logger}, nil
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, BaseContext: func(net.Listener) context.Context { return ctx }}
+	return &Server{http: s, listener: l, logger: logger, cancelRequests: cancel}, nil
 }
 
 // Serve serves requests until Stop is called.
@@ -50,10 +56,16 @@
 func (s *Server) DisableKeepAlives() { s.http.SetKeepAlivesEnabled(false) }
 
 // Stop closes the listener and waits until the requests in progress have ended
-// or ctx ends.
+// or ctx ends. Shortly before, it ends the contexts of requests that are still held, so
+// that their callers get a response; connections that remain are closed.
 func (s *Server) Stop(ctx context.Context) {
+	if deadline, ok := ctx.Deadline(); ok {
+		timer := time.AfterFunc(time.Until(deadline)-cancelReserve, s.cancelRequests)
+		defer timer.Stop()
+	}
 	if err := s.http.Shutdown(ctx); err != nil {
 		_ = level.Warn(s.logger).Log("msg", "graceful shutdown of the HTTP server was incomplete", "addr", s.listener.Addr(), "err", err)
+		_ = s.http.Close()
 	}
 }
 
--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -32,18 +32,13 @@
 	// cannot read the topic refuses a request for an unknown job instead of leaving
 	// its outcome uncertain.
 	maxReplicaAge = 3 * time.Second
-	// submitRetryInterval is the time between the attempts to store a record, and
-	// submitTimeout limits all attempts to less than the time that callers wait.
+	// submitRetryInterval is the time between the attempts to store a record.
 	submitRetryInterval = 60 * time.Millisecond
-	submitTimeout       = 2200 * time.Millisecond
 	// registerRetryInterval is the time between attempts to register.
 	registerRetryInterval = 400 * time.Millisecond
 	// syncTimeout limits the read that checks whether another gate has just accepted
 	// a job.
 	syncTimeout = 800 * time.Millisecond
-	// retryAfterOutage is the time after which a caller whose job was refused should
-	// try again.
-	retryAfterOutage = time.Second
 )
 
 // Options configure a Gate.
@@ -72,6 +67,8 @@
 type Gate struct {
 	options   Options
 	relay     *hvledger.Relay
+	admission *admission
+	direct    *directWriter
 	peers     *peers
 	replica   *hvledger.Replica
 	tailer    *hvledger.Tailer
@@ -95,7 +92,9 @@
 	g := &Gate{options: o, submitted: newSubmittedSpecs()}
 	g.replica = hvledger.NewReplica(o.Clock, o.Logger, g)
 	g.peers = newPeers(o.Name, g.replica.Nodes, o.Logger)
-	g.relay = hvledger.NewRelay(o.Store, g.peers, o.Clock, o.Logger)
+	g.admission = newAdmission(o.Clock, o.Metrics, o.Logger)
+	g.relay = hvledger.NewRelay(&measuredStore{KeyedStore: o.Store, admission: g.admission}, measuredPeers{g.peers, g.admission}, o.Clock, o.Logger)
+	g.direct = &directWriter{store: g.relay, topic: o.CellTopic, clock: o.Clock, response: g.admission.response}
 	g.tailer = hvledger.NewTailer(g.relay, o.CellTopic, g.replica, g.readInterval, o.Logger)
 	g.operators = newOperatorConsumer(o.Operators, o.Logger, g.passOperatorState)
 	return g
@@ -128,6 +127,7 @@
 	loops.Go(func() { g.tailer.Run(ctx) })
 	loops.Go(func() { operatorTailer.Run(ctx) })
 	loops.Go(func() { g.register(ctx) })
+	loops.Go(func() { g.probeStore(ctx) })
 	loops.Go(func() {
 		g.peers.watchOwners(ctx, func() hvledger.Claim {
 			c, _ := g.replica.Claim()
@@ -138,6 +138,16 @@
 	loops.Wait()
 }
 
+// probeStore checks whether the store is back while it responds to nobody.
+func (g *Gate) probeStore(ctx context.Context) {
+	hvtick.Every(ctx, downProbeInterval, func() {
+		if g.admission.down() {
+			// The result is recorded by the relay and by the admission control.
+			go func() { _ = g.relay.Probe(ctx, g.options.CellTopic, g.replica.Next()) }()
+		}
+	})
+}
+
 // register stores the registration of this gate and retries until it succeeds.
 func (g *Gate) register(ctx context.Context) {
 	self := hvledger.Node{Name: g.options.Name, Zone: g.options.Zone, Addr: g.options.Addr, Gate: true, Capacity: g.options.Capacity}
@@ -180,7 +190,7 @@
 		return
 	}
 	owner := hvowner.New(hvowner.Options{
-		Writer: w, ClaimOffset: claimOffset, Learned: g.replica.Learned(), StoreFailed: g.relay.Failed, Adviser: g.options.Adviser, EarlyStart: g.options.EarlyStart, Retention: g.options.Retention,
+		Writer: w, ClaimOffset: claimOffset, Learned: g.replica.Learned(), StoreFailed: g.relay.Failed, StoreResponse: g.admission.response, Adviser: g.options.Adviser, EarlyStart: g.options.EarlyStart, Retention: g.options.Retention,
 		Policy: g.options.Policy, Clock: g.options.Clock, Metrics: g.options.Metrics, Logger: g.options.Logger,
 	})
 	g.mu.Lock()
--- a/hventry/jobs.go
+++ b/hventry/jobs.go
@@ -39,10 +39,10 @@
 	if err != nil {
 		return 0, err
 	}
-	err = g.put(ctx, rec)
+	retry, err := g.store(ctx, rec, j.ID)
 	if err != nil {
-		g.recordDecision("submit", j.ID, "refused", "kind", hv.KindOf(err), "age", g.replica.SinceLastRead(), "err", err)
-		return retryAfterOutage, err
+		g.recordDecision("submit", j.ID, "refused", "kind", hv.KindOf(err), "age", g.replica.SinceLastRead(), "retry", retry, "err", err)
+		return retry, err
 	}
 	g.recordDecision("submit", j.ID, "accepted", "queue", j.Queue, "catalog", g.Catalog().Version)
 	return 0, nil
@@ -69,7 +69,7 @@
 		g.recordDecision("cancel", id, "ended", "state", e.State())
 		return nil
 	}
-	if err := g.put(ctx, hvledger.CancelRecord(id)); err != nil {
+	if _, err := g.store(ctx, hvledger.CancelRecord(id), ""); err != nil {
 		g.recordDecision("cancel", id, "refused", "kind", hv.KindOf(err), "err", err)
 		return err
 	}
--- a/hvledger/relay.go
+++ b/hvledger/relay.go
@@ -85,6 +85,14 @@
 	return page, err
 }
 
+// Probe checks with a read whether the store responds to this gate, also while another
+// call without a response is in progress.
+func (r *Relay) Probe(ctx context.Context, topic string, from int64) error {
+	_, err := r.direct.Read(hv.WithResponseTimeout(ctx, probeTimeout), topic, from, 0)
+	r.recordResult(err)
+	return err
+}
+
 type storeCall func(ctx context.Context, s hv.KeyedStore) error
 
 // Direct calls the store on behalf of another gate. It returns an error of kind
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -17,6 +17,7 @@
 	"hibiscusvane.example/hibiscusvane/hvjob"
 	"hibiscusvane.example/hibiscusvane/hvledger"
 	"hibiscusvane.example/hibiscusvane/hvmetric"
+	"hibiscusvane.example/hibiscusvane/hvshed"
 	"hibiscusvane.example/hibiscusvane/hvtick"
 )
 
@@ -52,6 +53,8 @@
 	Learned []byte
 	// StoreFailed reports whether the store does not respond; it may be nil.
 	StoreFailed func() bool
+	// StoreResponse returns the expected duration of an append; it may be nil.
+	StoreResponse func() time.Duration
 	// Adviser is nil if no advice service is configured.
 	Adviser hv.Adviser
 	// EarlyStart is how long before its due time a scheduled round may start.
@@ -72,7 +75,7 @@
 	cell  *hvcell.Cell
 	links map[string]*link
 	// queuedPuts holds callers' records that wait for the next append.
-	queuedPuts []put
+	queuedPuts hvshed.Queue[*put]
 	// runCtx is the context of the links; it is nil until Run is called.
 	runCtx context.Context
 
--- a/hvowner/put.go
+++ b/hvowner/put.go
@@ -2,21 +2,13 @@
 
 import (
 	"context"
+	"time"
 
 	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvshed"
 	"hibiscusvane.example/hibiscusvane/hvtick"
 )
 
-const (
-	// maxPuts limits the records of callers in one append, and maxPutBytes their
-	// total size: the platform's store accepts 2 MB a call, which they share with
-	// the progress of jobs.
-	maxPuts     = 200
-	maxPutBytes = 512 << 10
-	// maxQueuedPuts limits the records that wait for the next append.
-	maxQueuedPuts = 2000
-)
-
 // put is a record of a caller that waits for the result of storing it.
 type put struct {
 	rec    hv.KeyedRecord
@@ -28,8 +20,14 @@
 // share an append. An error of kind Unavailable or NotFound means that the record
 // was not stored; NotFound also means that this gate does not own the cell.
 func (o *Owner) Put(ctx context.Context, rec hv.KeyedRecord) error {
-	p := put{rec: rec, result: make(chan error, 1)}
-	runCtx, err := o.enqueue(p)
+	return o.PutInOrder(ctx, rec, hvshed.Order{})
+}
+
+// PutInOrder is like Put, with the place of the record among those that wait. A record
+// that has not been sent when ctx ends is removed, so that the outcome is certain.
+func (o *Owner) PutInOrder(ctx context.Context, rec hv.KeyedRecord, order hvshed.Order) error {
+	p := &put{rec: rec, result: make(chan error, 1)}
+	runCtx, err := o.enqueue(p, order)
 	if err != nil {
 		return err
 	}
@@ -38,40 +36,59 @@
 	case err := <-p.result:
 		return err
 	case <-ctx.Done():
+		if o.withdraw(p) {
+			return failure("put", hv.Unavailable, "the record was not sent in time: %v", ctx.Err())
+		}
 		return failure("put", hv.Uncertain, "no response from the store: %v", ctx.Err())
 	case <-runCtx.Done():
+		if o.withdraw(p) {
+			return failure("put", hv.NotFound, "the gate no longer owns the cell: %v", context.Cause(runCtx))
+		}
 		return failure("put", hv.Uncertain, "the gate no longer owns the cell: %v", context.Cause(runCtx))
 	}
 }
 
-func (o *Owner) enqueue(p put) (runCtx context.Context, err error) {
+func (o *Owner) enqueue(p *put, order hvshed.Order) (runCtx context.Context, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.runCtx == nil || o.runCtx.Err() != nil {
 		return nil, failure("put", hv.NotFound, "this gate does not own the cell")
 	}
-	if len(o.queuedPuts) >= maxQueuedPuts {
-		return nil, failure("put", hv.Unavailable, "the queue of records to store is full: %d records wait", len(o.queuedPuts))
+	if !o.queuedPuts.Add(p, len(p.rec.Value), order) {
+		return nil, failure("put", hv.Unavailable, "the queue of records to store is full: %d records wait", o.queuedPuts.Len())
 	}
-	o.queuedPuts = append(o.queuedPuts, p)
 	return o.runCtx, nil
 }
 
-// takePuts removes the records for the next append from the queue and returns
-// them.
-func (o *Owner) takePuts() []put {
+// withdraw removes a record from the queue and reports whether it was there. One that
+// is not has been taken for an append, so it may be stored.
+func (o *Owner) withdraw(p *put) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.queuedPuts.Remove(p)
+}
+
+// Queued returns the number of records that wait for the next append and their size.
+func (o *Owner) Queued() (records, bytes int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	n, bytes := 0, 0
-	for n < len(o.queuedPuts) && n < maxPuts && (n == 0 || bytes+len(o.queuedPuts[n].rec.Value) <= maxPutBytes) {
-		bytes += len(o.queuedPuts[n].rec.Value)
-		n++
+	return o.queuedPuts.Len(), o.queuedPuts.Bytes()
+}
+
+// takePuts removes the records for the next append from the queue and returns
+// them. It fails those that cannot be stored in time.
+func (o *Owner) takePuts() []*put {
+	response := time.Duration(0)
+	if o.options.StoreResponse != nil {
+		response = o.options.StoreResponse()
 	}
-	taken := o.queuedPuts[:n:n]
-	o.queuedPuts = o.queuedPuts[n:]
-	if len(o.queuedPuts) > 0 {
+	o.mu.Lock()
+	taken, late := o.queuedPuts.Take(o.options.Clock.Now(), response)
+	if o.queuedPuts.Len() > 0 {
 		hvtick.Wake(o.wakeFlush)
 	}
+	o.mu.Unlock()
+	completePuts(late, failure("put", hv.Unavailable, "the store takes %v for an append, which is too long for the deadline", response))
 	return taken
 }
 
@@ -82,13 +99,12 @@
 		return
 	}
 	o.mu.Lock()
-	puts := o.queuedPuts
-	o.queuedPuts = nil
+	puts := o.queuedPuts.Drain()
 	o.mu.Unlock()
 	completePuts(puts, failure("put", hv.Unavailable, "the store has failed and does not respond yet"))
 }
 
-func putRecords(puts []put) []hv.KeyedRecord {
+func putRecords(puts []*put) []hv.KeyedRecord {
 	recs := make([]hv.KeyedRecord, 0, len(puts))
 	for _, p := range puts {
 		recs = append(recs, p.rec)
@@ -97,7 +113,7 @@
 }
 
 // completePuts passes the result of an append to the callers of the records.
-func completePuts(puts []put, err error) {
+func completePuts(puts []*put, err error) {
 	for _, p := range puts {
 		p.result <- err
 	}
--- a/keyed.go
+++ b/keyed.go
@@ -50,6 +50,22 @@
 	return limit
 }
 
+type progressKey struct{}
+
+// WithProgress makes a store call f whenever a part of the response to a call with this
+// context arrives.
+func WithProgress(ctx context.Context, f func()) context.Context {
+	return context.WithValue(ctx, progressKey{}, f)
+}
+
+// Progress returns the function that ctx carries, or one that does nothing.
+func Progress(ctx context.Context) func() {
+	if f, ok := ctx.Value(progressKey{}).(func()); ok {
+		return f
+	}
+	return func() {}
+}
+
 // KeyedStore keeps the newest record of each key without limit and all records
 // for a limited time.
 type KeyedStore interface {
