--- a/hvdaemon/serve.go
+++ b/hvdaemon/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -22,6 +23,9 @@
 	// cancelReserve is how long before the end of a graceful shutdown the contexts of
 	// requests end. It is left for their responses.
 	cancelReserve = 400 * time.Millisecond
+	// unusedReserve is how long a graceful shutdown waits for the first request on a
+	// connection, such as one that a balancer has opened in advance.
+	unusedReserve = 500 * time.Millisecond
 )
 
 // Server is an HTTP server on one address.
@@ -31,6 +35,10 @@
 	logger   log.Logger
 	// cancelRequests ends the contexts of all requests.
 	cancelRequests context.CancelFunc
+
+	mu sync.Mutex
+	// unused holds the connections on which no request has arrived.
+	unused map[net.Conn]bool
 }
 
 // Listen binds an address and returns a server for it.
@@ -40,8 +48,33 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, BaseContext: func(net.Listener) context.Context { return ctx }}
-	return &Server{http: s, listener: l, logger: logger, cancelRequests: cancel}, nil
+	s := &Server{listener: l, logger: logger, cancelRequests: cancel, unused: map[net.Conn]bool{}}
+	s.http = &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		BaseContext: func(net.Listener) context.Context { return ctx }, ConnState: s.connState,
+	}
+	return s, nil
+}
+
+// connState keeps the set of unused connections.
+func (s *Server) connState(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == http.StateNew {
+		s.unused[c] = true
+		return
+	}
+	delete(s.unused, c)
+}
+
+// closeUnused closes the unused connections. The graceful shutdown of net/http would
+// wait for them for 5 s.
+func (s *Server) closeUnused() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.unused {
+		_ = c.Close()
+	}
 }
 
 // Serve serves requests until Stop is called.
@@ -63,6 +96,8 @@
 		timer := time.AfterFunc(time.Until(deadline)-cancelReserve, s.cancelRequests)
 		defer timer.Stop()
 	}
+	timer := time.AfterFunc(unusedReserve, s.closeUnused)
+	defer timer.Stop()
 	if err := s.http.Shutdown(ctx); err != nil {
 		_ = level.Warn(s.logger).Log("msg", "graceful shutdown of the HTTP server was incomplete", "addr", s.listener.Addr(), "err", err)
 		_ = s.http.Close()
--- a/hventry/admission_test.go
+++ b/hventry/admission_test.go
@@ -132,7 +132,7 @@
 			c.t.Errorf("job %d: response after %v, deadline %v", id, took, c.deadline)
 		}
 		c.record(id, err, took)
-		if err == nil || hv.KindOf(err) == hv.Uncertain {
+		if err == nil {
 			return
 		}
 		if retry < time.Second || retry%time.Second != 0 {
@@ -140,7 +140,7 @@
 		}
 		time.Sleep(retry)
 	}
-	c.t.Errorf("job %d was refused five times", id)
+	c.t.Errorf("job %d was not stored in five attempts", id)
 }
 
 func (c *callers) record(id int, err error, took time.Duration) {
--- a/hventry/admit.go
+++ b/hventry/admit.go
@@ -36,7 +36,7 @@
 
 // store decides whether an idempotent record can be stored in time, and stores it. An
 // error of kind Unavailable or Full means that the record was certainly not stored; the
-// caller should then return after retry. The identifier of a submission is id; it is
+// caller of any failed submission should return after retry. The identifier of a submission is id; it is
 // empty for other records.
 func (g *Gate) store(ctx context.Context, rec hv.KeyedRecord, id string) (retry time.Duration, err error) {
 	ctx, cancel, order := g.admission.order(ctx, id, id == "")
@@ -47,19 +47,31 @@
 	d := hvshed.Decide(s, left, order.First)
 	g.admission.record(d, s)
 	if d.Outcome == hvshed.Refused {
-		return g.admission.refuse(id, s, left, g.gateCount()), failure("admit", refusalKind(d), "refused before anything was sent: %s, expected wait %v, store silent or slow for %v", d.Reason, d.Wait, s.Outage)
+		err = failure("admit", refusalKind(d), "refused before anything was sent: %s, expected wait %v, store silent or slow for %v", d.Reason, d.Wait, s.Outage)
+		return g.admission.refuse(id, s, left, g.gateCount()), g.certain(id, err)
 	}
 	if !order.RefusedAt.IsZero() {
 		g.options.Metrics.Add("hv_returned_total", 1)
 	}
 	err = g.put(ctx, rec, order, w)
-	if err != nil && hv.KindOf(err) == hv.Unavailable {
-		return g.admission.refuse(id, g.admission.state(w.load), left, g.gateCount()), err
-	}
-	if err == nil && id != "" {
+	if err == nil {
 		g.admission.returns.Forget(id)
+		return 0, nil
+	}
+	retry = g.admission.refuse(id, g.admission.state(w.load), left, g.gateCount())
+	if hv.KindOf(err) == hv.Uncertain && id != "" {
+		g.admission.returns.SetUncertain(id)
+	}
+	return retry, g.certain(id, err)
+}
+
+// certain returns err, or an error of kind Uncertain if an earlier append with the job
+// got no response: the job may be stored, whatever happened to this request.
+func (g *Gate) certain(id string, err error) error {
+	if hv.KindOf(err) == hv.Uncertain || !g.admission.returns.Uncertain(id) {
+		return err
 	}
-	return 0, err
+	return failure("admit", hv.Uncertain, "an earlier append of the job got no response; this request: %v", err)
 }
 
 func refusalKind(d hvshed.Decision) hv.ErrorKind {
--- a/hventry/put.go
+++ b/hventry/put.go
@@ -104,7 +104,9 @@
 			return err
 		}
 		hvtick.Sleep(ctx, submitRetryInterval)
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || g.admission.down() {
+			// While the store is away, a repetition by the caller costs less than a
+			// request that is held to its end.
 			return failure("put", hv.Uncertain, "no response from the store: %v", err)
 		}
 	}
--- a/hvshed/returns.go
+++ b/hvshed/returns.go
@@ -18,6 +18,9 @@
 type refusal struct {
 	// first is when it was refused first, and due when its caller should return.
 	first, due time.Time
+	// uncertain is true if an append with the job was sent and got no response. The job
+	// may be stored, so that no later refusal may say that it is not.
+	uncertain bool
 }
 
 // Returns recognizes the callers that were refused and return: they submit a job with
@@ -36,11 +39,27 @@
 
 // Refuse records that a job was refused at now and that its caller should return at due.
 func (r *Returns) Refuse(id string, now, due time.Time) {
-	first := now
-	if old, ok := r.refused.Get(id); ok && now.Before(old.due.Add(returnWindow)) {
-		first = old.first
+	f := refusal{first: now, due: due}
+	if old, ok := r.refused.Get(id); ok {
+		f.uncertain = old.uncertain
+		if now.Before(old.due.Add(returnWindow)) {
+			f.first = old.first
+		}
 	}
-	r.refused.Add(id, refusal{first: first, due: due})
+	r.refused.Add(id, f)
+}
+
+// SetUncertain records that a job may be stored.
+func (r *Returns) SetUncertain(id string) {
+	f, _ := r.refused.Get(id)
+	f.uncertain = true
+	r.refused.Add(id, f)
+}
+
+// Uncertain reports whether a job may be stored although its caller got no success.
+func (r *Returns) Uncertain(id string) bool {
+	f, _ := r.refused.Get(id)
+	return f.uncertain
 }
 
 // Since returns when a job was first refused. It returns the zero time if the job was
