--- a/cmd/hvgate/platform.go
+++ b/cmd/hvgate/platform.go
@@ -46,6 +46,10 @@
 	if err != nil {
 		return nil, err
 	}
+	return newPlatformGate(s, logs), nil
+}
+
+func newPlatformGate(s platform.Settings, logs *hvlogger.Root) *platformGate {
 	logger := log.With(logs.Component("gate"), "node", s.Node)
 	metrics := hvmetric.New(hvmetric.DefaultCallerLimit)
 	var adviser hv.Adviser
@@ -59,7 +63,7 @@
 		EarlyStart: s.EarlyStart, Retention: s.Retention, Policy: s.Policy,
 		Clock: hv.SystemClock{}, Metrics: metrics, Logger: logger,
 	})
-	return &platformGate{settings: s, gate: gate, metrics: metrics, logger: logger}, nil
+	return &platformGate{settings: s, gate: gate, metrics: metrics, logger: logger}
 }
 
 // Run implements hvdaemon.Daemon.
