--- a/hventry/admit.go
+++ b/hventry/admit.go
@@ -34,10 +34,10 @@
 	return asked
 }
 
-// store decides whether an idempotent record can be stored in time, and stores it. An
-// error of kind Unavailable or Full means that the record was certainly not stored; the
-// caller of any failed submission should return after retry. The identifier of a submission is id; it is
-// empty for other records.
+// store decides whether an idempotent record can be stored in time, and stores it. The
+// identifier of a submission is id; it is empty for other records, which go first. An
+// error of kind Unavailable or Full means that the record was certainly not stored. The
+// caller of a submission that failed should return after retry.
 func (g *Gate) store(ctx context.Context, rec hv.KeyedRecord, id string) (retry time.Duration, err error) {
 	ctx, cancel, order := g.admission.order(ctx, id, id == "")
 	defer cancel()
--- a/hventry/put.go
+++ b/hventry/put.go
@@ -87,8 +87,9 @@
 		if err == nil || hv.KindOf(err) == hv.Unavailable && g.replica.SinceLastRead() > maxReadAge {
 			return err
 		}
-		if !g.fitsDirect(order) {
-			// A repetition by the caller costs less than an append that ends too late.
+		if !g.fitsDirect(order) || !uncertain && !isNoOwner(err) && g.admission.storeIsSlow() {
+			// A repetition by the caller costs less than an append that ends too late,
+			// or one that delays those of a slow owner.
 			return lateError(uncertain, err)
 		}
 	}
@@ -112,13 +113,16 @@
 	}
 }
 
+// isNoOwner reports whether a record was not stored because there is no owner to ask.
+func isNoOwner(err error) bool { return hv.KindOf(err) == hv.NotFound }
+
 // lateError returns the error for a record whose owner returned err and that this gate
 // cannot store in time.
 func lateError(uncertain bool, err error) error {
 	if uncertain {
 		return err
 	}
-	return failure("put", hv.Unavailable, "no time is left for an append by this gate: %v", err)
+	return failure("put", hv.Unavailable, "this gate cannot append the record in time: %v", err)
 }
 
 // fitsDirect reports whether an append of this gate can store a record in time.
--- a/hvshed/hvshed_test.go
+++ b/hvshed/hvshed_test.go
@@ -135,7 +135,7 @@
 // submissions before cancellations.
 func TestQueueOrder(t *testing.T) {
 	var q hvshed.Queue[string]
-	var r = hvshed.NewReturns()
+	r := hvshed.NewReturns()
 	r.Refuse("b", at(10), at(1010))
 	r.Refuse("a", at(0), at(1000))
 	r.Refuse("a", at(1000), at(2000))
