--- a/cmd/hvgate/platform_test.go
+++ b/cmd/hvgate/platform_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"hibiscusvane.example/hibiscusvane/hvlogger"
 	"hibiscusvane.example/hibiscusvane/platform"
 	"hibiscusvane.example/hibiscusvane/platform/platformtest"
@@ -83,3 +86,17 @@
 		}
 	}
 }
+
+// Guards against a loop that does not end, such as one that writes to a frozen peer, and
+// then delays the exit beyond the grace period.
+func TestExitDoesNotWaitForBlockedLoop(t *testing.T) {
+	var loops sync.WaitGroup
+	release := make(chan struct{})
+	loops.Go(func() { <-release })
+	defer close(release)
+	began := time.Now()
+	(&platformGate{logger: log.NewNopLogger()}).waitForLoops(&loops)
+	if took := time.Since(began); took > exitReserve {
+		t.Errorf("waited %v, want at most %v", took, exitReserve)
+	}
+}
--- a/hventry/admission_test.go
+++ b/hventry/admission_test.go
@@ -229,18 +229,20 @@
 		name     string
 		deadline time.Duration
 		rate     int
+		// unknown is how long a request with so short a deadline may be held, because
+		// the gate knows that the store is slow only after two slow appends.
+		unknown time.Duration
 	}{
-		{"shared appends", 3 * time.Second, 30},
-		{"short deadline", time.Second, 30},
-		{"deadline of two appends", 800 * time.Millisecond, 30},
-		{"more than the store can take", 3 * time.Second, 900},
+		{"shared appends", 3 * time.Second, 30, 0},
+		{"short deadline", time.Second, 30, 0},
+		{"deadline of two appends", 800 * time.Millisecond, 30, 700 * time.Millisecond},
+		{"more than the store can take", 3 * time.Second, 900, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runGate(t, c.deadline, func(cs *callers) {
 				next := cs.arrive(1, 30, time.Second)
 				cs.store.set(300*time.Millisecond, false)
-				// The gate knows that the store is slow after two slow appends.
-				cs.quickFrom = time.Now().Add(700 * time.Millisecond)
+				cs.quickFrom = time.Now().Add(c.unknown)
 				next = cs.arrive(next, c.rate, 5*time.Second)
 				cs.store.set(4*time.Millisecond, false)
 				back := time.Now()
