Keep gates from filling the queue of a slow store

Cause: TestSlowStoreServesAllGates failed once in a run of the whole package (22 stored, 59 status 503, 55 status 504): gates whose appends or owner timed out appended on their own, and the store's queue grew. Change: while the store is slow, gates ask the owner for longer, do not repeat its uncertain records, and pause after an append without a response. Requests for unknown jobs fail at once while the store is away.

--- a/hventry/direct.go
+++ b/hventry/direct.go
@@ -78,13 +78,17 @@
 		if len(batch) == 0 {
 			return
 		}
-		w.send(batch)
+		if err := w.send(batch); hv.KindOf(err) == hv.Uncertain {
+			// The append may still be in the queue of the store, where the next one
+			// would wait behind it.
+			time.Sleep(w.response())
+		}
 	}
 }
 
 // send appends the records of a batch. If the store rejects them, it appends each one by
 // itself, because the others may be acceptable.
-func (w *directWriter) send(batch []*waitingRecord) {
+func (w *directWriter) send(batch []*waitingRecord) error {
 	recs := make([]hv.KeyedRecord, 0, len(batch))
 	for _, r := range batch {
 		recs = append(recs, r.rec)
@@ -94,11 +98,12 @@
 		for _, r := range batch {
 			r.result <- w.append([]hv.KeyedRecord{r.rec})
 		}
-		return
+		return nil
 	}
 	for _, r := range batch {
 		r.result <- err
 	}
+	return err
 }
 
 func (w *directWriter) append(recs []hv.KeyedRecord) error {
--- a/hventry/jobs.go
+++ b/hventry/jobs.go
@@ -86,7 +86,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	err := g.tailer.Sync(ctx)
+	err := g.syncUnlessDown(ctx)
 	if e, ok := g.replica.Job(id); ok {
 		return e, nil
 	}
@@ -99,6 +99,15 @@
 	return hvledger.Entry{}, failure("find", hv.NotFound, "job %q does not exist", id)
 }
 
+// syncUnlessDown reads the topic up to its end. It fails at once while the store responds
+// to nobody, so that no caller waits for it.
+func (g *Gate) syncUnlessDown(ctx context.Context) error {
+	if g.admission.down() {
+		return failure("find", hv.Unavailable, "the store responds to nobody")
+	}
+	return g.tailer.Sync(ctx)
+}
+
 // recordDecision logs and counts the outcome of a request for a job.
 func (g *Gate) recordDecision(call, id, outcome string, pairs ...any) {
 	g.options.Metrics.Add("hv_calls_total", 1, "call", call, "outcome", outcome)
--- a/hventry/put.go
+++ b/hventry/put.go
@@ -35,6 +35,9 @@
 	// maxOwnerRecordAge is the time since the owner's last record after which the
 	// owner is not asked: it appends a record every 0.3 s.
 	maxOwnerRecordAge = 700 * time.Millisecond
+	// slowAppends is how many appends of others an owner's record may wait for at a
+	// slow store.
+	slowAppends = 3
 )
 
 // putRequest asks the owner to store a record.
@@ -87,7 +90,7 @@
 		if err == nil || hv.KindOf(err) == hv.Unavailable && g.replica.SinceLastRead() > maxReadAge {
 			return err
 		}
-		if !g.fitsDirect(order) || !uncertain && !isNoOwner(err) && g.admission.storeIsSlow() {
+		if !g.fitsDirect(order) || !isNoOwner(err) && g.admission.storeIsSlow() {
 			// A repetition by the caller costs less than an append that ends too late,
 			// or one that delays those of a slow owner.
 			return lateError(uncertain, err)
@@ -206,7 +209,7 @@
 
 // shouldAskOwner reports whether the owner is likely to respond.
 func (g *Gate) shouldAskOwner(c hvledger.Claim) bool {
-	if c.Epoch == 0 || c.Released || c.Name == g.options.Name || g.peers.ownerEnded(c) || g.replica.SinceOwnerRecord() > maxOwnerRecordAge {
+	if c.Epoch == 0 || c.Released || c.Name == g.options.Name || g.peers.ownerEnded(c) || g.replica.SinceOwnerRecord() > g.maxOwnerSilence() {
 		return false
 	}
 	g.mu.Lock()
@@ -214,6 +217,16 @@
 	return g.options.Clock.Now().After(g.skipOwnerUntil)
 }
 
+// maxOwnerSilence returns the time since the owner's last record after which the owner is
+// not asked. At a slow store the record may wait behind appends of others; if the gates
+// then appended too, it would wait longer.
+func (g *Gate) maxOwnerSilence() time.Duration {
+	if !g.admission.storeIsSlow() {
+		return maxOwnerRecordAge
+	}
+	return maxOwnerRecordAge + slowAppends*hvshed.MaxResponse
+}
+
 func (g *Gate) ownerPutFailed(c hvledger.Claim, err error) {
 	g.mu.Lock()
 	g.skipOwnerUntil = g.options.Clock.Now().Add(ownerRetryDelay)
