--- a/hventry/jobs.go
+++ b/hventry/jobs.go
@@ -39,10 +39,10 @@
 	if err != nil {
 		return 0, err
 	}
-	err = g.put(ctx, rec)
+	retry, err := g.store(ctx, rec, j.ID)
 	if err != nil {
-		g.recordDecision("submit", j.ID, "refused", "kind", hv.KindOf(err), "age", g.replica.SinceLastRead(), "err", err)
-		return retryAfterOutage, err
+		g.recordDecision("submit", j.ID, "refused", "kind", hv.KindOf(err), "age", g.replica.SinceLastRead(), "retry", retry, "err", err)
+		return retry, err
 	}
 	g.recordDecision("submit", j.ID, "accepted", "queue", j.Queue, "catalog", g.Catalog().Version)
 	return 0, nil
@@ -69,7 +69,7 @@
 		g.recordDecision("cancel", id, "ended", "state", e.State())
 		return nil
 	}
-	if err := g.put(ctx, hvledger.CancelRecord(id)); err != nil {
+	if _, err := g.store(ctx, hvledger.CancelRecord(id), ""); err != nil {
 		g.recordDecision("cancel", id, "refused", "kind", hv.KindOf(err), "err", err)
 		return err
 	}
@@ -86,7 +86,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	err := g.tailer.Sync(ctx)
+	err := g.syncUnlessDown(ctx)
 	if e, ok := g.replica.Job(id); ok {
 		return e, nil
 	}
@@ -99,6 +99,15 @@
 	return hvledger.Entry{}, failure("find", hv.NotFound, "job %q does not exist", id)
 }
 
+// syncUnlessDown reads the topic up to its end. It fails at once while the store responds
+// to nobody, so that no caller waits for it.
+func (g *Gate) syncUnlessDown(ctx context.Context) error {
+	if g.admission.down() {
+		return failure("find", hv.Unavailable, "the store responds to nobody")
+	}
+	return g.tailer.Sync(ctx)
+}
+
 // recordDecision logs and counts the outcome of a request for a job.
 func (g *Gate) recordDecision(call, id, outcome string, pairs ...any) {
 	g.options.Metrics.Add("hv_calls_total", 1, "call", call, "outcome", outcome)
