Reserve capacity for steps that wait, and backfill until then

A task that needs a whole host never started while small tasks, which have earlier goals, kept every host partly busy. The error of run times is learned by queue and stored with the learned state.

--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -84,6 +84,8 @@
 	// awaitingAdvice holds the waiting steps that need tickets, in the scheduling
 	// order of the last call of Plan.
 	awaitingAdvice []*step
+	// backfill holds the reservations of the steps that wait for capacity.
+	backfill backfill
 }
 
 // Counts holds totals since the cell was claimed, and the current numbers of jobs,
@@ -91,6 +93,10 @@
 type Counts struct {
 	Starts, Done, Failed, Lost, Stopped, Refused, Crashes, GivenUp int64
 	Jobs, Waiting, Running, Hosts                                  int64
+	// Backfilled counts the starts on hosts that are reserved for other work, and
+	// ReservationDelays the reservations that moved to a later time. Reservations is the
+	// current number of steps with a reservation.
+	Backfilled, ReservationDelays, Reservations int64
 }
 
 type endedJob struct {
--- a/hvcell/ends.go
+++ b/hvcell/ends.go
@@ -87,8 +87,8 @@
 	c.options.Health.Record(now, h.name, h.info.Rack, t.name, true)
 	if r != nil {
 		took := now.Sub(r.started)
-		t.step.runTimes.add(took)
 		c.estimate.observe(t.step, took)
+		t.step.runTimes.add(took)
 	}
 	if t.step.spec.LongRunning {
 		return
@@ -199,6 +199,7 @@
 	delete(h.runs, r.ref())
 	h.allocated = h.allocated.Sub(r.allocation)
 	h.countCPU(t.step.spec, -1)
+	c.uncountPromises(r)
 	if t.step.runsPerHost[h]--; t.step.runsPerHost[h] <= 0 {
 		delete(t.step.runsPerHost, h)
 	}
--- a/hvcell/estimate.go
+++ b/hvcell/estimate.go
@@ -12,6 +12,9 @@
 	// minSamples is the number of run times from which the mean of a queue may
 	// replace the estimates of callers.
 	minSamples = 8
+	// unknownVariance is the assumed Variance of a queue with fewer samples: callers'
+	// estimates are off by up to 90%, which is 0.64 in the logarithm.
+	unknownVariance = 0.64 * 0.64
 )
 
 // estimator predicts run times. Callers' estimates are far off in some queues, so
@@ -28,12 +31,18 @@
 	// mean and by the callers' estimates.
 	MeanError     float64 `json:"ofmean"`
 	EstimateError float64 `json:"ofestimate"`
+	// Variance is the mean squared error of the predictions of taskTime. It is 0 in
+	// states that were stored before it was measured.
+	Variance float64 `json:"variance,omitempty"`
 }
 
 func newEstimator() estimator { return estimator{queues: map[string]*RunTimeStats{}} }
 
+// observe learns from the run time of a task. It is called before the run time is added to
+// the step, so that the error of the prediction for the task is measured.
 func (e *estimator) observe(s *step, took time.Duration) {
 	ms := float64(max(took.Milliseconds(), 1))
+	predicted := e.taskTime(s)
 	h := e.queues[s.round.job.Queue]
 	if h == nil {
 		h = &RunTimeStats{Mean: math.Log(ms)}
@@ -45,6 +54,21 @@
 	h.MeanError += w * (math.Abs(actual-h.Mean) - h.MeanError)
 	h.EstimateError += w * (math.Abs(actual-math.Log(float64(max(s.spec.Estimate, 1)))) - h.EstimateError)
 	h.Mean += w * (actual - h.Mean)
+	if predicted > 0 {
+		miss := actual - math.Log(float64(max(predicted.Milliseconds(), 1)))
+		h.Variance += w * (miss*miss - h.Variance)
+	}
+}
+
+// longTaskTime returns a run time that tasks of a step exceed only in a part of the cases:
+// the expected run time and one standard deviation of the error of its queue. It is 0 if
+// nothing is known.
+func (e *estimator) longTaskTime(s *step) time.Duration {
+	variance := unknownVariance
+	if h := e.queues[s.round.job.Queue]; h != nil && h.Count >= minSamples && h.Variance > 0 {
+		variance = h.Variance
+	}
+	return time.Duration(float64(e.taskTime(s)) * math.Exp(math.Sqrt(variance)))
 }
 
 // taskTime returns the expected run time of a task of a step.
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -290,6 +290,7 @@
 	h.runs[r.ref()] = r
 	h.allocated = h.allocated.Add(r.allocation)
 	h.countCPU(t.step.spec, 1)
+	c.countPromises(now, r)
 	t.step.runsPerHost[h]++
 	if len(t.runs) == 0 {
 		t.step.waiting--
--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -50,7 +50,7 @@
 		return
 	}
 	for _, h := range c.hosts {
-		h.reserved = hvjob.Resources{}
+		h.lastReserved, h.reserved = h.reserved, hvjob.Resources{}
 	}
 	list := c.candidates(now, hosts)
 	c.prepareReservations(now, list, hosts)
@@ -163,7 +163,8 @@
 // placeTasks starts the waiting tasks of a step for which a host has capacity, other
 // than held ones.
 func (c *Cell) placeTasks(now time.Time, s *step, hosts []*host, held map[*task]bool) {
-	placed := 0
+	placed, backfilled := 0, c.counts.Backfilled
+	s.reservation.blocked = false
 	starved := s.isStarved(now)
 	// full is true once no host was found for a task without avoided hosts.
 	full := false
@@ -184,6 +185,7 @@
 		}
 		if h == nil {
 			c.logWait(now, t, hosts)
+			s.reservation.blocked = true
 			full = full || len(t.avoidedHosts) == 0
 			if s.spec.LongRunning {
 				c.reserveCapacity(now, t, hosts)
@@ -197,14 +199,15 @@
 		placed++
 	}
 	if placed > 0 {
-		c.logPlaced(now, s, placed)
+		c.logPlaced(now, s, placed, c.counts.Backfilled-backfilled)
 	}
 }
 
-// logPlaced logs the number of starts of a step in one plan.
-func (c *Cell) logPlaced(now time.Time, s *step, placed int) {
+// logPlaced logs the number of starts of a step in one plan, and how many of them are on
+// hosts that are reserved for other work.
+func (c *Cell) logPlaced(now time.Time, s *step, placed int, backfilled int64) {
 	r := s.round
-	_ = level.Info(c.options.Logger).Log("msg", "starts of tasks were ordered", "job", r.job.ID, "round", r.number, "step", s.index, "tasks", placed, "waiting", s.waiting, "use", c.usefulness(now, r), "left_ms", r.goal-now.UnixMilli())
+	_ = level.Info(c.options.Logger).Log("msg", "starts of tasks were ordered", "job", r.job.ID, "round", r.number, "step", s.index, "tasks", placed, "backfilled", backfilled, "waiting", s.waiting, "use", c.usefulness(now, r), "left_ms", r.goal-now.UnixMilli())
 	s.waitLogged = false
 }
 
@@ -233,6 +236,7 @@
 	if s.waiting < len(s.tasks) || now.Before(s.tasks[0].notBefore) || s.isRisky() && !s.round.job.crashesStored() {
 		return
 	}
+	s.reservation.blocked = false
 	if s.spec.TightlyCoupled {
 		for _, rack := range racks(hosts) {
 			if c.tryGang(now, s, rack) {
@@ -240,7 +244,7 @@
 			}
 		}
 	}
-	c.tryGang(now, s, hosts)
+	s.reservation.blocked = !c.tryGang(now, s, hosts)
 }
 
 // racks groups hosts by rack, in the order of the first host of each rack.
--- a/hvcell/random_test.go
+++ b/hvcell/random_test.go
@@ -49,6 +49,8 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		m := &faultMachine{simCluster: newSimCluster(rt, rapid.IntRange(1, 4).Draw(rt, "hosts")), delayed: map[string][]hvorder.Orders{}}
 		m.savedStates = true
+		m.policy.Backfill = rapid.Bool().Draw(rt, "backfill")
+		m.replaceOwner()
 		m.attachAll()
 		rt.Repeat(map[string]func(*rapid.T){
 			"submit": func(t *rapid.T) {
--- a/hvcell/reserve.go
+++ b/hvcell/reserve.go
@@ -52,13 +52,22 @@
 		if !c.fitsEventually(now, t, h) {
 			continue
 		}
-		if best == nil || h.free().CPU > best.free().CPU {
+		if best == nil || h.hasMoreFree(best) {
 			best = h
 		}
 	}
 	return best
 }
 
+// hasMoreFree reports whether a host has more free processors than another one. Hosts with
+// promises to waiting steps have less than those without.
+func (h *host) hasMoreFree(other *host) bool {
+	if promised := len(h.backfill.promises) > 0; promised != (len(other.backfill.promises) > 0) {
+		return !promised
+	}
+	return h.free().CPU > other.free().CPU
+}
+
 // fitsEventually reports whether a task fits on a host once all runs that are not
 // long-running have ended.
 func (c *Cell) fitsEventually(now time.Time, t *task, h *host) bool {
--- a/hvcell/simcluster_test.go
+++ b/hvcell/simcluster_test.go
@@ -38,6 +38,8 @@
 	noCapacityChecks bool
 	// savedStates makes every report list the runs with their saved states.
 	savedStates bool
+	// policy holds the parts of scheduling that owners use.
+	policy Policy
 	// evacuated holds the evacuated zones.
 	evacuated []string
 	// learned is the stored learned state, as of learnedAt.
@@ -103,7 +105,7 @@
 	w.epoch++
 	w.cell = New(Options{
 		Epoch: w.epoch, ClaimOffset: int64(len(w.jobs)), ClaimedAt: w.now, LeaseDuration: 5 * time.Second, PreviousAuthority: w.authority,
-		Retention: time.Minute, Logger: log.NewNopLogger(),
+		Retention: time.Minute, Policy: w.policy, Logger: log.NewNopLogger(),
 		Health: hvhealth.New(hvhealth.Options{HostCount: func() int { return len(w.hosts) }}),
 	})
 	if !w.noCatalog {
--- a/hvcell/start.go
+++ b/hvcell/start.go
@@ -32,6 +32,9 @@
 	}
 	h.addSpec(j)
 	c.counts.Starts++
+	if h.isPromisedToOthers(t.step) {
+		c.counts.Backfilled++
+	}
 	_ = level.Debug(c.options.Logger).Log("msg", "start of a run was ordered", "task", t.name, "run", r.number, "host", h.name, "free", h.free().CPU)
 }
 
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -46,6 +46,9 @@
 	// due is when the round may start, goal when it should be complete, and cutoff
 	// when completing it is of no more use, as Unix times in milliseconds.
 	due, goal, cutoff int64
+	// mayOvertake caches the result of Cell.mayOvertake for the plan overtakeIn.
+	mayOvertake bool
+	overtakeIn  int64
 }
 
 type step struct {
@@ -74,6 +77,8 @@
 	suspectedSince time.Time
 	// advice is used if hosts need a ticket to run the step.
 	advice advice
+	// reservation is used while tasks of the step wait for capacity.
+	reservation stepReservation
 }
 
 type task struct {
@@ -113,6 +118,12 @@
 	saved      string
 	// adopted is true if an earlier owner started the run.
 	adopted bool
+	// lasts is for how long the run was expected to hold its resources when it started on
+	// a host with promises, in the plan countedIn; promised is true if one of them was made
+	// to its step.
+	lasts     time.Duration
+	countedIn int64
+	promised  bool
 }
 
 func (r *run) ref() hvorder.Run { return hvorder.Run{Task: r.task.name, Run: r.number} }
@@ -145,8 +156,11 @@
 	// unneeded holds the runs that this owner stops without knowing what they need, as
 	// their jobs have ended. They hold resources until the host reports their end.
 	unneeded map[hvorder.Run]bool
-	// reserved is the sum of the reservations of long-running tasks that wait.
-	reserved hvjob.Resources
+	// reserved is the sum of the reservations of long-running tasks that wait, and
+	// lastReserved that of the last plan.
+	reserved, lastReserved hvjob.Resources
+	// backfill holds the promises to waiting steps of the present plan.
+	backfill hostPromises
 	// bestEffortCPU is the processor demand of the best-effort tasks, and servingCPU
 	// the processors allocated to tasks with a latency target.
 	bestEffortCPU, servingCPU int64
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -285,6 +285,9 @@
 	m.Set("hv_cell_refused", c.Refused)
 	m.Set("hv_cell_crashes", c.Crashes)
 	m.Set("hv_cell_given_up", c.GivenUp)
+	m.Set("hv_reservations", c.Reservations)
+	m.Set("hv_reservation_delays", c.ReservationDelays)
+	m.Set("hv_backfilled", c.Backfilled)
 }
 
 // flushLoop stores progress, and sends heartbeats while there is none.
