--- a/hvbackfill/hvbackfill.go
+++ b/hvbackfill/hvbackfill.go
@@ -31,6 +31,11 @@
 	return Amount{CPU: a.CPU + n*b.CPU, Unused: a.Unused + n*b.Unused, Memory: a.Memory + n*b.Memory, GPU: a.GPU + n*b.GPU}
 }
 
+// Max returns the greater of a and b in each dimension.
+func (a Amount) Max(b Amount) Amount {
+	return Amount{CPU: max(a.CPU, b.CPU), Unused: max(a.Unused, b.Unused), Memory: max(a.Memory, b.Memory), GPU: max(a.GPU, b.GPU)}
+}
+
 // Within reports whether a is at most free in each dimension that it needs.
 func (a Amount) Within(free Amount) bool {
 	return within(a.CPU, free.CPU) && within(a.Unused, free.Unused) && within(a.Memory, free.Memory) && within(a.GPU, free.GPU)
@@ -98,6 +103,8 @@
 type Slot struct {
 	Host  int
 	After time.Duration
+	// Gathered is true if no single run on the host holds as much as the task needs.
+	Gathered bool
 }
 
 // AppendSlots appends the places for up to limit tasks of a demand on one host.
@@ -107,7 +114,9 @@
 		if !ok {
 			break
 		}
-		out = append(out, Slot{Host: index, After: after})
+		need := d.On(h, n)
+		gathered := !slices.ContainsFunc(h.Releases, func(r Release) bool { return need.Within(r.Amount) })
+		out = append(out, Slot{Host: index, After: after, Gathered: gathered})
 	}
 	return out
 }
--- a/hvcell/backfill.go
+++ b/hvcell/backfill.go
@@ -55,7 +55,8 @@
 		return false
 	}
 	if r.overtakeIn != c.backfill.plan {
-		rest := r.goal - c.backfill.plannedAt.Add(c.criticalPath(r)).UnixMilli()
+		path := time.Duration(float64(c.criticalPath(r)) * c.estimate.margin(r.job.Queue))
+		rest := r.goal - c.backfill.plannedAt.Add(path).UnixMilli()
 		used := c.backfill.plannedAt.UnixMilli() - r.due
 		r.overtakeIn, r.mayOvertake = c.backfill.plan, rest < (rest+used)/holdDivisor
 	}
@@ -88,7 +89,7 @@
 	if t.step.spec.LongRunning {
 		return hvbackfill.Endless
 	}
-	took := c.estimate.longTaskTime(t.step)
+	took := time.Duration(float64(c.estimate.taskTime(t.step)) * c.estimate.margin(t.step.round.job.Queue))
 	if took <= 0 {
 		return hvbackfill.Endless
 	}
--- a/hvcell/backfill_reserve.go
+++ b/hvcell/backfill_reserve.go
@@ -10,9 +10,15 @@
 )
 
 const (
-	// maxReservations bounds the steps with a reservation, and so the capacity that is
-	// kept free and the time that a plan takes.
-	maxReservations = 8
+	// maxReservations bounds the steps with a reservation, and so the time that a plan
+	// takes. There is one for each hostsPerReservation hosts at most, but always one: more
+	// of them serve work in the order in which it began to wait, which under overload
+	// makes more jobs late than the scheduling order.
+	maxReservations     = 8
+	hostsPerReservation = 8
+	// maxLate bounds the reservations of steps that could no longer be in time when they
+	// got one: under overload they keep capacity from those that can be in time.
+	maxLate = 1
 	// searchInterval is the least time between two searches of hosts for one step. In
 	// between only the times of its reservation are revised.
 	searchInterval = 100 * time.Millisecond
@@ -45,6 +51,12 @@
 	// hosts those with promises.
 	steps []*step
 	hosts []*host
+	// late counts the reservations of steps that are late.
+	late int
+	// largest holds the most of each resource that was free on any host when the plan
+	// largestIn began. In a plan with nothing that waits it is not computed.
+	largest   hvbackfill.Amount
+	largestIn int64
 	// slots is reused by each search.
 	slots []hvbackfill.Slot
 }
@@ -55,6 +67,8 @@
 	blocked bool
 	// wantedIn is the last plan in which the step was to have a reservation.
 	wantedIn int64
+	// late is true if the step could no longer be in time, or was deferred, in that plan.
+	late bool
 	// hosts holds a host for each task that is to start, ordered by name; it is empty if
 	// the step has no reservation. The tasks are expected to start at the time at.
 	hosts []*host
@@ -91,8 +105,10 @@
 	if !c.markWanted(now, list) && len(b.steps) == 0 {
 		return
 	}
+	b.largest, b.largestIn = hvbackfill.Amount{}, b.plan
 	for i, h := range hosts {
 		h.backfill.index, h.backfill.usableIn = i, b.plan
+		b.largest = b.largest.Max(h.freeAmount())
 	}
 	c.keepReservations(now, hosts)
 	c.addReservations(now, list, hosts)
@@ -106,7 +122,7 @@
 	for i := range list {
 		s := list[i].step
 		if s.reservation.blocked && !list[i].longRunning && !now.Before(s.reservation.notBefore) && c.suspectJobs[s.round.job.ID] == nil {
-			s.reservation.wantedIn, wanted = c.backfill.plan, true
+			s.reservation.wantedIn, s.reservation.late, wanted = c.backfill.plan, list[i].usefulness != usefulInTime, true
 		}
 	}
 	return wanted
@@ -116,14 +132,15 @@
 // are taken, a step of a more urgent queue replaces the last one of a less urgent queue.
 func (c *Cell) addReservations(now time.Time, list []candidate, hosts []*host) {
 	b := &c.backfill
+	limit := min(max(len(hosts)/hostsPerReservation, 1), maxReservations)
 	searches := 0
 	for i := range list {
 		s := list[i].step
-		if s.reservation.wantedIn != b.plan || len(s.reservation.hosts) > 0 || searches == maxSearches {
+		if s.reservation.wantedIn != b.plan || len(s.reservation.hosts) > 0 || searches == maxSearches || s.reservation.late && b.late >= maxLate {
 			continue
 		}
 		replaced := -1
-		if len(b.steps) == maxReservations {
+		if len(b.steps) >= limit {
 			replaced = b.lastLessUrgent(s)
 			if replaced < 0 {
 				continue
@@ -139,6 +156,14 @@
 			b.steps = slices.Delete(b.steps, replaced, replaced+1)
 		}
 		b.steps = append(b.steps, s)
+		b.countLate(s)
+	}
+}
+
+// countLate counts the reservation of a step if it is late.
+func (b *backfill) countLate(s *step) {
+	if s.reservation.late {
+		b.late++
 	}
 }
 
@@ -166,12 +191,13 @@
 
 // reset removes the reservation and keeps what decides about the next one.
 func (v *stepReservation) reset() {
-	*v = stepReservation{blocked: v.blocked, wantedIn: v.wantedIn, notBefore: v.notBefore, loggedAt: v.loggedAt, delayLogged: v.delayLogged}
+	*v = stepReservation{blocked: v.blocked, wantedIn: v.wantedIn, notBefore: v.notBefore, late: v.late, loggedAt: v.loggedAt, delayLogged: v.delayLogged}
 }
 
 // keepReservations revises the reservations of the last plan and drops those that are no
 // longer needed or possible.
 func (c *Cell) keepReservations(now time.Time, hosts []*host) {
+	c.backfill.late = 0
 	kept := c.backfill.steps[:0]
 	for _, s := range c.backfill.steps {
 		v := &s.reservation
@@ -182,6 +208,7 @@
 			_ = level.Info(c.options.Logger).Log("msg", "reservation is dropped because its step does not start", "job", s.round.job.ID, "step", s.index, "host", v.hosts[0].name)
 		case c.reserve(now, s, hosts):
 			kept = append(kept, s)
+			c.backfill.countLate(s)
 			continue
 		}
 		v.reset()
--- a/hvcell/backfill_search.go
+++ b/hvcell/backfill_search.go
@@ -58,7 +58,9 @@
 }
 
 // search returns the slots in which a step can start first, and the time after which all
-// of them are free.
+// of them are free. A step without a reservation gets none for a task that needs no more
+// than one of the runs there holds: such room opens regularly, and its turn in the
+// scheduling order suffices.
 func (c *Cell) search(now time.Time, t *task, d hvbackfill.Demand, hosts []*host) ([]hvbackfill.Slot, time.Duration, bool) {
 	if t.step.spec.BestEffort {
 		t.step.reservation.impactLimit = impactLimit(t, hosts, c.impacts(t, hosts))
@@ -70,7 +72,11 @@
 		}
 	}
 	c.backfill.slots = slots
-	return hvbackfill.Choose(slots, d.Count)
+	chosen, after, ok := hvbackfill.Choose(slots, d.Count)
+	if ok && d.Count == 1 && !chosen[0].Gathered && len(t.step.reservation.hosts) == 0 {
+		return nil, 0, false
+	}
+	return chosen, after, ok
 }
 
 // reservableTasks returns how many tasks of a step may start on a host as far as obstacles
@@ -93,6 +99,20 @@
 	return len(s.tasks)
 }
 
+// fitsNowhere reports whether more is needed than is known to be free on any host, so that
+// a plan with many waiting steps does not look at each host for each of them.
+func (c *Cell) fitsNowhere(need hvbackfill.Amount) bool {
+	b := &c.backfill
+	return b.plan > 0 && b.largestIn == b.plan && !need.Within(b.largest)
+}
+
+// freeAmount returns what is free on a host.
+func (h *host) freeAmount() hvbackfill.Amount {
+	free := amount(h.free())
+	free.Unused = h.unusedCPU() - h.bestEffortCPU
+	return free
+}
+
 // timeline returns what is free on a host and what becomes free as its runs end.
 func (c *Cell) timeline(now time.Time, h *host) *hvbackfill.Host {
 	line := &h.backfill.timeline
@@ -100,8 +120,7 @@
 		return line
 	}
 	h.backfill.computedIn = c.backfill.plan
-	line.Free = amount(h.free().Sub(h.lastReserved))
-	line.Free.Unused = h.unusedCPU() - h.bestEffortCPU
+	line.Free = h.freeAmount().Plus(amount(h.lastReserved), -1)
 	line.Promised = hvbackfill.Amount{}
 	line.Releases = line.Releases[:0]
 	for _, r := range h.runs {
--- a/hvcell/capacity_test.go
+++ b/hvcell/capacity_test.go
@@ -103,6 +103,7 @@
 			m.stopping[name] = map[string]int{}
 		}
 		m.noCapacityChecks = true
+		m.policy.Backfill = rapid.Bool().Draw(rt, "backfill")
 		m.authority = 0
 		m.replaceOwner()
 		m.attachAll()
--- a/hvcell/estimate.go
+++ b/hvcell/estimate.go
@@ -60,15 +60,14 @@
 	}
 }
 
-// longTaskTime returns a run time that tasks of a step exceed only in a part of the cases:
-// the expected run time and one standard deviation of the error of its queue. It is 0 if
-// nothing is known.
-func (e *estimator) longTaskTime(s *step) time.Duration {
+// margin returns e to the standard deviation of the logarithmic error of the predictions
+// for a queue: only a part of its run times are longer than predicted by this factor.
+func (e *estimator) margin(queue string) float64 {
 	variance := unknownVariance
-	if h := e.queues[s.round.job.Queue]; h != nil && h.Count >= minSamples && h.Variance > 0 {
+	if h := e.queues[queue]; h != nil && h.Count >= minSamples && h.Variance > 0 {
 		variance = h.Variance
 	}
-	return time.Duration(float64(e.taskTime(s)) * math.Exp(math.Sqrt(variance)))
+	return math.Exp(math.Sqrt(variance))
 }
 
 // taskTime returns the expected run time of a task of a step.
--- a/hvcell/pick.go
+++ b/hvcell/pick.go
@@ -22,6 +22,9 @@
 // pickAmong returns the host with the best score among those without obstacles, or
 // nil. Best-effort tasks also keep to their impact limit.
 func (c *Cell) pickAmong(now time.Time, t *task, hosts []*host) *host {
+	if c.fitsNowhere(neededAmount(t.step.spec)) {
+		return nil
+	}
 	impacts := c.impacts(t, hosts)
 	limit := math.Inf(1)
 	if t.step.spec.BestEffort {
@@ -60,6 +63,9 @@
 // pickIgnoringImpact returns the host with the best score among those without a hard
 // obstacle, or nil.
 func (c *Cell) pickIgnoringImpact(now time.Time, t *task, hosts []*host) *host {
+	if c.fitsNowhere(amount(t.step.spec.Allocation())) {
+		return nil
+	}
 	return c.bestHost(now, t, hosts, c.impacts(t, hosts), func(h *host, _ float64) bool {
 		return c.hardObstacle(now, t, h) == ""
 	})
