--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -97,6 +97,8 @@
 	hostBuffer []*host
 	// effectsVersion counts the changes of the estimated effects.
 	effectsVersion int64
+	// backfill holds the reservations of the steps that wait for capacity.
+	backfill backfill
 }
 
 // Counts holds totals since the cell was claimed, and the current numbers of jobs,
@@ -111,6 +113,10 @@
 	// CopiesFirst counts the tasks of which the second run was done first.
 	Copies, Moves, CopiesFirst    int64
 	Jobs, Waiting, Running, Hosts int64
+	// Backfilled counts the starts on hosts that are reserved for other work, and
+	// ReservationDelays the reservations that moved to a later time. Reservations is the
+	// current number of steps with a reservation.
+	Backfilled, ReservationDelays, Reservations int64
 }
 
 type endedJob struct {
--- a/hvcell/ends.go
+++ b/hvcell/ends.go
@@ -101,8 +101,8 @@
 		if !r.resumed || !c.options.Policy.Tail {
 			// The run did the whole task.
 			took := now.Sub(r.started)
-			t.step.runTimes.add(took)
 			c.estimate.observe(t.step, took)
+			t.step.runTimes.add(took)
 		}
 		if r.copied && len(t.runs) > 0 {
 			c.counts.CopiesFirst++
@@ -217,6 +217,7 @@
 	h.allocated = h.allocated.Sub(r.allocation)
 	h.countCPU(t.step.spec, -1)
 	c.countUse(r, -1)
+	c.uncountPromises(r)
 	if t.step.runsPerHost[h]--; t.step.runsPerHost[h] <= 0 {
 		delete(t.step.runsPerHost, h)
 	}
--- a/hvcell/pick.go
+++ b/hvcell/pick.go
@@ -23,6 +23,9 @@
 // nil. Best-effort tasks also keep to their impact limit, unless the tail latencies limit
 // them.
 func (c *Cell) pickAmong(now time.Time, t *task, hosts []*host) *host {
+	if c.fitsNowhere(neededAmount(t.step.spec)) {
+		return nil
+	}
 	if t.step.spec.BestEffort && c.options.Policy.Colocation {
 		hosts = c.withUnusedCPU(t, hosts)
 	}
@@ -64,6 +67,9 @@
 // pickIgnoringImpact returns the host with the best score among those without a hard
 // obstacle, or nil.
 func (c *Cell) pickIgnoringImpact(now time.Time, t *task, hosts []*host) *host {
+	if c.fitsNowhere(amount(t.step.spec.Allocation())) {
+		return nil
+	}
 	return c.bestHost(now, t, hosts, c.impacts(t, hosts), func(h *host, _ float64) bool {
 		return c.hardObstacle(now, t, h) == ""
 	})
--- a/hvcell/random_test.go
+++ b/hvcell/random_test.go
@@ -53,7 +53,7 @@
 		m := &faultMachine{simCluster: newSimCluster(rt, rapid.IntRange(1, 4).Draw(rt, "hosts")), delayed: map[string][]hvorder.Orders{}}
 		m.savedStates = true
 		m.policy = tailPolicy
-		m.policy.Tail, m.policy.Sharing, m.policy.Colocation = rapid.Bool().Draw(rt, "tail"), rapid.Bool().Draw(rt, "sharing"), rapid.Bool().Draw(rt, "colocation")
+		m.policy.Tail, m.policy.Sharing, m.policy.Colocation, m.policy.Backfill = rapid.Bool().Draw(rt, "tail"), rapid.Bool().Draw(rt, "sharing"), rapid.Bool().Draw(rt, "colocation"), rapid.Bool().Draw(rt, "backfill")
 		m.replaceOwner()
 		if m.policy.Sharing {
 			// Small hosts, so that work waits and urgent tasks preempt.
@@ -62,7 +62,7 @@
 		m.attachAll()
 		rt.Repeat(map[string]func(*rapid.T){
 			"submit": func(t *rapid.T) {
-				second := testStep(rapid.IntRange(1, 4).Draw(t, "second"), 1500)
+				second := testStep(rapid.IntRange(1, 4).Draw(t, "second"), rapid.SampledFrom([]int64{1500, 6000}).Draw(t, "cpu"))
 				second.After = []int{0}
 				second.Checkpoint = true
 				second.BestEffort, second.Image = rapid.Bool().Draw(t, "best-effort"), "program"
--- a/hventry/admission_test.go
+++ b/hventry/admission_test.go
@@ -185,7 +185,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newMemoryStore()
 		g := hventry.New(hventry.Options{
-			Name: "gate", Addr: "127.0.0.1:1", Process: "p", Store: s, CellTopic: "cell",
+			Zone: "north", Name: "gate", Addr: "127.0.0.1:1", Process: "p", Store: s, CellTopic: "cell",
 			Operators: hventry.OperatorRecords{Topic: "op", CatalogKey: "catalog", EvacuationPrefix: "evacuate/", DecodeCatalog: decodeCatalog},
 			Retention: time.Minute, Clock: hv.SystemClock{}, Metrics: hvmetric.New(4), Logger: log.NewNopLogger(),
 		})
--- a/hventry/owner_change_test.go
+++ b/hventry/owner_change_test.go
@@ -33,7 +33,7 @@
 	o.listen(t)
 	o.claimCell(ownerCtx, t, store)
 	g := hventry.New(hventry.Options{
-		Name: "gate", Addr: "127.0.0.1:1", Process: "p", Store: store, CellTopic: platform.CellTopic,
+		Zone: "north", Name: "gate", Addr: "127.0.0.1:1", Process: "p", Store: store, CellTopic: platform.CellTopic,
 		Operators: hventry.OperatorRecords{Topic: platform.OperatorsTopic, CatalogKey: platform.CatalogKey, EvacuationPrefix: platform.EvacuationPrefix, DecodeCatalog: decodeCatalog},
 		Retention: time.Minute, Clock: hv.SystemClock{}, Metrics: hvmetric.New(4), Logger: log.NewNopLogger(),
 	})
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -298,6 +298,9 @@
 	m.Set("hv_copies", c.Copies)
 	m.Set("hv_copies_first", c.CopiesFirst)
 	m.Set("hv_moves", c.Moves)
+	m.Set("hv_reservations", c.Reservations)
+	m.Set("hv_reservation_delays", c.ReservationDelays)
+	m.Set("hv_backfilled", c.Backfilled)
 }
 
 // flushLoop stores progress, and sends heartbeats while there is none.
