--- a/cmd/hvgate/main.go
+++ b/cmd/hvgate/main.go
@@ -14,7 +14,8 @@
 
 // platformOptions are the flags of a gate on the users' platform.
 type platformOptions struct {
-	Sharing bool `long:"sharing" description:"On the users' platform, divide contended capacity between queues, zones and sizes of jobs, and let urgent work preempt"`
+	Sharing  bool `long:"sharing" description:"On the users' platform, divide contended capacity between queues, zones and sizes of jobs, and let urgent work preempt"`
+	Relocate bool `long:"relocate" description:"On the users' platform, move or copy runs that a slow host holds up"`
 }
 
 func main() {
--- a/cmd/hvgate/platform.go
+++ b/cmd/hvgate/platform.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s.Policy.Sharing = o.Sharing
+	s.Policy.Sharing, s.Policy.Tail = o.Sharing, o.Relocate
 	return newPlatformGate(s, logs), nil
 }
 
