--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -93,6 +93,8 @@
 	// loggedColocation is what was logged at colocationLogged.
 	loggedColocation ColocationCounts
 	colocationLogged time.Time
+	// loadLogged is when the load of best-effort work was last logged.
+	loadLogged time.Time
 	// hostBuffer is reused by withUnusedCPU.
 	hostBuffer []*host
 	// effectsVersion counts the changes of the estimated effects.
--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -46,6 +46,7 @@
 	n.deps.Metrics.Set("hv_node_pending", int64(len(n.pendingStarts)))
 	n.deps.Metrics.Set("hv_node_unseen", int64(len(n.executorState.Ended)))
 	n.deps.Metrics.Set("hv_node_pace", int64(fullShare-n.interferingShare.reduction))
+	n.deps.Metrics.Set("hv_node_pace_harmless", int64(fullShare-n.harmlessShare.reduction))
 }
 
 // send sends a report and takes the grant in the reply.
--- a/hvnode/share.go
+++ b/hvnode/share.go
@@ -178,6 +178,12 @@
 		return fullShare, fullShare
 	}
 	now := n.deps.Clock.Now()
+	stopped := n.harmlessShare.reduction == fullShare
+	defer func() {
+		if (harmless == 0) != stopped {
+			_ = level.Info(n.deps.Logger).Log("msg", "best-effort work that does not interfere was stopped or goes on", "stopped", harmless == 0, "ratio", m.worstRatio, "effect", m.logEffect, "pace", interfering, "runs", len(m.bestEffort))
+		}
+	}()
 	interfering = n.interferingShare.update(now, m.worstRatio, m.logEffect)
 	// Harmless work is throttled only if throttling interfering work was not enough.
 	if interfering > 0 && n.hasInterfering(m) && m.worstRatio >= goalRatio {
