Keep best-effort work without effect running while a tail settles

Cause: a node stopped work that is known not to interfere as soon as a service was over its target after the interfering work had been stopped. The tail latency covers the half second before its measurement and falls for about a second, so the next measurement always looked like that.

Such work is now throttled only after the service has been over its target for 1.5 s without interfering work. TestHarmlessWorkGoesOnWhileTailSettles failed before (share 0 at the third measurement); TestHarmlessWorkStopsIfTailStays guards the other direction: all work is stopped within 3 s, as 4 s over the target harm users.

--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -45,7 +45,10 @@
 	// interferingShare controls the best-effort work that interferes with serving
 	// tasks or may do so, harmlessShare all other best-effort work.
 	interferingShare, harmlessShare shareController
-	specs                           *specs
+	// overSince is since when a service is over its target although no interfering work
+	// runs, or zero.
+	overSince time.Time
+	specs     *specs
 
 	mu sync.Mutex
 	// host is the last announcement of the executor and executorID the identifier
--- a/hvnode/share.go
+++ b/hvnode/share.go
@@ -27,6 +27,10 @@
 	// minShare is the share in percent below which best-effort work is paused.
 	minShare  = 8
 	fullShare = 100
+	// harmlessDelay is how long a service may be over its target without interfering work
+	// until all other work is throttled. A tail latency covers the time before its
+	// measurement and falls for about a second.
+	harmlessDelay = 1500 * time.Millisecond
 	// defaultLogEffect is used for best-effort work whose effect is not known yet:
 	// the logarithm by which it raises the tail latency at the full share.
 	defaultLogEffect = 0.5
@@ -174,25 +178,34 @@
 // and of harmless best-effort work. The lock is held.
 func (n *Node) decideShares(m measurement) (interfering, harmless int) {
 	if !m.hasServing {
-		n.interferingShare, n.harmlessShare = shareController{}, shareController{}
+		n.interferingShare, n.harmlessShare, n.overSince = shareController{}, shareController{}, time.Time{}
 		return fullShare, fullShare
 	}
 	now := n.deps.Clock.Now()
-	stopped := n.harmlessShare.reduction == fullShare
-	defer func() {
-		if (harmless == 0) != stopped {
-			_ = level.Info(n.deps.Logger).Log("msg", "best-effort work that does not interfere was stopped or goes on", "stopped", harmless == 0, "ratio", m.worstRatio, "effect", m.logEffect, "pace", interfering, "runs", len(m.bestEffort))
-		}
-	}()
 	interfering = n.interferingShare.update(now, m.worstRatio, m.logEffect)
-	// Harmless work is throttled only if throttling interfering work was not enough.
-	if interfering > 0 && n.hasInterfering(m) && m.worstRatio >= goalRatio {
-		return interfering, fullShare - n.harmlessShare.reduction
+	stopped := n.harmlessShare.reduction == fullShare
+	harmless = fullShare - n.harmlessShare.reduction
+	if n.staysOver(now, m, interfering) || m.worstRatio < goalRatio && harmless < fullShare {
+		harmless = n.harmlessShare.update(now, m.worstRatio, 0)
+	}
+	if (harmless == 0) != stopped {
+		_ = level.Info(n.deps.Logger).Log("msg", "best-effort work that does not interfere was stopped or goes on", "stopped", harmless == 0, "ratio", m.worstRatio, "effect", m.logEffect, "pace", interfering, "runs", len(m.bestEffort))
+	}
+	return interfering, harmless
+}
+
+// staysOver reports whether a service has been over its target for harmlessDelay after
+// the interfering work was stopped, or without any, so that other work slows it. The lock
+// is held.
+func (n *Node) staysOver(now time.Time, m measurement, interfering int) bool {
+	if m.worstRatio < 1 || interfering > 0 && n.hasInterfering(m) {
+		n.overSince = time.Time{}
+		return false
 	}
-	if m.worstRatio < 1 && n.harmlessShare.reduction == 0 {
-		return interfering, fullShare
+	if n.overSince.IsZero() {
+		n.overSince = now
 	}
-	return interfering, n.harmlessShare.update(now, m.worstRatio, 0)
+	return now.Sub(n.overSince) >= harmlessDelay
 }
 
 func (n *Node) hasInterfering(m measurement) bool {
--- a/hvnode/share_test.go
+++ b/hvnode/share_test.go
@@ -56,6 +56,69 @@
 	}
 }
 
+// serviceNode returns a node with a service, whose target is 10, and best-effort work of
+// which the image loud interferes by 0.3 for each processor, and quiet does not.
+func serviceNode(t *testing.T) (*Node, *manualClock) {
+	t.Helper()
+	n, clock := newClockedNode(t)
+	for _, p := range []hvorder.Profile{
+		{Run: hvorder.Run{Task: "service", Run: 1}, LatencyTarget: 10, Image: "service"},
+		{Run: hvorder.Run{Task: "loud", Run: 1}, BestEffort: true, Image: "loud"},
+		{Run: hvorder.Run{Task: "quiet", Run: 1}, BestEffort: true, Image: "quiet"},
+	} {
+		n.profiles[p.Run] = p
+	}
+	n.effects = map[string]int64{"loud": 300}
+	return n, clock
+}
+
+// shares returns the shares of interfering and of other work after a measurement of the
+// service's tail latency and of the loads of the work.
+func (n *Node) sharesAfter(clock *manualClock, tail, loud, quiet int) (interfering, harmless int) {
+	clock.advance(measureInterval)
+	return n.decideShares(n.measure(hv.ExecutorState{Running: []hv.RunState{
+		{Task: "service", Run: 1, Load: tail},
+		{Task: "loud", Run: 1, Load: loud},
+		{Task: "quiet", Run: 1, Load: quiet},
+	}}))
+}
+
+// Guards against work without effect on a service that is stopped for what other work did
+// to it: a tail latency covers the time before the measurement, so it stays over the target
+// for about a second after the interfering work was stopped.
+func TestHarmlessWorkGoesOnWhileTailSettles(t *testing.T) {
+	n, clock := serviceNode(t)
+	for i, tail := range []int{6, 14, 16, 11, 9, 7, 6} {
+		loud := 4000
+		if i > 1 {
+			loud = 0
+		}
+		if _, harmless := n.sharesAfter(clock, tail, loud, 6000); harmless != fullShare {
+			t.Fatalf("measurement %d: share of harmless work is %d at a ratio of %.1f", i, harmless, float64(tail)/10)
+		}
+	}
+}
+
+// Guards against a service that stays over its target because work that was taken for
+// harmless slows it: all work is stopped within 3 s, as a tail latency over the target for
+// 4 s harms the service's users and takes a second to fall.
+func TestHarmlessWorkStopsIfTailStays(t *testing.T) {
+	n, clock := serviceNode(t)
+	harmless := fullShare
+	for range int(3 * time.Second / measureInterval) {
+		_, harmless = n.sharesAfter(clock, 15, 0, 6000)
+	}
+	if harmless != 0 {
+		t.Fatalf("share of work beside a service over its target is %d after 3 s, want 0", harmless)
+	}
+	for range 8 {
+		_, harmless = n.sharesAfter(clock, 6, 0, 0)
+	}
+	if harmless != fullShare {
+		t.Fatalf("share is %d after the tail latency has fallen, want 100", harmless)
+	}
+}
+
 // Guards against stalled runs that are not detected, and against runs that count
 // as stalled because this node throttled them.
 func TestStalledRunsAreReported(t *testing.T) {
