Lower the share of best-effort work once for each rise of a tail

Cause: the loop that lowers the CPU share beside a service ignored the delay of its measurement. It lowered the share again for a tail latency that still showed the load before, mostly to 0, computed the effect from loads measured under an earlier share, and returned from 0 in four steps of which the first was 8%. Hosts gave interfering work 0 to 8% for seconds although the service used 0.6 of its target.

The share now follows from the effect at the full share, which the owner sends as the processors that each run needs; it is not lowered again within a second while the tail falls, and returns by up to 50% in one measurement.

--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -320,7 +320,11 @@
 
 func profile(r *run) hvorder.Profile {
 	s := r.task.step.spec
-	return hvorder.Profile{Run: r.ref(), LatencyTarget: s.LatencyTarget, BestEffort: s.BestEffort, Image: s.Image}
+	p := hvorder.Profile{Run: r.ref(), LatencyTarget: s.LatencyTarget, BestEffort: s.BestEffort, Image: s.Image}
+	if s.BestEffort {
+		p.CPU = s.Need.CPU
+	}
+	return p
 }
 
 // Tick releases runs whose leases have expired, sets up due rounds, marks saved
--- a/hvnode/share.go
+++ b/hvnode/share.go
@@ -23,7 +23,10 @@
 	deadBand = 0.05
 	// maxShareIncrease limits one increase, in percent, because its effect is
 	// measured with a delay.
-	maxShareIncrease = 25
+	maxShareIncrease = 50
+	// settleTime is how long a tail latency may still show the load before the share was
+	// lowered.
+	settleTime = time.Second
 	// minShare is the share in percent below which best-effort work is paused.
 	minShare  = 8
 	fullShare = 100
@@ -41,38 +44,52 @@
 type shareController struct {
 	reduction  int
 	lastUpdate time.Time
+	// lastRatio is the ratio at lastUpdate, and loweredAt when the share was last lowered.
+	lastRatio float64
+	loweredAt time.Time
 }
 
 // update returns the share in percent after a measurement. worstRatio is the
-// highest ratio of a serving task's latency to its target. logEffect is the
-// logarithm by which the best-effort work raises the tail latency at its present
+// highest ratio of a serving task's latency to its target. fullEffect is the
+// logarithm by which the best-effort work raises the tail latency at the full
 // share, or 0 if it is not known.
-func (c *shareController) update(now time.Time, worstRatio, logEffect float64) int {
+func (c *shareController) update(now time.Time, worstRatio, fullEffect float64) int {
 	share := fullShare - c.reduction
 	if now.Sub(c.lastUpdate) < measureInterval {
 		return share
 	}
-	c.lastUpdate = now
+	rising := worstRatio > c.lastRatio
+	c.lastUpdate, c.lastRatio = now, worstRatio
 	if math.Abs(worstRatio-goalRatio) <= deadBand {
 		return share
 	}
-	if logEffect <= 0 {
-		logEffect = defaultLogEffect * float64(share) / fullShare
+	if worstRatio > goalRatio && !rising && now.Sub(c.loweredAt) < settleTime {
+		return share
+	}
+	next := shareForGoal(share, worstRatio, fullEffect)
+	if next < share {
+		c.loweredAt = now
 	}
-	// The effect is proportional to the share, so the share for the goal follows
-	// from the difference between the logarithms of the ratio and of the goal.
-	excess := math.Log(max(worstRatio, minRatio) / goalRatio)
-	if share == 0 {
-		share = minShare
-	} else {
-		share = min(int(float64(share)*(logEffect-excess)/logEffect), share+maxShareIncrease)
+	c.reduction = fullShare - next
+	return next
+}
+
+// shareForGoal returns the share at which the ratio is expected to be at its goal. The
+// effect is proportional to the share, so the difference follows from that between the
+// logarithms of the ratio and of the goal.
+func shareForGoal(share int, ratio, fullEffect float64) int {
+	if fullEffect <= 0 {
+		fullEffect = defaultLogEffect
 	}
-	if share < minShare || worstRatio > 1 && c.reduction == fullShare {
-		share = 0
+	excess := math.Log(max(ratio, minRatio) / goalRatio)
+	next := min(share-int(fullShare*excess/fullEffect), share+maxShareIncrease, fullShare)
+	switch {
+	case next >= minShare:
+		return next
+	case excess < 0:
+		return minShare
 	}
-	share = min(share, fullShare)
-	c.reduction = fullShare - share
-	return share
+	return 0
 }
 
 // minRatio is the lower bound of the ratio, which is 0 for a serving task without
@@ -105,9 +122,9 @@
 	hasServing bool
 	bestEffort []hv.RunState
 	harmless   map[hvorder.Run]bool
-	// logEffect is the logarithm by which the best-effort work raises the worst tail
-	// latency.
-	logEffect float64
+	// fullEffect is the logarithm by which the best-effort work raises the worst tail
+	// latency at the full share.
+	fullEffect float64
 }
 
 // measure evaluates the loads in one response of the executor. The lock is held.
@@ -124,7 +141,7 @@
 		if p.BestEffort {
 			m.bestEffort = append(m.bestEffort, r)
 			m.harmless[runOf(r)] = n.isHarmless(p.Image)
-			m.logEffect += float64(n.effects[p.Image]) / hvorder.LogScale * float64(r.Load) / hvorder.CoreScale
+			m.fullEffect += float64(n.effects[p.Image]) / hvorder.LogScale * float64(max(p.CPU, int64(r.Load))) / hvorder.CoreScale
 			loads[p.Image] += int64(r.Load)
 		}
 	}
@@ -182,14 +199,14 @@
 		return fullShare, fullShare
 	}
 	now := n.deps.Clock.Now()
-	interfering = n.interferingShare.update(now, m.worstRatio, m.logEffect)
+	interfering = n.interferingShare.update(now, m.worstRatio, m.fullEffect)
 	stopped := n.harmlessShare.reduction == fullShare
 	harmless = fullShare - n.harmlessShare.reduction
 	if n.staysOver(now, m, interfering) || m.worstRatio < goalRatio && harmless < fullShare {
 		harmless = n.harmlessShare.update(now, m.worstRatio, 0)
 	}
 	if (harmless == 0) != stopped {
-		_ = level.Info(n.deps.Logger).Log("msg", "best-effort work that does not interfere was stopped or goes on", "stopped", harmless == 0, "ratio", m.worstRatio, "effect", m.logEffect, "pace", interfering, "runs", len(m.bestEffort))
+		_ = level.Info(n.deps.Logger).Log("msg", "best-effort work that does not interfere was stopped or goes on", "stopped", harmless == 0, "ratio", m.worstRatio, "effect", m.fullEffect, "pace", interfering, "runs", len(m.bestEffort))
 	}
 	return interfering, harmless
 }
--- a/hvorder/order.go
+++ b/hvorder/order.go
@@ -77,6 +77,8 @@
 	LatencyTarget int64  `json:"target,omitempty"`
 	BestEffort    bool   `json:"fill,omitempty"`
 	Image         string `json:"image,omitempty"`
+	// CPU is what a best-effort run needs, in thousandths of a processor.
+	CPU int64 `json:"cpu,omitempty"`
 }
 
 // Host describes a host as its executor announces it.
