Keep one task of a starved step running

Cause: a step without a run starts one task wherever it fits after 1.5 s, but with that start the wait began anew, so tasks of 0.6 s ran in turn with pauses of 0.9 s. A step that has starved now keeps a run until it starts tasks as usual again. TestStarvedStepKeepsARun failed before (no run after the first end).

--- a/hvcell/interference_test.go
+++ b/hvcell/interference_test.go
@@ -1,6 +1,7 @@
 package hvcell
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -182,3 +183,31 @@
 		t.Fatal("the step has not started after 2 s")
 	}
 }
+
+// Guards against a step with idle tasks for most of the time while other best-effort work
+// takes all processors: once it has waited without a run, one of its tasks runs at all
+// times.
+func TestStarvedStepKeepsARun(t *testing.T) {
+	w := newSimCluster(t, 1)
+	w.hosts["host-0"].capacityCPU = 16_000
+	w.attachAll()
+	_, overload := submitServing(w)
+	reportInterference(w, "host-0")
+	w.hosts["host-0"].shareOffset = -100
+	w.exchange()
+	w.submit(overload)
+	w.exchange()
+	w.advance(2 * time.Second)
+	for i := range overload.Steps[0].Count {
+		w.exchange()
+		if !w.hosts["host-0"].runsImage("best-effort") {
+			t.Fatalf("no task of the step runs after %d ends", i)
+		}
+		for task, run := range maps.Clone(w.hosts["host-0"].running) {
+			if w.cell.findTask(task).step.spec.BestEffort {
+				w.hosts["host-0"].end(task, run, hv.EndDone)
+			}
+		}
+		w.exchange()
+	}
+}
--- a/hvcell/pick.go
+++ b/hvcell/pick.go
@@ -59,9 +59,12 @@
 const starvationDelay = 1500 * time.Millisecond
 
 // isStarved reports whether the step has waited so long without a run that one of its
-// tasks is to start wherever it fits, even throttled.
+// tasks is to run wherever it fits, even throttled, until others can start as usual.
 func (s *step) isStarved(now time.Time) bool {
-	return s.waitLogged && now.Sub(s.waitingSince) > starvationDelay && s.waiting+s.done == len(s.tasks)
+	if s.waiting+s.done < len(s.tasks) {
+		return false
+	}
+	return s.starved || s.waitLogged && now.Sub(s.waitingSince) > starvationDelay
 }
 
 // pickIgnoringImpact returns the host with the best score among those without a hard
--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -176,8 +176,10 @@
 			continue
 		}
 		h := c.pickHost(now, t, hosts)
-		if h == nil && starved {
-			h, starved = c.pickIgnoringImpact(now, t, hosts), false
+		if h != nil {
+			s.starved = false
+		} else if starved {
+			h, starved, s.starved = c.pickIgnoringImpact(now, t, hosts), false, true
 		}
 		if h == nil {
 			c.logWait(now, t, hosts)
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -73,6 +73,9 @@
 	// waitLogged is true once the reason why tasks wait was logged, at waitingSince.
 	waitLogged   bool
 	waitingSince time.Time
+	// starved is true from when a task started only because the step was starved until
+	// one starts as usual.
+	starved bool
 	// risk is the probability that the waiting tasks crash the host that starts them.
 	risk float64
 	// suspectedSince is when tasks of the step were first to start apart from others, or
