Repeat the lists of each host, so that no run counts for good that is nowhere

Cause: the owner compared the runs that it counts with the lists of an executor only when a node attached or its executor was a new one. In between it relied on each single change arriving and being applied in order. One that is lost, or a list that is processed after a newer one, leaves a run that the owner counts and no executor has: its task never runs again while the node stays connected. One such way: a node reported while an owner attached, and the owner processed that report after the response to the attachment, although its lists were older. A run that had ended in between was adopted for good. Another: a node gives up a stop without a report if its executor rejects the call as meant for another instance.

Change: a node repeats the full lists every 3 s, with the number of the last orders that they take into account, so that the owner stops no run whose start crossed the lists. It reports nothing between the begin of an attachment and its response. The owner logs the runs that it finds missing.

--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -361,7 +361,8 @@
 	o := h.orders
 	h.orders = hvorder.Orders{}
 	h.ackedEnd = h.storedEnd
-	o.Epoch, o.Incarnation, o.LeaseEnd, o.AckedEnd = c.options.Epoch, h.incarnation, h.leaseEnd, h.storedEnd
+	h.batch++
+	o.Epoch, o.Incarnation, o.Batch, o.LeaseEnd, o.AckedEnd = c.options.Epoch, h.incarnation, h.batch, h.leaseEnd, h.storedEnd
 	return o, true
 }
 
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -59,6 +59,8 @@
 	c.AddHost(now, name, nil)
 	h := c.hosts[name]
 	h.connected, h.dropped = true, false
+	h.batch = 0
+	h.forgetBatches()
 	// A node that was restarted numbers its crashes anew.
 	h.processedCrash, h.storedCrash = 0, 0
 	h.attachments++
@@ -153,6 +155,15 @@
 	h.processedEnd, h.storedEnd, h.ackedEnd = 0, 0, 0
 	h.reconciled = false
 	h.orders = hvorder.Orders{}
+	h.forgetBatches()
+}
+
+// forgetBatches makes the next full lists decide about all known runs: those that are not
+// in them are not on their way either.
+func (h *host) forgetBatches() {
+	for _, r := range h.runs {
+		r.batch = 0
+	}
 }
 
 // grant renews the lease of all runs on the host.
@@ -238,7 +249,8 @@
 }
 
 // reconcile compares the full lists of a host with its known runs: it adopts runs
-// that are not known and stops those that are not listed.
+// that are not known and stops those that are not listed. Nodes repeat the lists, so that
+// a run that was lost without a report does not count for good.
 func (c *Cell) reconcile(now time.Time, h *host, r hvorder.Report) {
 	listed := map[hvorder.Run]bool{}
 	clear(h.unneeded)
@@ -255,14 +267,18 @@
 		h.orders.Withdraw = true
 	}
 	for ref, known := range h.runs {
-		if !listed[ref] {
+		switch {
+		case listed[ref] && known.phase == phaseStopping:
+			h.orders.Stops = append(h.orders.Stops, ref)
+		case listed[ref] || known.batch > r.Batch:
+			// The lists are older than the order if they do not name its run.
+		default:
 			// The start may have been lost with its connection or with an earlier
 			// incarnation, or may still be carried out. The stop prevents that before
 			// the task starts elsewhere.
+			_ = level.Info(c.options.Logger).Log("msg", "host does not list a run; stopping it", "task", ref.Task, "run", ref.Run, "host", h.name, "age", now.Sub(known.started), "repeated", h.reconciled)
 			known.phase = phaseActive
 			c.stopRun(known)
-		} else if known.phase == phaseStopping {
-			h.orders.Stops = append(h.orders.Stops, ref)
 		}
 	}
 	h.reconciled = true
--- a/hvcell/simcluster_test.go
+++ b/hvcell/simcluster_test.go
@@ -83,8 +83,15 @@
 	// the executor keeps them, and lastCrash is the number of the last one.
 	crashes   []hvorder.Crash
 	lastCrash int64
+	// listedAt is when the node last reported the full lists, and batch the number of the
+	// last orders that it took on its connection.
+	listedAt time.Time
+	batch    int64
 }
 
+// listInterval is the time after which a node repeats the full lists.
+const listInterval = 3 * time.Second
+
 var queues = map[string]hvjob.Queue{
 	"urgent": {Name: "urgent", Service: "desk", MaxAttempts: 3, Stretch: 1.5, Slack: 250},
 	"batch":  {Name: "batch", Service: "desk", Priority: 2, MaxAttempts: 2, Stretch: 2, Slack: 1000},
@@ -223,7 +230,13 @@
 		// A node sends the full lists of a new incarnation.
 		full = true
 	}
-	r.Incarnation, r.Clock, r.Full = e.incarnationName(), e.clock(), full
+	if e.cluster.now.Sub(e.listedAt) >= listInterval {
+		full = true
+	}
+	if full {
+		e.listedAt = e.cluster.now
+	}
+	r.Incarnation, r.Clock, r.Full, r.Batch = e.incarnationName(), e.clock(), full, e.batch
 	r.Ended = append(r.Ended, e.ended...)
 	if full || e.cluster.savedStates {
 		for task, run := range e.running {
@@ -292,6 +305,7 @@
 	if e.alive {
 		e.minEpoch = w.epoch
 	}
+	e.batch = 0
 	e.applyGrant(w.cell.NodeAttached(w.now, name, e.report(true)))
 }
 
@@ -368,6 +382,7 @@
 	if !e.alive || o.Incarnation != e.incarnationName() || o.Epoch < e.minEpoch {
 		return
 	}
+	e.batch = o.Batch
 	e.applyGrant(hvorder.Grant{LeaseEnd: o.LeaseEnd, AckedEnd: o.AckedEnd})
 	var report hvorder.Report
 	for _, s := range o.Stops {
--- a/hvcell/start.go
+++ b/hvcell/start.go
@@ -26,6 +26,7 @@
 		start.Ticket, _ = t.step.ticket(now, h)
 	}
 	h.orders.Starts = append(h.orders.Starts, start)
+	r.batch = h.batch + 1
 	h.countStart(now)
 	if t.step.isRisky() {
 		h.riskyUntil = now.Add(riskyTime)
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -120,11 +120,14 @@
 )
 
 type run struct {
-	task       *task
-	number     int
-	host       *host
-	phase      runPhase
-	started    time.Time
+	task    *task
+	number  int
+	host    *host
+	phase   runPhase
+	started time.Time
+	// batch is the number of the orders with the start of the run on the present
+	// connection, or 0 for an earlier run.
+	batch      int64
 	allocation hvjob.Resources
 	// saved is the last saved state that the host has reported, with savedPercent, the
 	// progress of the run at that time.
@@ -232,6 +235,8 @@
 	// hold is the capacity that is kept for a task that stopped runs, or nil.
 	hold   *hold
 	orders hvorder.Orders
+	// batch is the number of the last orders that were sent on the present connection.
+	batch int64
 }
 
 func (h *host) free() hvjob.Resources { return h.info.Capacity.Sub(h.allocated) }
--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -107,8 +107,14 @@
 	lastEnds     []hv.RunEnd
 	hostReported bool
 	crash        crashTracker
-	// fullReported is true once the owner has been sent a full report.
+	// fullReported is true once the owner has been sent a full report, the last one at
+	// listedAt.
 	fullReported bool
+	listedAt     time.Time
+	// batch is the number of the last orders on the owner's connection.
+	batch int64
+	// attachments counts the attempts of owners to attach.
+	attachments int64
 
 	wakeReport   chan struct{}
 	wakeRenew    chan struct{}
@@ -216,7 +222,11 @@
 		n.pendingStarts = map[hvorder.Run]bool{}
 		n.leaseEnd = 0
 	}
-	n.epoch, n.ownerConn, n.lastOwnerContact = req.Epoch, c, n.deps.Clock.Now()
+	// Until the response nothing is reported: the owner would process older lists after
+	// the ones in the response.
+	n.epoch, n.ownerConn, n.lastOwnerContact, n.batch = req.Epoch, nil, n.deps.Clock.Now(), 0
+	n.attachments++
+	attachment := n.attachments
 	n.progressReports = progressReports{wanted: req.Progress}
 	n.refused, n.stopped, n.fullReported = nil, nil, false
 	n.crash.attached()
@@ -230,6 +240,18 @@
 		return hvorder.Report{}, err
 	}
 	hvtick.Wake(n.wakeRenew)
+	return n.completeAttachment(c, attachment)
+}
+
+// completeAttachment makes the connection that of the owner and returns the first report,
+// unless an owner has attached another connection meanwhile.
+func (n *Node) completeAttachment(c *hvwire.Conn, attachment int64) (hvorder.Report, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.attachments != attachment {
+		return hvorder.Report{}, failure("attach", hv.Unavailable, "another connection was attached meanwhile")
+	}
+	n.ownerConn = c
 	return n.fullReport(), nil
 }
 
@@ -263,10 +285,8 @@
 }
 
 // fullReport returns a report on attachment, which lists everything on the host if
-// that is known.
+// that is known. The lock is held.
 func (n *Node) fullReport() hvorder.Report {
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	r := hvorder.Report{Epoch: n.epoch, Node: n.name, Host: n.host, ExecutorGone: n.executorGone && n.startsInFlight == 0, Crashes: n.crash.unreported(), LastEnds: n.lastEnds}
 	n.hostReported = n.host != nil
 	if n.hasFullState() {
@@ -277,7 +297,7 @@
 
 // fillReport adds everything on the host to a report. The lock is held.
 func (n *Node) fillReport(r *hvorder.Report) {
-	r.Full = true
+	r.Full, r.Batch = true, n.batch
 	r.Incarnation, r.Clock = n.executorState.Incarnation, n.executorState.ClockMS
 	r.Running = n.executorState.Running
 	r.Ended = n.executorState.Ended
@@ -285,7 +305,7 @@
 		r.Pending = append(r.Pending, run)
 	}
 	n.reportedEnd = lastEnd(n.executorState.Ended, n.reportedEnd)
-	n.fullReported = true
+	n.fullReported, n.listedAt = true, n.deps.Clock.Now()
 }
 
 // lastEnd returns the highest Number of the ends, or last if none is higher.
--- a/hvnode/node_test.go
+++ b/hvnode/node_test.go
@@ -28,8 +28,10 @@
 	stops  []hvorder.Run
 	errs   []error
 	state  hv.ExecutorState
-	// renewErr is the error of lease renewals, if it is set.
+	// renewErr is the error of lease renewals, if it is set, and renewing is called by
+	// each of them, if it is set.
 	renewErr error
+	renewing func()
 }
 
 func (e *fakeExecutor) SetExpectedInstance(string) {}
@@ -54,6 +56,9 @@
 }
 
 func (e *fakeExecutor) RenewLeases(context.Context, hv.LeaseRenewal) (hv.ExecutorState, error) {
+	if e.renewing != nil {
+		e.renewing()
+	}
 	return e.state, e.renewErr
 }
 
--- a/hvnode/orders.go
+++ b/hvnode/orders.go
@@ -33,6 +33,7 @@
 		n.mu.Unlock()
 		return failure("orders", hv.NotFound, "orders are for incarnation %s, executor has incarnation %s", o.Incarnation, n.executorState.Incarnation)
 	}
+	n.batch = max(n.batch, o.Batch)
 	n.leaseEnd = max(n.leaseEnd, o.LeaseEnd)
 	if o.AckedEnd > n.ackedEnd {
 		n.ackedEnd = o.AckedEnd
--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -21,6 +21,9 @@
 	// registerInterval is how long a node waits for contact with an owner before
 	// it registers again.
 	registerInterval = 3 * time.Second
+	// listInterval is the time after which the full lists are repeated. A difference to
+	// what the owner counts keeps a task from running until the next ones.
+	listInterval = 3 * time.Second
 )
 
 // reportLoop reports changes to the owner, and at least every reportInterval.
@@ -96,7 +99,7 @@
 		n.hostReported = true
 	}
 	switch {
-	case n.stateKnown && !n.fullReported && n.hasFullState():
+	case n.hasFullState() && (!n.fullReported || n.deps.Clock.Now().Sub(n.listedAt) >= listInterval):
 		n.fillReport(&r)
 	case n.stateKnown && !n.fullReported:
 		r.Incarnation, r.Clock = n.executorState.Incarnation, n.executorState.ClockMS
--- a/hvorder/order.go
+++ b/hvorder/order.go
@@ -39,6 +39,8 @@
 	Epoch int64 `json:"epoch"`
 	// Incarnation is the incarnation of the executor that the orders are for.
 	Incarnation string `json:"life"`
+	// Batch numbers the orders on one connection.
+	Batch int64 `json:"batch,omitempty"`
 	// LeaseEnd extends the lease and AckedEnd acknowledges ends, as in
 	// hibiscusvane.LeaseRenewal.
 	LeaseEnd int64 `json:"until,omitempty"`
@@ -117,7 +119,10 @@
 	Incarnation string `json:"life,omitempty"`
 	Clock       int64  `json:"clock,omitempty"`
 	// Full is true if Running and Pending list all runs on the host.
-	Full    bool          `json:"full,omitempty"`
+	Full bool `json:"full,omitempty"`
+	// Batch is the number of the last orders on this connection that Running and Pending
+	// take into account, if Full is true.
+	Batch   int64         `json:"batch,omitempty"`
 	Running []hv.RunState `json:"running,omitempty"`
 	// Pending lists starts that the executor has not responded to yet.
 	Pending []Run `json:"pending,omitempty"`
