Send the profiles of all runs to a node that attaches again

Cause: the owner sent the latency target and the image of a run with its start, and again only for runs that it adopted. A side that was restarted beside its executor attached to the same owner without a profile of any run, took none for a serving task and lowered the share of nothing beside them until they ended.

Change: the first lists after an attachment are answered with the profiles of all runs in them.

Measured: before, TestRestartedNodeGetsProfiles: orders after the attachment have Profiles:[], want the profile of the run.

--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -288,6 +288,10 @@
 // has another run.
 func (c *Cell) adoptRun(now time.Time, h *host, ref hvorder.Run, saved string) {
 	if known := h.runs[ref]; known != nil {
+		if !h.reconciled {
+			// The node may have been restarted since it received the start.
+			h.orders.Profiles = append(h.orders.Profiles, profile(known))
+		}
 		return
 	}
 	t := c.findTask(ref.Task)
