Ignore lists that are older than those of an earlier report

When it goes on, it attaches the new connection, asks the executor for its lists and responds with them: all runs have lapsed. In the same millisecond its report loop sends the lists from before the pause on the new connection.

Change: the owner compares the executor's clock in a report with the last one and ignores older lists, also those of a node that reports them during an attachment.

--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -133,7 +133,8 @@
 	c.observeInterference(r)
 	c.markJobsRunning(r)
 	c.markSaved(now, h, r.Running)
-	if r.Full {
+	if r.Full && r.Clock >= h.clock {
+		// Older lists may name runs that have ended since.
 		c.reconcile(now, h, r)
 	}
 	h.recordProgress(now, r.Clock, r.Running)
--- a/hvcell/reconcile_test.go
+++ b/hvcell/reconcile_test.go
@@ -76,3 +76,25 @@
 		t.Fatalf("%d of 2 tasks run 5 s after their runs have vanished", w.runs())
 	}
 }
+
+// Guards against a run that counts for good because a list with it is processed after a
+// newer one with its end, if the node never lists again: a node that was paused for longer
+// than the lease sent what it knew from before.
+func TestOlderListsAreIgnored(t *testing.T) {
+	w := newSimCluster(t, 2)
+	w.attachAll()
+	w.submit(urgentJob(longRunningStep(2)))
+	w.exchange()
+	e := w.hosts["host-0"]
+	older := e.report(true)
+	for range 6 {
+		w.now = w.now.Add(time.Second)
+		e.expireLease()
+	}
+	w.attach(e.name)
+	w.cell.Report(w.now, e.name, older)
+	w.cell.Plan(w.now)
+	if o := w.deliver(e.name); len(o.Starts) != 1 {
+		t.Fatalf("orders are %+v after the end of the run, want a start", o)
+	}
+}
