Notice the end of each executor that is announced

Cause: the loop that renews the leases took an executor for ended at exactly the second refused connection in a row, and only a response ended the row. An executor that was announced after that and ended before its first response was refused for the third time, so that its end was never reported. If the announcement came before the report of the end before, the owner counted the runs of both until another one was announced: class of fault, an event that is derived from a counter passing one value, in place of the state.

Change: the refused connections are counted for each announced executor, and it has ended from the second one on.

--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -68,6 +68,9 @@
 	// acknowledge ends of a new one.
 	incarnationConfirmed bool
 	executorGone         bool
+	// refusals counts the consecutive renewals that found no executor, of the executor
+	// that was announced last.
+	refusals int
 	// leaseEnd is the end of the granted leases on the executor's clock, and
 	// ackedEnd the number of the last end that the owner has stored.
 	leaseEnd int64
@@ -176,7 +179,7 @@
 	changed := old == nil || old.Incarnation != h.Incarnation || old.Draining != h.Draining || old.Capacity != h.Capacity || old.Service != h.Service || (old.ColdMillis > 0) != (h.ColdMillis > 0)
 	if changed {
 		n.hostReported = false
-		n.executorGone = false
+		n.executorGone, n.refusals = false, 0
 	}
 	n.mu.Unlock()
 	if !changed {
@@ -337,6 +340,7 @@
 	}
 	now := n.deps.Clock.Now()
 	n.executorState, n.stateVersion, n.stateKnown, n.incarnationConfirmed, n.executorGone = h, version, true, true, false
+	n.refusals = 0
 	n.crash.listed(now, h, version == n.currentVersionLocked())
 	n.confirmListed(h)
 	n.recordProgress(now, h.Running)
--- a/hvnode/node_test.go
+++ b/hvnode/node_test.go
@@ -278,7 +278,7 @@
 	if h, _, _ := n.nextRenewal(); h.AckedEnd != 20 || h.LeaseEnd != 9000 {
 		t.Fatalf("renewal is %+v", h)
 	}
-	n.handleRenewError(errorOfKind(hv.Uncertain), 0)
+	n.handleRenewError(errorOfKind(hv.Uncertain))
 	if h, _, _ := n.nextRenewal(); h.AckedEnd != 0 || h.LeaseEnd != 0 || h.WaitMS != 0 {
 		t.Fatalf("renewal after a failure is %+v", h)
 	}
--- a/hvnode/renew.go
+++ b/hvnode/renew.go
@@ -37,7 +37,7 @@
 
 // renewLoop renews the leases at the executor and keeps the state in the response.
 func (n *Node) renewLoop(ctx context.Context) {
-	refused, failures := 0, 0
+	failures := 0
 	for ctx.Err() == nil {
 		renewal, version, ready := n.nextRenewal()
 		if !ready {
@@ -46,12 +46,12 @@
 		}
 		state, err := n.deps.Executor.RenewLeases(ctx, renewal)
 		if err != nil {
-			refused = n.handleRenewError(err, refused)
+			n.handleRenewError(err)
 			failures++
 			n.waitRenew(ctx, retryInterval(failures))
 			continue
 		}
-		refused, failures = 0, 0
+		failures = 0
 		n.applyState(state, version)
 		n.adjustShares(ctx, state)
 		if n.hasUnreported() {
@@ -113,21 +113,17 @@
 
 func runOf(r hv.RunState) hvorder.Run { return hvorder.Run{Task: r.Task, Run: r.Run} }
 
-// handleRenewError handles a failed renewal. It takes and returns the number of
-// consecutive renewals that found no executor.
-func (n *Node) handleRenewError(err error, refused int) int {
+// handleRenewError handles a failed renewal.
+func (n *Node) handleRenewError(err error) {
 	if n.handleCallError(err) {
 		_ = level.Info(n.deps.Logger).Log("msg", "executor rejected a lease renewal because it has a newer owner", "err", err)
 		n.mu.Lock()
 		n.ownerConn = nil
 		n.mu.Unlock()
-		return refused
+		return
 	}
-	if hv.KindOf(err) != hv.NotFound {
-		return 0
-	}
-	if refused++; refused != maxRefusedConnections {
-		return refused
+	if !n.countRefusal(hv.KindOf(err) == hv.NotFound) {
+		return
 	}
 	n.mu.Lock()
 	n.executorGone, n.stateKnown = true, false
@@ -139,7 +135,19 @@
 	n.mu.Unlock()
 	_ = level.Warn(n.deps.Logger).Log("msg", "executor refused connections repeatedly; its runs are considered lost", "err", err)
 	hvtick.Wake(n.wakeReport)
-	return refused
+}
+
+// countRefusal counts the consecutive renewals that found no executor and reports whether
+// they show that it has ended.
+func (n *Node) countRefusal(refused bool) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !refused {
+		n.refusals = 0
+		return false
+	}
+	n.refusals++
+	return n.refusals >= maxRefusedConnections && !n.executorGone
 }
 
 // hasUnackedEnds reports whether the executor lists ends that the owner has not
--- a/hvnode/report_test.go
+++ b/hvnode/report_test.go
@@ -9,11 +9,6 @@
 	"hibiscusvane.example/hibiscusvane/hvwire"
 )
 
-// laterClock is a clock that is ahead of the system's.
-type laterClock struct{ by time.Duration }
-
-func (c *laterClock) Now() time.Time { return time.Now().Add(c.by) }
-
 // Guards against a list that is made while an owner attaches and that the owner processes
 // after the newer one in the response: a run that has ended in between would count as
 // running for good.
@@ -37,17 +32,15 @@
 // Guards against a run that the owner counts and that is not on the executor, or the
 // reverse, which nobody notices until the owner connects again: its task never runs.
 func TestListsAreRepeated(t *testing.T) {
-	e := &fakeExecutor{state: hv.ExecutorState{Running: []hv.RunState{{Task: testRun.Task, Run: testRun.Run}}}}
-	n := newNode(t, e)
-	clock := &laterClock{}
-	n.deps.Clock = clock
+	n, clock := newClockedNode(t)
 	if _, err := n.attach(t.Context(), &hvwire.Conn{}, hvorder.Attach{Epoch: 3, Owner: "gate"}); err != nil {
 		t.Fatal(err)
 	}
 	if _, r, _ := n.nextReport(); r.Full {
 		t.Fatalf("report %+v right after the attachment repeats the lists", r)
 	}
-	clock.by = 4 * time.Second
+	n.list("1", 100, testRun)
+	clock.advance(4 * time.Second)
 	_, r, _ := n.nextReport()
 	if !r.Full || len(r.Running) != 1 {
 		t.Fatalf("report %+v 4 s after the last full one, want the lists", r)
