Count leases from the last response of the executor

Cause: the owner extended the lease that it counts with each report of a node, and let leases expire only for nodes that are not connected. A lease ends at a time of the executor's clock, and a node whose executor does not respond reports its last time again and again: the runs lapse there after 5 s, but count at the owner until the executor responds or refuses connections. It also stayed the host for new starts.

Change: only a report with a newer time of the executor's clock extends the lease, runs of connected nodes expire too, and nothing starts on a host whose node has reported for 3 s without a new response.

--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -152,7 +152,8 @@
 	if h.crashedIncarnation != "" {
 		h.recoveringUntil = now.Add(recoveryTime)
 	}
-	h.incarnation, h.clock, h.leaseEnd = incarnation, 0, 0
+	h.incarnation, h.clock, h.leaseEnd, h.respondedAt = incarnation, 0, 0, time.Time{}
+	h.silent = false
 	h.processedEnd, h.storedEnd, h.ackedEnd = 0, 0, 0
 	h.reconciled = false
 	h.orders = hvorder.Orders{}
@@ -176,10 +177,17 @@
 	if c.suspended {
 		return hvorder.Grant{AckedEnd: h.storedEnd}
 	}
-	h.clock = max(h.clock, r.Clock)
 	h.leaseEnd = max(h.leaseEnd, r.Clock+c.options.LeaseDuration.Milliseconds())
-	if expiry := now.Add(c.maxLeaseDuration()); expiry.After(h.leaseExpiry) || h.reconciled {
-		h.leaseExpiry = expiry
+	if r.Clock > h.clock || h.respondedAt.IsZero() {
+		// A lease ends at a time of the executor's clock, so that a report without a new
+		// response of the executor extends nothing.
+		h.clock, h.respondedAt = r.Clock, now
+		h.silent = false
+		if expiry := now.Add(c.maxLeaseDuration()); expiry.After(h.leaseExpiry) || h.reconciled {
+			h.leaseExpiry = expiry
+		}
+	} else {
+		h.silent = now.Sub(h.respondedAt) > maxSilence
 	}
 	return hvorder.Grant{LeaseEnd: h.leaseEnd, AckedEnd: h.storedEnd, Effects: c.effects(h)}
 }
@@ -219,6 +227,10 @@
 	}
 }
 
+// maxSilence is the time after the last response of an executor from which no task starts
+// there. Executors respond at least every 0.8 s, and nodes report every 0.7 s.
+const maxSilence = 3 * time.Second
+
 // unreachableTime is how long no task starts on a host whose executor was not found.
 const unreachableTime = 500 * time.Millisecond
 
@@ -348,7 +360,7 @@
 // states to be stored, stops stragglers and moves slow and throttled runs.
 func (c *Cell) Tick(now time.Time) {
 	for _, h := range c.hosts {
-		if !h.connected && len(h.runs) > 0 && c.leasesExpired(now, h) {
+		if len(h.runs) > 0 && c.leasesExpired(now, h) {
 			c.loseRuns(now, h, "leases have expired")
 		}
 	}
--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -135,7 +135,7 @@
 func (c *Cell) usable(now time.Time) []*host {
 	var out []*host
 	for _, h := range c.hosts {
-		if h.connected && h.reconciled && h.announced && h.incarnation != "" && h.incarnation == h.info.Incarnation && !h.info.Draining && !c.isEvacuated(h) && !now.Before(h.unreachableUntil) {
+		if h.connected && h.reconciled && h.announced && h.incarnation != "" && h.incarnation == h.info.Incarnation && !h.info.Draining && !c.isEvacuated(h) && !now.Before(h.unreachableUntil) && !h.silent {
 			if len(h.unneeded) > 0 && !c.checksCapacity(h) {
 				continue
 			}
--- /dev/null
+++ b/hvcell/silence_test.go
@@ -0,0 +1,41 @@
+package hvcell
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against tasks that stay without a run because the node beside their executor
+// reports while the executor does not respond: its runs end with their leases, which the
+// node cannot renew.
+func TestTasksOfSilentExecutorStartAgain(t *testing.T) {
+	w := newSimCluster(t, 2)
+	w.attachAll()
+	w.submit(urgentJob(longRunningStep(2)))
+	w.exchange()
+	silent, other := w.hosts["host-0"], w.hosts["host-1"]
+	if len(silent.running) != 1 || len(other.running) != 1 {
+		t.Fatalf("runs are %v and %v, want one on each host", silent.running, other.running)
+	}
+	other.capacityCPU = 16000
+	last := silent.report(false)
+	for i := range 13 {
+		w.now = w.now.Add(500 * time.Millisecond)
+		silent.expireLease()
+		w.cell.Report(w.now, silent.name, last)
+		other.applyGrant(w.cell.Report(w.now, other.name, other.report(false)))
+		w.store()
+		w.cell.Tick(w.now)
+		w.cell.Plan(w.now)
+		w.deliver(other.name)
+		if i < 9 && len(other.running) > 1 {
+			t.Fatal("a task starts again while its lease may be valid")
+		}
+	}
+	if len(other.running) != 2 {
+		t.Fatalf("%d of 2 tasks run on the other host 6.5 s after the executor responded last", len(other.running))
+	}
+	if o, _ := w.cell.Orders(silent.name); len(o.Starts) > 0 {
+		t.Errorf("%d tasks start on the silent executor", len(o.Starts))
+	}
+}
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -169,6 +169,10 @@
 	// of the granted lease on that clock, in milliseconds.
 	clock    int64
 	leaseEnd int64
+	// respondedAt is when clock last increased; silent is true if the node has reported
+	// since that it has not for long.
+	respondedAt time.Time
+	silent      bool
 	// leaseExpiry is when all runs on the host have ended for certain unless the
 	// lease is renewed.
 	leaseExpiry time.Time
