Start adopted tasks again without waiting for hosts that are gone

Cause: a new owner started no inherited task before every registered host had listed its runs, or up to 11.5 s after its claim. It held back also the tasks of runs that were listed to it and ended since, although an owner starts a run only after the one before has ended for certain, so that no host that is missing can have another one.

Change: a task may start once a host has listed it as running, unless its step is speculative or a gang. The others wait as before.

--- a/hvcell/backfill_search.go
+++ b/hvcell/backfill_search.go
@@ -12,7 +12,7 @@
 		return nil
 	}
 	for _, t := range s.tasks {
-		if !t.done && len(t.runs) == 0 && !now.Before(t.notBefore) {
+		if t.canStart(now) {
 			return t
 		}
 	}
--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -230,7 +230,7 @@
 	spec := &r.job.Steps[i]
 	s := &step{spec: spec, index: i, round: r, runsPerHost: map[*host]int{}, nextRun: c.firstRun()}
 	for k := range spec.Count {
-		t := &task{step: s, index: k, done: p.Done.Has(k), saved: p.SavedStates[k], nextRun: c.firstRun(), exempt: p.Exempt.Has(k)}
+		t := &task{step: s, index: k, done: p.Done.Has(k), saved: p.SavedStates[k], nextRun: c.firstRun(), exempt: p.Exempt.Has(k), unlocated: r.job.inherited && !c.recovered}
 		t.name = hvjob.Task{Job: r.job.ID, Round: r.number, Step: i, Index: k}.String()
 		if t.done {
 			s.done++
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -271,6 +271,7 @@
 		ref := hvorder.Run{Task: row.Task, Run: row.Run}
 		listed[ref] = true
 		c.adoptRun(now, h, ref, row.SavedState)
+		h.locate(ref)
 	}
 	for _, ref := range r.Pending {
 		listed[ref] = true
@@ -321,6 +322,15 @@
 	h.orders.Profiles = append(h.orders.Profiles, profile(r))
 }
 
+// locate records that the host lists a run as running. An owner starts a run only after the
+// one before has ended for certain, so that the task has no other run, unless it is copied
+// or starts with its gang.
+func (h *host) locate(ref hvorder.Run) {
+	if r := h.runs[ref]; r != nil && !r.task.step.spec.Speculative && !r.task.step.spec.Gang {
+		r.task.unlocated = false
+	}
+}
+
 // allocate adds a run and its resources to its host.
 func (c *Cell) allocate(now time.Time, h *host, t *task, number int) *run {
 	r := &run{task: t, number: number, host: h, started: now, allocation: t.step.spec.Allocation()}
@@ -407,7 +417,7 @@
 	}
 }
 
-// checkRecovered lets inherited tasks start once every host has listed its runs or
+// checkRecovered lets all inherited tasks start once every host has listed its runs or
 // all leases of the previous owner on it have expired.
 func (c *Cell) checkRecovered(now time.Time) {
 	if c.recovered {
@@ -419,5 +429,19 @@
 		}
 	}
 	c.recovered = true
+	for _, j := range c.jobs {
+		j.locateAll()
+	}
 	_ = level.Info(c.options.Logger).Log("msg", "recovery of the cell is complete; inherited tasks may start", "epoch", c.options.Epoch, "hosts", len(c.hosts), "after", now.Sub(c.options.ClaimedAt))
 }
+
+// locateAll lets all tasks of a job start.
+func (j *job) locateAll() {
+	for _, r := range j.rounds {
+		for _, s := range r.steps {
+			for _, t := range s.tasks {
+				t.unlocated = false
+			}
+		}
+	}
+}
--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -68,9 +68,7 @@
 	c.counts.Waiting = 0
 	c.awaitingAdvice = nil
 	for _, j := range c.jobs {
-		if j.inherited && !c.recovered {
-			continue
-		}
+		unlocated := j.inherited && !c.recovered
 		for _, r := range j.rounds {
 			if j.Repetitions > 0 && now.Add(c.options.EarlyStart/2).UnixMilli() < r.due {
 				continue
@@ -80,7 +78,7 @@
 				u = usefulLate
 			}
 			for _, s := range r.steps {
-				if s.ready && s.waiting > 0 {
+				if s.ready && s.waiting > 0 && (!unlocated || s.hasLocated()) {
 					c.counts.Waiting += int64(s.waiting)
 					out = append(out, candidate{step: s, usefulness: u, longRunning: s.spec.LongRunning})
 				}
@@ -168,7 +166,7 @@
 		if s.waiting == 0 || placed == limit {
 			break
 		}
-		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) || held[t] {
+		if !t.canStart(now) || held[t] {
 			continue
 		}
 		if full && len(t.avoidedHosts) == 0 {
@@ -230,7 +228,7 @@
 // placeGang starts either all tasks of a gang or none. A tightly coupled gang is
 // placed within one rack if possible.
 func (c *Cell) placeGang(now time.Time, s *step, hosts []*host) {
-	if s.waiting < len(s.tasks) || now.Before(s.tasks[0].notBefore) || s.isRisky() && !s.round.job.crashesStored() {
+	if s.waiting < len(s.tasks) || !s.tasks[0].canStart(now) || s.isRisky() && !s.round.job.crashesStored() {
 		return
 	}
 	s.reservation.blocked = false
--- a/hvcell/sharing.go
+++ b/hvcell/sharing.go
@@ -239,7 +239,5 @@
 	if s.waiting == 0 || s.isRisky() || s.spec.Gang && s.waiting < len(s.tasks) || s.needsAdvice() && len(s.advice.tickets) == 0 {
 		return false
 	}
-	return slices.ContainsFunc(s.tasks, func(t *task) bool {
-		return !t.done && len(t.runs) == 0 && !now.Before(t.notBefore)
-	})
+	return slices.ContainsFunc(s.tasks, func(t *task) bool { return t.canStart(now) })
 }
--- a/hvcell/sharing_preempt.go
+++ b/hvcell/sharing_preempt.go
@@ -70,7 +70,7 @@
 		return nil
 	}
 	for _, t := range cand.step.placementOrder() {
-		if !t.done && len(t.runs) == 0 && t.hold == nil && !now.Before(t.notBefore) {
+		if t.canStart(now) && t.hold == nil {
 			return t
 		}
 	}
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -4,6 +4,7 @@
 package hvcell
 
 import (
+	"slices"
 	"time"
 
 	"hibiscusvane.example/hibiscusvane/hvfair"
@@ -102,6 +103,9 @@
 	abandonedRuns int
 	// notBefore is the earliest time of the next run.
 	notBefore time.Time
+	// unlocated is true while a run of the task may be on a host that has not listed its
+	// runs to this owner.
+	unlocated bool
 	// reserved is the reservation of a long-running task that waits.
 	reserved reservation
 	// exempt is true once the task was preempted or has preempted: its runs are not
@@ -110,6 +114,16 @@
 	hold   *hold
 }
 
+// canStart reports whether a task waits and only capacity is missing for its start.
+func (t *task) canStart(now time.Time) bool {
+	return !t.done && len(t.runs) == 0 && !t.unlocated && !now.Before(t.notBefore)
+}
+
+// hasLocated reports whether a task of the step waits that has no run anywhere.
+func (s *step) hasLocated() bool {
+	return slices.ContainsFunc(s.tasks, func(t *task) bool { return !t.done && len(t.runs) == 0 && !t.unlocated })
+}
+
 type runPhase int
 
 const (
--- a/hvcell/trial.go
+++ b/hvcell/trial.go
@@ -54,7 +54,7 @@
 	}
 	records, prior, suspected := s.crashRecords(), c.prior(now, j), false
 	for _, t := range s.tasks {
-		if t.done || len(t.runs) > 0 {
+		if t.done || len(t.runs) > 0 || t.unlocated {
 			continue
 		}
 		r, ok := records[t.index]
@@ -132,7 +132,7 @@
 	}
 	beside, started := len(h.runs), 0
 	for _, t := range tr.tasks {
-		if !now.Before(t.notBefore) && c.pickAmong(now, t, []*host{h}) != nil {
+		if t.canStart(now) && c.pickAmong(now, t, []*host{h}) != nil {
 			c.startRun(now, h, t, t.nextRun)
 			t.nextRun++
 			started++
