Check in random histories that long-running tasks run once faults end

TestRandomFaults submitted only tasks that end, and connected all hosts anew before it checked the result, which repairs what the owner counts by mistake. It now also submits long-running tasks, pauses nodes so that their older lists arrive after those of an attachment, keeps the connections that exist, and fails if such a task has no run in the 10 s after the last fault.

--- a/hvcell/random_test.go
+++ b/hvcell/random_test.go
@@ -22,6 +22,10 @@
 	storeDown bool
 }
 
+// maxMissing is how long a long-running task may stay without a run once all faults have
+// ended: longer than suspected tasks wait, and than a run may be missing unnoticed.
+const maxMissing = 10 * time.Second
+
 func (m *faultMachine) host(t *rapid.T) *executor {
 	names := slices.Sorted(maps.Keys(m.hosts))
 	return m.hosts[rapid.SampledFrom(names).Draw(t, "host")]
@@ -43,8 +47,8 @@
 }
 
 // Guards against two runs of a task at once, a start after an acknowledged end, a
-// start out of order, and jobs that never end. The faults are lost and late orders,
-// lost connections, crashes, expired leases, an unavailable store, changes of the owner
+// start out of order, jobs that never end, and long-running tasks that stay without a run.
+// The faults are lost and late orders, lists that arrive after newer ones, lost connections, crashes, expired leases, an unavailable store, changes of the owner
 // and evacuated zones, in which no start may be ordered. The model of the executor checks
 // each start. In half of the histories runs are also moved, and those of speculative
 // steps copied: only these may have two runs at once.
@@ -108,6 +112,14 @@
 				delete(m.delayed, e.name)
 				m.attach(e.name)
 			},
+			"watch": func(t *rapid.T) {
+				step := testStep(rapid.IntRange(1, 2).Draw(t, "tasks"), 50)
+				step.LongRunning, step.MaxPerHost = true, rapid.IntRange(0, 1).Draw(t, "per host")
+				m.submit(urgentJob(step))
+			},
+			"pause": func(t *rapid.T) {
+				m.pause(m.host(t), time.Duration(rapid.IntRange(0, 6).Draw(t, "s"))*time.Second)
+			},
 			"crash": func(t *rapid.T) { m.host(t).crash() },
 			"restart": func(t *rapid.T) {
 				if e := m.host(t); !e.alive {
@@ -189,6 +201,24 @@
 	})
 }
 
+// pause pauses the node beside an executor. When it goes on, it attaches to the owner, and
+// the lists from before arrive after those of the attachment.
+func (m *faultMachine) pause(e *executor, d time.Duration) {
+	if !e.alive {
+		return
+	}
+	older := e.report(true)
+	for task, run := range e.running {
+		if m.isLongRunning(task) {
+			e.end(task, run, hv.EndFailed)
+		}
+	}
+	m.advance(d)
+	delete(m.delayed, e.name)
+	m.attach(e.name)
+	m.cell.Report(m.now, e.name, older)
+}
+
 // contend fills the hosts with work of one queue and lets a more urgent task wait until it
 // may preempt.
 func (m *faultMachine) contend() {
@@ -257,13 +287,28 @@
 			e.start()
 		}
 	}
-	m.attachAll()
-	for range 60 {
+	// Nodes that are attached stay so: the lists of a new attachment would hide a run that
+	// the owner counts by mistake.
+	for name := range m.hosts {
+		if h := m.cell.hosts[name]; h == nil || !h.connected {
+			m.attach(name)
+		}
+	}
+	missing := m.watches()
+	for i := range 60 {
 		m.exchange()
-		m.finishAll(hv.EndDone)
+		m.removeRunning(missing)
+		m.finishJobs()
 		m.exchange()
+		m.removeRunning(missing)
+		if time.Duration(i)*time.Second == maxMissing && len(missing) > 0 {
+			t.Fatalf("long-running tasks %v have no run for %v after all faults have ended", slices.Sorted(maps.Keys(missing)), maxMissing)
+		}
 		m.advance(time.Second)
 	}
+	m.cancelWatches()
+	m.exchange()
+	m.exchange()
 	for _, j := range m.jobs {
 		if !m.cancelled[j.ID] && !m.stored[j.ID].State.Final() {
 			t.Fatalf("job %s is %q after all faults have ended", j.ID, m.stored[j.ID].State)
@@ -281,3 +326,45 @@
 		}
 	}
 }
+
+// watches returns the long-running tasks that must run. Of those of a step with a limit for
+// each host, only as many as there are hosts can.
+func (m *faultMachine) watches() map[string]bool {
+	out := map[string]bool{}
+	for _, j := range m.jobs {
+		if s := j.Steps[0]; s.LongRunning && !m.cancelled[j.ID] && !m.stored[j.ID].State.Final() && (s.MaxPerHost == 0 || s.Count <= s.MaxPerHost*len(m.hosts)) {
+			for k := range s.Count {
+				out[hvjob.Task{Job: j.ID, Index: k}.String()] = true
+			}
+		}
+	}
+	return out
+}
+
+// finishJobs completes all runs but those of long-running tasks.
+func (m *faultMachine) finishJobs() {
+	for _, e := range m.hosts {
+		for task, run := range e.running {
+			if !m.isLongRunning(task) {
+				e.end(task, run, hv.EndDone)
+			}
+		}
+	}
+}
+
+// removeRunning removes the tasks that run.
+func (m *faultMachine) removeRunning(tasks map[string]bool) {
+	for _, e := range m.hosts {
+		for task := range e.running {
+			delete(tasks, task)
+		}
+	}
+}
+
+func (m *faultMachine) cancelWatches() {
+	for _, j := range m.jobs {
+		if j.Steps[0].LongRunning {
+			m.cancel(j.ID)
+		}
+	}
+}
--- a/hvcell/simcluster_test.go
+++ b/hvcell/simcluster_test.go
@@ -192,7 +192,7 @@
 	e.blockedRuns[task] = max(e.blockedRuns[task], run)
 	e.lastEnd++
 	e.ended = append(e.ended, hv.RunEnd{Number: e.lastEnd, Task: task, Run: run, Reason: reason})
-	if reason == hv.EndDone {
+	if reason == hv.EndDone && !e.cluster.isLongRunning(task) {
 		e.cluster.ended[task] = true
 	}
 }
@@ -293,7 +293,7 @@
 func (e *executor) acknowledge(seen int64) {
 	e.acked = max(e.acked, seen)
 	for len(e.ended) > 0 && e.ended[0].Number <= e.acked {
-		if e.ended[0].Reason == hv.EndDone {
+		if e.ended[0].Reason == hv.EndDone && !e.cluster.isLongRunning(e.ended[0].Task) {
 			e.cluster.done[e.ended[0].Task] = true
 		}
 		e.ended = e.ended[1:]
@@ -435,6 +435,13 @@
 	return err == nil && i >= 0 && w.policy.Tail && w.jobs[i].Steps[id.Step].Speculative
 }
 
+// isLongRunning reports whether a task starts again however it ends.
+func (w *simCluster) isLongRunning(task string) bool {
+	id, err := hvjob.ParseTask(task)
+	i := slices.IndexFunc(w.jobs, func(j hvjob.Job) bool { return j.ID == id.Job })
+	return err == nil && i >= 0 && w.jobs[i].Steps[id.Step].LongRunning
+}
+
 // checkOrder fails the test if a step that a task depends on is not complete.
 func (w *simCluster) checkOrder(name string) {
 	id, err := hvjob.ParseTask(name)
