--- a/hvnode/report_test.go
+++ b/hvnode/report_test.go
@@ -77,3 +77,29 @@
 		t.Errorf("report %+v after another attachment has the number of orders on the connection before", r)
 	}
 }
+
+// Guards against ends that are reported on a connection which has been replaced, and then
+// count as reported: the owner acknowledges later ends and with them those that it never
+// got, and their tasks run again or count as running.
+func TestReplacedAttachmentReportsNothing(t *testing.T) {
+	e := &fakeExecutor{}
+	n := newNode(t, e)
+	current := &hvwire.Conn{}
+	e.state.ClockMS = 100
+	e.state.Ended = []hv.RunEnd{{Number: 5, Task: testRun.Task, Run: testRun.Run, Reason: hv.EndDone}}
+	e.renewing = func() {
+		// The owner attaches another connection while the executor responds to the first.
+		e.renewing, e.renewErr = nil, errorOfKind(hv.Uncertain)
+		if _, err := n.attach(t.Context(), current, hvorder.Attach{Epoch: 4, Owner: "gate"}); err != nil {
+			t.Fatal(err)
+		}
+		e.renewErr = nil
+	}
+	if r, err := n.attach(t.Context(), &hvwire.Conn{}, hvorder.Attach{Epoch: 4, Owner: "gate"}); hv.KindOf(err) != hv.Unavailable {
+		t.Errorf("response on the replaced connection is %+v, %v", r, err)
+	}
+	n.applyState(e.state, n.currentVersion())
+	if conn, r, _ := n.nextReport(); conn != current || !r.Full || len(r.Ended) != 1 {
+		t.Fatalf("report %+v on the current connection, want the lists with the end", r)
+	}
+}
