Report stalled runs again on a new connection

Cause: a side marks a stalled run as reported when it makes the report. If the connection of that report ends, the owner never learns of the run, which holds its task for good. Class of fault: what was put into one report counts as delivered.

Change: an attachment makes all stalled runs due again, like crashes and lists.

Measured: before, TestStalledRunIsReportedOnNextConnection: the report on the second connection lacks the stalled run. Found by reading.

--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -233,6 +233,7 @@
 	n.progressReports = progressReports{wanted: req.Progress}
 	n.refused, n.stopped, n.fullReported = nil, nil, false
 	n.crash.attached()
+	n.repeatStalls()
 	n.mu.Unlock()
 	_ = level.Info(n.deps.Logger).Log("msg", "owner attached to this node", "epoch", req.Epoch, "owner", req.Owner)
 	version := n.currentVersion()
--- a/hvnode/report_test.go
+++ b/hvnode/report_test.go
@@ -103,3 +103,20 @@
 		t.Fatalf("report %+v on the current connection, want the lists with the end", r)
 	}
 }
+
+// Guards against a stalled run that the owner never learns of because the connection of
+// the one report with it ended: it is not replaced.
+func TestStalledRunIsReportedOnNextConnection(t *testing.T) {
+	n, clock := newClockedNode(t)
+	for range 2 {
+		if _, err := n.attach(t.Context(), &hvwire.Conn{}, hvorder.Attach{Epoch: 3, Owner: "gate"}); err != nil {
+			t.Fatal(err)
+		}
+		n.list("1", clock.now.UnixMilli(), testRun)
+		clock.advance(stallTimeout + time.Second)
+		n.list("1", clock.now.UnixMilli(), testRun)
+		if _, r, _ := n.nextReport(); len(r.Stalled) != 1 {
+			t.Fatalf("report %+v lacks the stalled run", r)
+		}
+	}
+}
--- a/hvnode/stall.go
+++ b/hvnode/stall.go
@@ -39,6 +39,13 @@
 	return ok && share < fullShare
 }
 
+// repeatStalls makes all stalled runs due on a new connection. The lock is held.
+func (n *Node) repeatStalls() {
+	for _, p := range n.progress {
+		p.reported = false
+	}
+}
+
 // newlyStalled returns the stalled runs that have not been reported.
 func (n *Node) newlyStalled(now time.Time) []hvorder.Run {
 	var out []hvorder.Run
