Count the authority of an earlier owner from its last record

Cause: a new owner waited for 6 s of authority of the one before, counted from its own claim, and then for a lease. That authority ends 6 s after the send time of its last append, and a gate claims only after 1 s or more without one.

Change: the time since the last record of the owner before is measured before the claim, which is conditional on nothing having been appended meanwhile, and subtracted.

Measured: TestSilenceOfPreviousOwnerIsMeasured: over 1 s, and not more than the time since the last append. hvledger, hvowner, hventry, hvnode, platform and docs pass.

--- a/hvledger/elect.go
+++ b/hvledger/elect.go
@@ -146,6 +146,8 @@
 		if err != nil {
 			return nil
 		}
+		// The claim is stored only if the previous owner has appended nothing meanwhile.
+		silence := e.replica.SinceOwnerRecord()
 		sentAt, first := bootNow(), firstSequence(c)
 		_, err = e.store.Append(ctx, e.topic, []hv.KeyedRecord{rec}, hv.Fence{Producer: ownerProducer, Epoch: c.Epoch, Sequence: first, ExpectedEnd: e.replica.Next()})
 		if err != nil && hv.KindOf(err) == hv.Unavailable {
@@ -161,8 +163,8 @@
 				continue
 			}
 		}
-		w := &Writer{store: e.store, topic: e.topic, claim: c, sequence: first, lastAppend: sentAt, previousOwnerEnded: e.ownerHasEnded(last)}
-		_ = level.Info(e.logger).Log("msg", "this gate claimed the cell", "epoch", c.Epoch, "before", last.Name, "silence", e.replica.SinceOwnerRecord())
+		w := &Writer{store: e.store, topic: e.topic, claim: c, sequence: first, lastAppend: sentAt, previousOwnerEnded: e.ownerHasEnded(last), previousSilence: silence}
+		_ = level.Info(e.logger).Log("msg", "this gate claimed the cell", "epoch", c.Epoch, "before", last.Name, "silence", silence)
 		return w
 	}
 	return nil
--- a/hvledger/ledger_test.go
+++ b/hvledger/ledger_test.go
@@ -156,6 +156,21 @@
 	}
 }
 
+// Guards against a new owner that waits for the whole authority of the previous one
+// although a part of it had passed before the claim, and against counting too much of it.
+func TestSilenceOfPreviousOwnerIsMeasured(t *testing.T) {
+	_, addr := serve(t)
+	old := newGate(platform.NewStore(addr), "old")
+	old.sync(t)
+	w := old.elector.Wait(t.Context())
+	next := newGate(platform.NewStore(addr), "next")
+	next.sync(t)
+	w2 := next.elector.Wait(t.Context())
+	if got := w2.PreviousSilence(); got < time.Second || got > w.SinceLastAppend() {
+		t.Fatalf("silence is %v; want over 1 s, after which a gate claims, and at most the %v since the last append", got, w.SinceLastAppend())
+	}
+}
+
 // Guards against records that are stored twice when the response to an append is
 // lost.
 func TestAppendWithoutResponseIsStoredOnce(t *testing.T) {
--- a/hvledger/writer.go
+++ b/hvledger/writer.go
@@ -32,6 +32,9 @@
 	// previousOwnerEnded is true if the previous owner was known to have ended when
 	// the cell was claimed.
 	previousOwnerEnded bool
+	// previousSilence is the least time from the last append of the previous owner to the
+	// claim.
+	previousSilence time.Duration
 
 	mu sync.Mutex
 	// lastAppend is the send time of the last successful append.
@@ -121,6 +124,10 @@
 // when the cell was claimed, so that it has granted no lease since.
 func (w *Writer) PreviousOwnerEnded() bool { return w.previousOwnerEnded }
 
+// PreviousSilence returns how long the previous owner had appended nothing, at least, when
+// the cell was claimed.
+func (w *Writer) PreviousSilence() time.Duration { return w.previousSilence }
+
 // SinceLastAppend returns the time since the last successful append was sent. It
 // includes time in which the machine was suspended.
 func (w *Writer) SinceLastAppend() time.Duration {
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -37,8 +37,8 @@
 	// which the next owner continues.
 	learnedStoreInterval = 2 * time.Second
 	// authorityTimeout is how long an owner continues without a successful append.
-	// Outages of the store last up to about 6 s. A new owner waits for this time
-	// if a host does not respond.
+	// Outages of the store last up to about 6 s. A new owner waits until it has passed
+	// since the last record of the previous one if a host does not respond.
 	authorityTimeout = 6 * time.Second
 )
 
@@ -91,7 +91,7 @@
 // New returns an owner without jobs or nodes.
 func New(o Options) *Owner {
 	owner := &Owner{options: o, links: map[string]*link{}, wakePlan: make(chan struct{}, 1), wakeFlush: make(chan struct{}, 1), wakeAdvise: make(chan struct{}, 1)}
-	previousAuthority := authorityTimeout
+	previousAuthority := max(authorityTimeout-o.Writer.PreviousSilence(), 0)
 	if o.Writer.PreviousOwnerEnded() {
 		previousAuthority = 0
 	}
