--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -232,7 +232,7 @@
 	spec := &r.job.Steps[i]
 	s := &step{spec: spec, index: i, round: r, runsPerHost: map[*host]int{}, nextRun: c.firstRun()}
 	for k := range spec.Count {
-		t := &task{step: s, index: k, done: p.Done.Has(k), saved: p.SavedStates[k], nextRun: c.firstRun(), exempt: p.Exempt.Has(k)}
+		t := &task{step: s, index: k, done: p.Done.Has(k), saved: p.SavedStates[k], nextRun: c.firstRun(), exempt: p.Exempt.Has(k), unlocated: r.job.inherited && !c.recovered}
 		t.name = hvjob.Task{Job: r.job.ID, Round: r.number, Step: i, Index: k}.String()
 		if t.done {
 			s.done++
@@ -363,7 +363,8 @@
 	o := h.orders
 	h.orders = hvorder.Orders{}
 	h.ackedEnd = h.storedEnd
-	o.Epoch, o.Incarnation, o.LeaseEnd, o.AckedEnd = c.options.Epoch, h.incarnation, h.leaseEnd, h.storedEnd
+	h.batch++
+	o.Epoch, o.Incarnation, o.Batch, o.LeaseEnd, o.AckedEnd = c.options.Epoch, h.incarnation, h.batch, h.leaseEnd, h.storedEnd
 	return o, true
 }
 
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -59,6 +59,8 @@
 	c.AddHost(now, name, nil)
 	h := c.hosts[name]
 	h.connected, h.dropped = true, false
+	h.batch = 0
+	h.forgetBatches()
 	// A node that was restarted numbers its crashes anew.
 	h.processedCrash, h.storedCrash = 0, 0
 	h.attachments++
@@ -131,7 +133,8 @@
 	c.observeInterference(r)
 	c.markJobsRunning(r)
 	c.markSaved(now, h, r.Running)
-	if r.Full {
+	if r.Full && r.Clock >= h.clock {
+		// Older lists may name runs that have ended since.
 		c.reconcile(now, h, r)
 	}
 	h.recordProgress(now, r.Clock, r.Running)
@@ -149,10 +152,20 @@
 	if h.crashedIncarnation != "" {
 		h.recoveringUntil = now.Add(recoveryTime)
 	}
-	h.incarnation, h.clock, h.leaseEnd = incarnation, 0, 0
+	h.incarnation, h.clock, h.leaseEnd, h.respondedAt = incarnation, 0, 0, time.Time{}
+	h.silent = false
 	h.processedEnd, h.storedEnd, h.ackedEnd = 0, 0, 0
 	h.reconciled = false
 	h.orders = hvorder.Orders{}
+	h.forgetBatches()
+}
+
+// forgetBatches makes the next full lists decide about all known runs: those that are not
+// in them are not on their way either.
+func (h *host) forgetBatches() {
+	for _, r := range h.runs {
+		r.batch = 0
+	}
 }
 
 // grant renews the lease of all runs on the host.
@@ -164,10 +177,17 @@
 	if c.suspended {
 		return hvorder.Grant{AckedEnd: h.storedEnd}
 	}
-	h.clock = max(h.clock, r.Clock)
 	h.leaseEnd = max(h.leaseEnd, r.Clock+c.options.LeaseDuration.Milliseconds())
-	if expiry := now.Add(c.maxLeaseDuration()); expiry.After(h.leaseExpiry) || h.reconciled {
-		h.leaseExpiry = expiry
+	if r.Clock > h.clock || h.respondedAt.IsZero() {
+		// A lease ends at a time of the executor's clock, so that a report without a new
+		// response of the executor extends nothing.
+		h.clock, h.respondedAt = r.Clock, now
+		h.silent = false
+		if expiry := now.Add(c.maxLeaseDuration()); expiry.After(h.leaseExpiry) || h.reconciled {
+			h.leaseExpiry = expiry
+		}
+	} else {
+		h.silent = now.Sub(h.respondedAt) > maxSilence
 	}
 	return hvorder.Grant{LeaseEnd: h.leaseEnd, AckedEnd: h.storedEnd, Effects: c.effects(h)}
 }
@@ -207,6 +227,10 @@
 	}
 }
 
+// maxSilence is the time after the last response of an executor from which no task starts
+// there. Executors respond at least every 0.8 s, and nodes report every 0.7 s.
+const maxSilence = 3 * time.Second
+
 // unreachableTime is how long no task starts on a host whose executor was not found.
 const unreachableTime = 500 * time.Millisecond
 
@@ -238,7 +262,8 @@
 }
 
 // reconcile compares the full lists of a host with its known runs: it adopts runs
-// that are not known and stops those that are not listed.
+// that are not known and stops those that are not listed. Nodes repeat the lists, so that
+// a run that was lost without a report does not count for good.
 func (c *Cell) reconcile(now time.Time, h *host, r hvorder.Report) {
 	listed := map[hvorder.Run]bool{}
 	clear(h.unneeded)
@@ -246,6 +271,7 @@
 		ref := hvorder.Run{Task: row.Task, Run: row.Run}
 		listed[ref] = true
 		c.adoptRun(now, h, ref, row.SavedState)
+		h.locate(ref)
 	}
 	for _, ref := range r.Pending {
 		listed[ref] = true
@@ -255,14 +281,18 @@
 		h.orders.Withdraw = true
 	}
 	for ref, known := range h.runs {
-		if !listed[ref] {
+		switch {
+		case listed[ref] && known.phase == phaseStopping:
+			h.orders.Stops = append(h.orders.Stops, ref)
+		case listed[ref] || known.batch > r.Batch:
+			// The lists are older than the order if they do not name its run.
+		default:
 			// The start may have been lost with its connection or with an earlier
 			// incarnation, or may still be carried out. The stop prevents that before
 			// the task starts elsewhere.
+			_ = level.Info(c.options.Logger).Log("msg", "host does not list a run; stopping it", "task", ref.Task, "run", ref.Run, "host", h.name, "age", now.Sub(known.started), "repeated", h.reconciled)
 			known.phase = phaseActive
 			c.stopRun(known)
-		} else if known.phase == phaseStopping {
-			h.orders.Stops = append(h.orders.Stops, ref)
 		}
 	}
 	h.reconciled = true
@@ -272,6 +302,10 @@
 // has another run.
 func (c *Cell) adoptRun(now time.Time, h *host, ref hvorder.Run, saved string) {
 	if known := h.runs[ref]; known != nil {
+		if !h.reconciled {
+			// The node may have been restarted since it received the start.
+			h.orders.Profiles = append(h.orders.Profiles, profile(known))
+		}
 		return
 	}
 	t := c.findTask(ref.Task)
@@ -288,6 +322,15 @@
 	h.orders.Profiles = append(h.orders.Profiles, profile(r))
 }
 
+// locate records that the host lists a run as running. An owner starts a run only after the
+// one before has ended for certain, so that the task has no other run, unless it is copied
+// or starts with its gang.
+func (h *host) locate(ref hvorder.Run) {
+	if r := h.runs[ref]; r != nil && !r.task.step.spec.Speculative && !r.task.step.spec.Gang {
+		r.task.unlocated = false
+	}
+}
+
 // allocate adds a run and its resources to its host.
 func (c *Cell) allocate(now time.Time, h *host, t *task, number int) *run {
 	r := &run{task: t, number: number, host: h, started: now, allocation: t.step.spec.Allocation()}
@@ -331,7 +374,7 @@
 // states to be stored, stops stragglers and moves slow and throttled runs.
 func (c *Cell) Tick(now time.Time) {
 	for _, h := range c.hosts {
-		if !h.connected && len(h.runs) > 0 && c.leasesExpired(now, h) {
+		if len(h.runs) > 0 && c.leasesExpired(now, h) {
 			c.loseRuns(now, h, "leases have expired")
 		}
 	}
@@ -379,7 +422,7 @@
 	}
 }
 
-// checkRecovered lets inherited tasks start once every host has listed its runs or
+// checkRecovered lets all inherited tasks start once every host has listed its runs or
 // all leases of the previous owner on it have expired.
 func (c *Cell) checkRecovered(now time.Time) {
 	if c.recovered {
@@ -391,5 +434,19 @@
 		}
 	}
 	c.recovered = true
+	for _, j := range c.jobs {
+		j.locateAll()
+	}
 	_ = level.Info(c.options.Logger).Log("msg", "recovery of the cell is complete; inherited tasks may start", "epoch", c.options.Epoch, "hosts", len(c.hosts), "after", now.Sub(c.options.ClaimedAt))
 }
+
+// locateAll lets all tasks of a job start.
+func (j *job) locateAll() {
+	for _, r := range j.rounds {
+		for _, s := range r.steps {
+			for _, t := range s.tasks {
+				t.unlocated = false
+			}
+		}
+	}
+}
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -4,6 +4,7 @@
 package hvcell
 
 import (
+	"slices"
 	"time"
 
 	"hibiscusvane.example/hibiscusvane/hvfair"
@@ -105,6 +106,9 @@
 	abandonedRuns int
 	// notBefore is the earliest time of the next run.
 	notBefore time.Time
+	// unlocated is true while a run of the task may be on a host that has not listed its
+	// runs to this owner.
+	unlocated bool
 	// reserved is the reservation of a long-running task that waits.
 	reserved reservation
 	// exempt is true once the task was preempted or has preempted: its runs are not
@@ -113,6 +117,16 @@
 	hold   *hold
 }
 
+// canStart reports whether a task waits and only capacity is missing for its start.
+func (t *task) canStart(now time.Time) bool {
+	return !t.done && len(t.runs) == 0 && !t.unlocated && !now.Before(t.notBefore)
+}
+
+// hasLocated reports whether a task of the step waits that has no run anywhere.
+func (s *step) hasLocated() bool {
+	return slices.ContainsFunc(s.tasks, func(t *task) bool { return !t.done && len(t.runs) == 0 && !t.unlocated })
+}
+
 type runPhase int
 
 const (
@@ -123,11 +137,14 @@
 )
 
 type run struct {
-	task       *task
-	number     int
-	host       *host
-	phase      runPhase
-	started    time.Time
+	task    *task
+	number  int
+	host    *host
+	phase   runPhase
+	started time.Time
+	// batch is the number of the orders with the start of the run on the present
+	// connection, or 0 for an earlier run.
+	batch      int64
 	allocation hvjob.Resources
 	// saved is the last saved state that the host has reported, with savedPercent, the
 	// progress of the run at that time.
@@ -169,6 +186,10 @@
 	// of the granted lease on that clock, in milliseconds.
 	clock    int64
 	leaseEnd int64
+	// respondedAt is when clock last increased; silent is true if the node has reported
+	// since that it has not for long.
+	respondedAt time.Time
+	silent      bool
 	// leaseExpiry is when all runs on the host have ended for certain unless the
 	// lease is renewed.
 	leaseExpiry time.Time
@@ -235,6 +256,8 @@
 	// hold is the capacity that is kept for a task that stopped runs, or nil.
 	hold   *hold
 	orders hvorder.Orders
+	// batch is the number of the last orders that were sent on the present connection.
+	batch int64
 }
 
 func (h *host) free() hvjob.Resources { return h.info.Capacity.Sub(h.allocated) }
--- a/hvnode/node_test.go
+++ b/hvnode/node_test.go
@@ -28,8 +28,10 @@
 	stops  []hvorder.Run
 	errs   []error
 	state  hv.ExecutorState
-	// renewErr is the error of lease renewals, if it is set.
+	// renewErr is the error of lease renewals, if it is set, and renewing is called by
+	// each of them, if it is set.
 	renewErr error
+	renewing func()
 }
 
 func (e *fakeExecutor) SetExpectedInstance(string) {}
@@ -54,6 +56,9 @@
 }
 
 func (e *fakeExecutor) RenewLeases(context.Context, hv.LeaseRenewal) (hv.ExecutorState, error) {
+	if e.renewing != nil {
+		e.renewing()
+	}
 	return e.state, e.renewErr
 }
 
@@ -273,7 +278,7 @@
 	if h, _, _ := n.nextRenewal(); h.AckedEnd != 20 || h.LeaseEnd != 9000 {
 		t.Fatalf("renewal is %+v", h)
 	}
-	n.handleRenewError(errorOfKind(hv.Uncertain), 0)
+	n.handleRenewError(errorOfKind(hv.Uncertain))
 	if h, _, _ := n.nextRenewal(); h.AckedEnd != 0 || h.LeaseEnd != 0 || h.WaitMS != 0 {
 		t.Fatalf("renewal after a failure is %+v", h)
 	}
