Start large tasks within the bound when run times are poorly known

Two causes were seen in a trace. A step whose only finished run was short (0.12 s) counted as short, so its next task started on the reserved host and took 1.8 s. And a reservation moved from a host with one overdue run to one with eight, because the last of eight ends was taken to be the longest of the expected rests; on the new host the wait began anew.

What may start on a reserved host now depends on the run time of the step with the prediction for its queue counting for 4 runs beside the finished ones, and a reservation moves only if the other host is free earlier even if its runs end late, each by the error of its queue. New tests have whole-host tasks one after another, and a run that does not end on the reserved host.

On scratch copies the tests fail without either change, and if a reservation never moves.

--- a/hvcell/backfill.go
+++ b/hvcell/backfill.go
@@ -89,7 +89,7 @@
 	if t.step.spec.LongRunning {
 		return hvbackfill.Endless
 	}
-	took := time.Duration(float64(c.estimate.taskTime(t.step)) * c.estimate.margin(t.step.round.job.Queue))
+	took := c.estimate.lateTime(t.step)
 	if took <= 0 {
 		return hvbackfill.Endless
 	}
--- a/hvcell/backfill_reserve.go
+++ b/hvcell/backfill_reserve.go
@@ -27,8 +27,8 @@
 	// wait because all hosts disturb, and each search looks at all hosts.
 	maxSearches       = 4
 	failedSearchDelay = 500 * time.Millisecond
-	// moveGain is by how much earlier a step must be able to start elsewhere for its
-	// reservation to move: expected ends vary, and what was kept free so far is lost.
+	// moveGain is by how much earlier a step must be able to start elsewhere, even if the
+	// runs there end late, for its reservation to move: what was kept free so far is lost.
 	moveGain = 100 * time.Millisecond
 	// delayTolerance is the delay of a reservation from which it counts as delayed.
 	delayTolerance = 50 * time.Millisecond
@@ -57,8 +57,9 @@
 	// largestIn began. In a plan with nothing that waits it is not computed.
 	largest   hvbackfill.Amount
 	largestIn int64
-	// slots is reused by each search.
-	slots []hvbackfill.Slot
+	// slots and lateLine are reused by each search.
+	slots    []hvbackfill.Slot
+	lateLine hvbackfill.Host
 }
 
 // stepReservation is the reservation of a step that waits for capacity.
@@ -236,7 +237,7 @@
 		if !ok && !found {
 			return false
 		}
-		if !ok || found && first+moveGain < after {
+		if !ok || found && first+moveGain < after && c.lateStart(now, d, slots, hosts)+moveGain < after {
 			v.hosts = v.hosts[:0]
 			for _, slot := range slots {
 				v.hosts = append(v.hosts, hosts[slot.Host])
--- a/hvcell/backfill_search.go
+++ b/hvcell/backfill_search.go
@@ -1,6 +1,7 @@
 package hvcell
 
 import (
+	"slices"
 	"time"
 
 	"hibiscusvane.example/hibiscusvane/hvbackfill"
@@ -79,6 +80,22 @@
 	return chosen, after, ok
 }
 
+// lateStart returns the time after which all slots are free if the runs on their hosts end
+// late. The slots are ordered by host.
+func (c *Cell) lateStart(now time.Time, d hvbackfill.Demand, slots []hvbackfill.Slot, hosts []*host) time.Duration {
+	start := time.Duration(0)
+	for i, slot := range slots {
+		if i+1 < len(slots) && slots[i+1].Host == slot.Host {
+			continue
+		}
+		n := i + 1 - slices.IndexFunc(slots, func(o hvbackfill.Slot) bool { return o.Host == slot.Host })
+		line := c.lateTimeline(now, hosts[slot.Host])
+		after, _, _ := line.Earliest(d.On(line, n))
+		start = max(start, after)
+	}
+	return start
+}
+
 // reservableTasks returns how many tasks of a step may start on a host as far as obstacles
 // other than capacity are concerned. A missing ticket is no obstacle, as tickets are only
 // requested for hosts with free capacity.
@@ -113,6 +130,22 @@
 	return free
 }
 
+// lateTimeline is like timeline for runs that end late. It is valid until the next call.
+func (c *Cell) lateTimeline(now time.Time, h *host) *hvbackfill.Host {
+	expected, line := c.timeline(now, h), &c.backfill.lateLine
+	line.Free, line.Promised, line.Releases = expected.Free, expected.Promised, line.Releases[:0]
+	for _, r := range h.runs {
+		if after, ok := c.expectedRelease(now, r); ok {
+			if r.phase != phaseStopping {
+				after = c.lateRest(now, r)
+			}
+			line.Releases = append(line.Releases, hvbackfill.Release{After: after, Amount: takenAmount(r.task.step.spec)})
+		}
+	}
+	hvbackfill.SortReleases(line.Releases)
+	return line
+}
+
 // timeline returns what is free on a host and what becomes free as its runs end.
 func (c *Cell) timeline(now time.Time, h *host) *hvbackfill.Host {
 	line := &h.backfill.timeline
--- a/hvcell/backfill_test.go
+++ b/hvcell/backfill_test.go
@@ -22,6 +22,8 @@
 	spread float64
 	// ended counts the small tasks that were done.
 	ended int
+	// endless is the job whose runs do not end, if any.
+	endless string
 }
 
 const loadTick = 20 * time.Millisecond
@@ -51,7 +53,7 @@
 		for _, task := range slices.Sorted(maps.Keys(e.running)) {
 			id, _ := hvjob.ParseTask(task)
 			j := w.jobs[slices.IndexFunc(w.jobs, func(j hvjob.Job) bool { return j.ID == id.Job })]
-			if s := &j.Steps[id.Step]; !s.LongRunning && w.now.Sub(e.startTimes[task]) >= w.took(task, s) {
+			if s := &j.Steps[id.Step]; !s.LongRunning && id.Job != w.endless && w.now.Sub(e.startTimes[task]) >= w.took(task, s) {
 				e.end(task, e.running[task], hv.EndDone)
 				if s.Need == w.small.Need {
 					w.ended++
@@ -139,6 +141,45 @@
 	}
 }
 
+// Guards against large tasks that wait for several generations of small ones: tasks of a
+// step whose first run was short start on the reserved host and end late, or the reservation
+// moves to a host whose many runs are expected to end earlier and end late as well.
+func TestDelayedReservationIsNeitherRefilledNorMoved(t *testing.T) {
+	longest := 1900*time.Millisecond + 2*loadTick
+	for seed := range 10 {
+		w := newLoadedCluster(t, 8, seed, Policy{Backfill: true}, smallStep(false))
+		w.spread = 0.9
+		w.run(3 * time.Second)
+		for range 8 {
+			large := testStep(1, 8000)
+			large.Estimate = 1000
+			j := w.submit(urgentJob(large))
+			w.startWithin(j.ID, 1, longest)
+			for w.stored[j.ID].State != hvjob.Complete {
+				w.tick()
+			}
+		}
+	}
+}
+
+// Guards against a large task that waits for good for a host on which a run does not end.
+// Such a run is always expected to need a quarter of its age more, so after 10 s more than
+// the late runs of the other host.
+func TestReservationLeavesHostWhoseRunDoesNotEnd(t *testing.T) {
+	for seed := range 10 {
+		w := newLoadedCluster(t, 2, seed, Policy{Backfill: true}, smallStep(false))
+		endless := testStep(1, 1000)
+		endless.Estimate = 1000
+		w.endless = w.submit(urgentJob(endless)).ID
+		w.run(500 * time.Millisecond)
+		large := w.submit(urgentJob(testStep(1, 8000)))
+		w.startWithin(large.ID, 1, 10*time.Second)
+		if w.runsOf(w.endless) != 1 {
+			t.Fatalf("seed %d: the endless task does not run beside the large one", seed)
+		}
+	}
+}
+
 // Guards against hosts that stay idle for longer than a large task needs them: beside the
 // reserved capacity the small tasks go on.
 func TestReservationCostsOnlyReservedCapacity(t *testing.T) {
--- a/hvcell/estimate.go
+++ b/hvcell/estimate.go
@@ -15,6 +15,9 @@
 	// unknownVariance is the assumed Variance of a queue with fewer samples: callers'
 	// estimates are off by up to 90%, which is 0.64 in the logarithm.
 	unknownVariance = 0.64 * 0.64
+	// priorRuns is the number of runs of a step that the prediction for its queue counts
+	// for beside them. A single run says little about the next ones.
+	priorRuns = 4
 )
 
 // estimator predicts run times. Callers' estimates are far off in some queues, so
@@ -75,6 +78,11 @@
 	if s.runTimes.n > 0 {
 		return s.runTimes.value()
 	}
+	return e.queueTime(s)
+}
+
+// queueTime is taskTime without regard to earlier runs of the step.
+func (e *estimator) queueTime(s *step) time.Duration {
 	h := e.queues[s.round.job.Queue]
 	if h != nil && h.Count >= minSamples && (h.MeanError < h.EstimateError || s.spec.Estimate == 0) {
 		return time.Duration(math.Exp(h.Mean)) * time.Millisecond
@@ -82,6 +90,16 @@
 	return time.Duration(s.spec.Estimate) * time.Millisecond
 }
 
+// lateTime returns the run time that a task of a step exceeds only if its error is larger
+// than usual in its queue, or 0 if nothing is known.
+func (e *estimator) lateTime(s *step) time.Duration {
+	expected := float64(e.taskTime(s))
+	if prior, n := float64(e.queueTime(s)), float64(s.runTimes.n); prior > 0 {
+		expected = (n*expected + priorRuns*prior) / (n + priorRuns)
+	}
+	return time.Duration(expected * e.margin(s.round.job.Queue))
+}
+
 // criticalPath returns the expected time of the longest chain of incomplete steps of
 // a round.
 func (c *Cell) criticalPath(r *round) time.Duration {
--- a/hvcell/remaining.go
+++ b/hvcell/remaining.go
@@ -22,6 +22,15 @@
 	return rest, rest / 2
 }
 
+// lateRest returns the rest of a run that takes longer than expected by the usual error.
+func (c *Cell) lateRest(now time.Time, r *run) time.Duration {
+	rest, deviation := c.remaining(now, r)
+	if _, measured := r.measuredRest(now); measured {
+		return rest + deviation
+	}
+	return max(rest+deviation, c.estimate.lateTime(r.task.step)-now.Sub(r.started))
+}
+
 // measuredRest returns the time that a run needs at its present speed. It reports false
 // if that is not known.
 func (r *run) measuredRest(now time.Time) (time.Duration, bool) {
