Take the images on a host from the lists that count them

host.images walked all runs of a host with each grant and each score of a serving task, although host.serving and host.bestEffort hold the same images.

effects and colocationScore use the lists; host.images is gone. Behaviour is unchanged: in a scratch copy, a check at both places that the lists equal the images of the runs, with their counts, held in all tests of hvcell, which pass here too.

--- a/hvcell/interference.go
+++ b/hvcell/interference.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 
 	"hibiscusvane.example/hibiscusvane/hvcrash"
 	"hibiscusvane.example/hibiscusvane/hvinterference"
@@ -77,46 +76,29 @@
 // effects returns the effects of the best-effort images on a host that interfere
 // with its serving tasks.
 func (c *Cell) effects(h *host) map[string]int64 {
-	serving := h.images(isServing)
-	if len(serving) == 0 {
+	if len(h.serving) == 0 {
 		return nil
 	}
 	out := map[string]int64{}
-	for _, image := range h.images(isBestEffort) {
-		if e := c.worstEffect(serving, image); e >= harmlessEffect {
-			out[image] = int64(e * hvorder.LogScale)
+	for _, b := range h.bestEffort {
+		if e := c.worstEffect(h.serving, b.image); e >= harmlessEffect {
+			out[b.image] = int64(e * hvorder.LogScale)
 		}
 	}
 	return out
 }
 
-func isServing(s *step) bool { return s.spec.LatencyTarget > 0 }
-
-func isBestEffort(s *step) bool { return s.spec.BestEffort }
-
 // worstEffect returns the upper bound, by harmlessDeviations, of the effect of one
 // processor of a best-effort image on the most affected serving image.
-func (c *Cell) worstEffect(serving []string, image string) float64 {
+func (c *Cell) worstEffect(serving []imageLoad, image string) float64 {
 	worst := 0.0
 	for _, s := range serving {
-		b := c.interference.Effect(s, image)
+		b := c.interference.Effect(s.image, image)
 		worst = max(worst, b.Mean+harmlessDeviations*math.Sqrt(b.Variance))
 	}
 	return worst
 }
 
-// images returns the distinct images of the host's runs whose steps match, in no
-// particular order.
-func (h *host) images(match func(*step) bool) []string {
-	var out []string
-	for _, r := range h.runs {
-		if s := r.task.step; match(s) && !slices.Contains(out, s.spec.Image) {
-			out = append(out, s.spec.Image)
-		}
-	}
-	return out
-}
-
 // impacts predicts the impact of a task on each of the hosts.
 func (c *Cell) impacts(t *task, hosts []*host) []float64 {
 	out := make([]float64, len(hosts))
--- a/hvcell/pick.go
+++ b/hvcell/pick.go
@@ -181,11 +181,11 @@
 
 // colocationScore returns the score of a serving task on a host by the images that
 // serve there.
-func colocationScore(image string, serving []string) float64 {
+func colocationScore(image string, serving []imageLoad) float64 {
 	switch {
 	case len(serving) == 0:
 		return 0
-	case !slices.Contains(serving, image):
+	case !slices.ContainsFunc(serving, func(l imageLoad) bool { return l.image == image }):
 		return -weightOtherImage
 	case len(serving) == 1:
 		return weightSameImage
@@ -206,7 +206,7 @@
 		score -= weightCold
 	}
 	if s.LatencyTarget > 0 {
-		score += colocationScore(s.Image, h.images(isServing))
+		score += colocationScore(s.Image, h.serving)
 	}
 	score += c.packingScore(t, h) + c.servingScore(t, h)
 	return score + t.step.riskScore(now, h) - weightImpact*impact
