Show the owner in appends that hold only records of callers

Cause: gates take the records that only an owner writes for a sign of it. An append with nothing but submissions counted as a sign for the owner itself, which then sent no heartbeat for 0.3 s, and for no other gate. Since a new owner subtracts the silence of the one before from its authority, it could have counted up to 0.3 s too little and started a task before its lease had ended.

Such an append now carries the owner's record too. If the store refuses it, it is left out with the others. TestRecordsOfCallersShowTheOwner failed before (0.30 s of silence 0.7 ms after the append); hvledger, hvowner and hventry pass.

--- a/hvledger/writer.go
+++ b/hvledger/writer.go
@@ -58,6 +58,14 @@
 			return nil, err
 		}
 	}
+	if len(recs) == 0 && len(optional) > 0 {
+		// Other gates take no sign of the owner from the records of callers.
+		heartbeat, err := claimRecord(w.claim)
+		if err != nil {
+			return nil, err
+		}
+		optional = append([]hv.KeyedRecord{heartbeat}, optional...)
+	}
 	return w.send(ctx, recs, optional)
 }
 
