Send a digest of the runs of a host instead of repeating its lists

Cause: with the lists of all runs every 3 s the owner's link carries about 100 bytes for each run and host, by the size of a row; it is the busiest of all links, and the design has 790 hosts.

A node now sends a digest of its runs every 3 s, with the number of the last orders that it takes into account, and the owner asks for the lists if it is not that of the runs that it counts. TestListsAreRepeatedOnRequest replaces TestListsAreRepeated: the digest comes after 4 s, and the lists with the next report once the owner has asked.

--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -141,9 +141,28 @@
 	c.recordSavedStates(h, r.Running)
 	g := c.grant(now, h, r)
 	g.AckedCrash = h.storedCrash
+	g.List = !r.Full && h.differsFrom(r)
+	if g.List {
+		_ = level.Info(c.options.Logger).Log("msg", "runs of a host are not those that the owner counts; asking for its lists", "host", name, "counted", len(h.runs), "life", h.incarnation)
+	}
 	return g
 }
 
+// differsFrom reports whether the runs on a host, as the digest in its report says, are not
+// those that this owner counts.
+func (h *host) differsFrom(r hvorder.Report) bool {
+	if r.Digest == 0 || !h.reconciled || r.Incarnation != h.incarnation || r.Clock < h.clock {
+		return false
+	}
+	counted := hvorder.EmptyDigest
+	for ref, run := range h.runs {
+		if run.batch <= r.Batch {
+			counted = counted.With(ref)
+		}
+	}
+	return counted != r.Digest
+}
+
 // resetIncarnation records a new incarnation of the executor. A run that was ordered
 // around the restart may run in the new incarnation, so runs are kept until its full
 // lists are reconciled.
@@ -262,8 +281,9 @@
 }
 
 // reconcile compares the full lists of a host with its known runs: it adopts runs
-// that are not known and stops those that are not listed. Nodes repeat the lists, so that
-// a run that was lost without a report does not count for good.
+// that are not known and stops those that are not listed. Nodes repeat the lists when
+// their digest differs, so that a run that was lost without a report does not count for
+// good.
 func (c *Cell) reconcile(now time.Time, h *host, r hvorder.Report) {
 	listed := map[hvorder.Run]bool{}
 	clear(h.unneeded)
--- a/hvcell/simcluster_test.go
+++ b/hvcell/simcluster_test.go
@@ -83,14 +83,16 @@
 	// the executor keeps them, and lastCrash is the number of the last one.
 	crashes   []hvorder.Crash
 	lastCrash int64
-	// listedAt is when the node last reported the full lists, and batch the number of the
-	// last orders that it took on its connection.
-	listedAt time.Time
+	// digestAt is when the node last reported the full lists or a digest of them, and batch
+	// the number of the last orders that it took on its connection; list is true if the
+	// owner has asked for the lists.
+	digestAt time.Time
 	batch    int64
+	list     bool
 }
 
-// listInterval is the time after which a node repeats the full lists.
-const listInterval = 3 * time.Second
+// digestInterval is the interval at which a node reports a digest of its runs.
+const digestInterval = 3 * time.Second
 
 var queues = map[string]hvjob.Queue{
 	"urgent": {Name: "urgent", Service: "desk", MaxAttempts: 3, Stretch: 1.5, Slack: 250},
@@ -230,11 +232,12 @@
 		// A node sends the full lists of a new incarnation.
 		full = true
 	}
-	if e.cluster.now.Sub(e.listedAt) >= listInterval {
-		full = true
+	full = full || e.list
+	if !full && e.cluster.now.Sub(e.digestAt) >= digestInterval {
+		r.Digest = e.digest()
 	}
-	if full {
-		e.listedAt = e.cluster.now
+	if full || r.Digest != 0 {
+		e.digestAt, e.list = e.cluster.now, false
 	}
 	r.Incarnation, r.Clock, r.Full, r.Batch = e.incarnationName(), e.clock(), full, e.batch
 	r.Ended = append(r.Ended, e.ended...)
@@ -246,6 +249,15 @@
 	return r
 }
 
+// digest returns the digest of the runs on the executor.
+func (e *executor) digest() hvorder.Digest {
+	d := hvorder.EmptyDigest
+	for task, run := range e.running {
+		d = d.With(hvorder.Run{Task: task, Run: run})
+	}
+	return d
+}
+
 // saved returns a different saved state for each report, as a task that makes
 // progress does.
 func (e *executor) saved(task string) string {
@@ -280,6 +292,7 @@
 
 func (e *executor) applyGrant(g hvorder.Grant) {
 	e.crashes = slices.DeleteFunc(e.crashes, func(k hvorder.Crash) bool { return k.Number <= g.AckedCrash })
+	e.list = e.list || g.List
 	if !e.alive {
 		return
 	}
--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -113,10 +113,10 @@
 	lastEnds     []hv.RunEnd
 	hostReported bool
 	crash        crashTracker
-	// fullReported is true once the owner has been sent a full report, the last one at
-	// listedAt.
+	// fullReported is true once the owner has been sent a full report, and digestAt when
+	// it was last sent one or a digest.
 	fullReported bool
-	listedAt     time.Time
+	digestAt     time.Time
 	// batch is the number of the last orders on the owner's connection.
 	batch int64
 	// attachments counts the attempts of owners to attach.
@@ -312,7 +312,7 @@
 		r.Pending = append(r.Pending, run)
 	}
 	n.reportedEnd = lastEnd(n.executorState.Ended, n.reportedEnd)
-	n.fullReported, n.listedAt = true, n.deps.Clock.Now()
+	n.fullReported, n.digestAt = true, n.deps.Clock.Now()
 }
 
 // lastEnd returns the highest Number of the ends, or last if none is higher.
--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -21,9 +22,9 @@
 	// registerInterval is how long a node waits for contact with an owner before
 	// it registers again.
 	registerInterval = 3 * time.Second
-	// listInterval is the time after which the full lists are repeated. A difference to
-	// what the owner counts keeps a task from running until the next ones.
-	listInterval = 3 * time.Second
+	// digestInterval is the interval at which the owner gets a digest of all runs on the
+	// host. A difference to what it counts keeps a task from running until the next one.
+	digestInterval = 3 * time.Second
 )
 
 // reportLoop reports changes to the owner, and at least every reportInterval.
@@ -62,10 +63,20 @@
 		n.detach(conn)
 		return
 	}
+	n.handleGrant(conn, r, grant)
+}
+
+// handleGrant takes the response to a report.
+func (n *Node) handleGrant(conn *hvwire.Conn, r hvorder.Report, grant hvorder.Grant) {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	if n.ownerConn == conn {
 		n.crash.acknowledged(grant.AckedCrash)
 		n.lastEnds = n.lastEnds[min(len(r.LastEnds), len(n.lastEnds)):]
+		if grant.List {
+			n.fullReported = false
+			hvtick.Wake(n.wakeReport)
+		}
 	}
 	if r.Epoch == n.epoch && r.Incarnation == n.executorState.Incarnation {
 		n.leaseEnd = max(n.leaseEnd, grant.LeaseEnd)
@@ -73,7 +84,6 @@
 	}
 	n.lastOwnerContact = n.deps.Clock.Now()
 	n.effects = grant.Effects
-	n.mu.Unlock()
 }
 
 // detach closes the connection of an owner; an owner that is alive attaches again.
@@ -100,7 +110,7 @@
 		n.hostReported = true
 	}
 	switch {
-	case n.hasFullState() && (!n.fullReported || n.deps.Clock.Now().Sub(n.listedAt) >= listInterval):
+	case n.hasFullState() && !n.fullReported:
 		n.fillReport(&r)
 	case n.stateKnown && !n.fullReported:
 		r.Incarnation, r.Clock = n.executorState.Incarnation, n.executorState.ClockMS
@@ -108,6 +118,7 @@
 		r.Incarnation, r.Clock = n.executorState.Incarnation, n.executorState.ClockMS
 		r.Running = n.unreportedRuns()
 		r.Ended = n.unreportedEnds()
+		n.addDigest(&r)
 	}
 	if n.stateKnown {
 		r.Stalled = n.newlyStalled(n.deps.Clock.Now())
@@ -123,6 +134,29 @@
 	return n.ownerConn, r, true
 }
 
+// addDigest adds the digest of all runs on the host if it is due and they are known. The
+// lock is held.
+func (n *Node) addDigest(r *hvorder.Report) {
+	if !n.hasFullState() || n.deps.Clock.Now().Sub(n.digestAt) < digestInterval {
+		return
+	}
+	n.digestAt = n.deps.Clock.Now()
+	r.Digest, r.Batch = hvorder.EmptyDigest, n.batch
+	for _, run := range n.executorState.Running {
+		r.Digest = r.Digest.With(runOf(run))
+	}
+	for run := range n.pendingStarts {
+		if !n.isListed(run) {
+			r.Digest = r.Digest.With(run)
+		}
+	}
+}
+
+// isListed reports whether the executor lists a run as running. The lock is held.
+func (n *Node) isListed(run hvorder.Run) bool {
+	return slices.ContainsFunc(n.executorState.Running, func(r hv.RunState) bool { return runOf(r) == run })
+}
+
 // unreportedRuns returns the runs with a saved state that has not been reported, and
 // those whose progress is due.
 func (n *Node) unreportedRuns() []hv.RunState {
--- a/hvnode/report_test.go
+++ b/hvnode/report_test.go
@@ -30,23 +30,34 @@
 }
 
 // Guards against a run that the owner counts and that is not on the executor, or the
-// reverse, which nobody notices until the owner connects again: its task never runs.
-func TestListsAreRepeated(t *testing.T) {
+// reverse, which nobody notices until the owner connects again: its task never runs. The
+// node tells the owner every 3 s which runs there are, and lists them on request.
+func TestListsAreRepeatedOnRequest(t *testing.T) {
 	n, clock := newClockedNode(t)
-	if _, err := n.attach(t.Context(), &hvwire.Conn{}, hvorder.Attach{Epoch: 3, Owner: "gate"}); err != nil {
+	conn := &hvwire.Conn{}
+	if _, err := n.attach(t.Context(), conn, hvorder.Attach{Epoch: 3, Owner: "gate"}); err != nil {
 		t.Fatal(err)
 	}
-	if _, r, _ := n.nextReport(); r.Full {
-		t.Fatalf("report %+v right after the attachment repeats the lists", r)
+	_, r, _ := n.nextReport()
+	if r.Full || r.Digest != 0 {
+		t.Fatalf("report %+v right after the attachment repeats the runs", r)
 	}
 	n.list("1", 100, testRun)
+	pending := hvorder.Run{Task: "pending", Run: 2}
+	n.pendingStarts[pending], n.pendingStarts[testRun] = true, true
+	n.batch = 5
 	clock.advance(4 * time.Second)
-	_, r, _ := n.nextReport()
-	if !r.Full || len(r.Running) != 1 {
-		t.Fatalf("report %+v 4 s after the last full one, want the lists", r)
+	_, r, _ = n.nextReport()
+	if want := hvorder.EmptyDigest.With(pending).With(testRun); r.Full || r.Digest != want || r.Batch != 5 {
+		t.Fatalf("report %+v 4 s after the lists, want the digest %d of both runs as of orders 5", r, want)
+	}
+	n.handleGrant(conn, r, hvorder.Grant{})
+	if _, r, _ = n.nextReport(); r.Full || r.Digest != 0 {
+		t.Fatalf("report %+v right after the digest repeats the runs", r)
 	}
-	if _, r, _ := n.nextReport(); r.Full {
-		t.Fatalf("report %+v right after the lists repeats them", r)
+	n.handleGrant(conn, r, hvorder.Grant{List: true})
+	if _, r, _ = n.nextReport(); !r.Full || len(r.Running) != 1 || r.Batch != 5 {
+		t.Fatalf("report %+v, want the lists that the owner has asked for", r)
 	}
 }
 
--- a/hvorder/order.go
+++ b/hvorder/order.go
@@ -122,9 +122,12 @@
 	Clock       int64  `json:"clock,omitempty"`
 	// Full is true if Running and Pending list all runs on the host.
 	Full bool `json:"full,omitempty"`
-	// Batch is the number of the last orders on this connection that Running and Pending
-	// take into account, if Full is true.
-	Batch   int64         `json:"batch,omitempty"`
+	// Batch is the number of the last orders on this connection that Running and Pending,
+	// if Full is true, or Digest take into account.
+	Batch int64 `json:"batch,omitempty"`
+	// Digest is that of all runs on the host, those included to whose start the executor
+	// has not responded; it is 0 in most reports.
+	Digest  Digest        `json:"digest,omitempty,string"`
 	Running []hv.RunState `json:"running,omitempty"`
 	// Pending lists starts that the executor has not responded to yet.
 	Pending []Run `json:"pending,omitempty"`
@@ -222,6 +225,9 @@
 	AckedEnd int64 `json:"seen,omitempty"`
 	// AckedCrash is the number of the last crash that is stored.
 	AckedCrash int64 `json:"crash,omitempty"`
+	// List asks for the full lists, as the digest is not that of the runs that the owner
+	// counts.
+	List bool `json:"list,omitempty"`
 }
 
 // Append is the request of a relayed append.
