Count authority from the first attempt of an append without a response

Cause: an append whose response was lost is repeated, and the store answers the repeat with the first response without storing anything. The owner counted its authority from the repeat. A new owner counts the silence of the one before from its last record, which the first attempt stored, and since subtracts that silence. The earlier owner could thus grant leases for up to the time of the repeats (over 1 s) after the new one took its authority for expired, and a task could start while it still ran under such a lease.

Change: a success after attempts without a response counts from the first of them. The next append, at most one heartbeat later, counts from its own.

--- a/hvledger/writer.go
+++ b/hvledger/writer.go
@@ -28,6 +28,9 @@
 	// stored under the next sequence number, so they must be sent again before
 	// others: the store would treat others as a retry and drop them.
 	pending []hv.KeyedRecord
+	// pendingSince is the send time of the first attempt that may have stored pending, or
+	// zero.
+	pendingSince time.Time
 
 	// previousOwnerEnded is true if the previous owner was known to have ended when
 	// the cell was claimed.
@@ -37,7 +40,8 @@
 	previousSilence time.Duration
 
 	mu sync.Mutex
-	// lastAppend is the send time of the last successful append.
+	// lastAppend is the send time of the last successful append, or of its first attempt
+	// without a response.
 	lastAppend time.Time
 }
 
@@ -94,9 +98,17 @@
 func (w *Writer) tryAppend(ctx context.Context, recs []hv.KeyedRecord) error {
 	sentAt := bootNow()
 	_, err := w.store.Append(ctx, w.topic, recs, hv.Fence{Producer: ownerProducer, Epoch: w.claim.Epoch, Sequence: w.sequence + 1, ExpectedEnd: -1})
+	if hv.KindOf(err) == hv.Uncertain && w.pendingSince.IsZero() {
+		w.pendingSince = sentAt
+	}
 	if err != nil {
 		return err
 	}
+	if !w.pendingSince.IsZero() {
+		// The store may have repeated an earlier response: other gates then count the
+		// silence of this owner from the earlier attempt.
+		sentAt, w.pendingSince = w.pendingSince, time.Time{}
+	}
 	w.sequence++
 	w.pending = nil
 	w.mu.Lock()
--- a/hvledger/writer_test.go
+++ b/hvledger/writer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/platform"
@@ -68,3 +69,44 @@
 		}
 	}
 }
+
+// lossyStore carries out appends but loses the next responses.
+type lossyStore struct {
+	hv.KeyedStore
+	losses int
+}
+
+func (s *lossyStore) Append(ctx context.Context, topic string, recs []hv.KeyedRecord, f hv.Fence) (int64, error) {
+	end, err := s.KeyedStore.Append(ctx, topic, recs, f)
+	if s.losses > 0 {
+		s.losses--
+		return 0, storeError{hv.Uncertain}
+	}
+	return end, err
+}
+
+// Guards against an owner that counts its authority from a repeat of an append that was
+// already stored: a new owner counts it from the record and starts tasks while leases of
+// the earlier one last.
+func TestRepeatedAppendDoesNotExtendAuthority(t *testing.T) {
+	_, addr := serve(t)
+	store := &lossyStore{KeyedStore: platform.NewStore(addr)}
+	owner := newGate(store, "owner")
+	owner.sync(t)
+	w := owner.elector.Wait(t.Context())
+	// The responses are lost for about 0.3 s.
+	store.losses = 6
+	if err := w.Heartbeat(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if silence := w.SinceLastAppend(); silence < 250*time.Millisecond {
+		t.Errorf("authority counts from %v ago, after the record was stored", silence)
+	}
+	next := time.Now()
+	if err := w.Heartbeat(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if silence := w.SinceLastAppend(); silence > time.Since(next) {
+		t.Errorf("authority counts from %v ago, before the next append", silence)
+	}
+}
