Show the owner in appends that only remove registrations

An append with nothing else counted as a sign for the owner itself, which then sent no heartbeat for 0.3 s, and for no other gate. A new owner then subtracts up to 0.3 s too much from the authority of the one before.

Change: each append without a record that shows the owner carries the owner's record too. If there are only records of callers it is left out with them, as before.

TestRemovedRegistrationsShowTheOwner failed before (0.30 s of silence 0.5 ms after the append); hvledger and hvowner pass.

--- a/hvledger/ledger_test.go
+++ b/hvledger/ledger_test.go
@@ -152,6 +152,25 @@
 	}
 }
 
+// Guards against an owner that looks silent although it removes registrations: the next
+// owner counts too little of its authority.
+func TestRemovedRegistrationsShowTheOwner(t *testing.T) {
+	_, addr := serve(t)
+	owner := newGate(platform.NewStore(addr), "owner")
+	owner.sync(t)
+	w := owner.elector.Wait(t.Context())
+	other := newGate(platform.NewStore(addr), "other")
+	other.sync(t)
+	time.Sleep(300 * time.Millisecond)
+	if err := w.Append(t.Context(), []hv.KeyedRecord{hvledger.NodeTombstone("host-1")}); err != nil {
+		t.Fatal(err)
+	}
+	other.sync(t)
+	if silence := other.replica.SinceOwnerRecord(); silence > w.SinceLastAppend() {
+		t.Fatalf("the owner looks silent for %v, %v after its last append", silence, w.SinceLastAppend())
+	}
+}
+
 // Guards against records that are stored twice when the response to an append is
 // lost.
 func TestAppendWithoutResponseIsStoredOnce(t *testing.T) {
--- a/hvledger/record.go
+++ b/hvledger/record.go
@@ -104,6 +104,12 @@
 
 func claimRecord(c Claim) (hv.KeyedRecord, error) { return encode(ownerKey, c) }
 
+// showsOwner reports whether gates take a record for a sign of the owner: nobody else
+// writes such records.
+func showsOwner(rec hv.KeyedRecord) bool {
+	return rec.Key == ownerKey || rec.Key == learnedKey || strings.HasPrefix(rec.Key, progressPrefix)
+}
+
 func encode(key string, v any) (hv.KeyedRecord, error) {
 	b, err := json.Marshal(v)
 	if err != nil {
--- a/hvledger/writer.go
+++ b/hvledger/writer.go
@@ -62,13 +62,16 @@
 			return nil, err
 		}
 	}
-	if len(recs) == 0 && len(optional) > 0 {
-		// Other gates take no sign of the owner from the records of callers.
+	if len(recs)+len(optional) > 0 && !slices.ContainsFunc(recs, showsOwner) {
 		heartbeat, err := claimRecord(w.claim)
 		if err != nil {
 			return nil, err
 		}
-		optional = append([]hv.KeyedRecord{heartbeat}, optional...)
+		if len(recs) == 0 {
+			optional = append([]hv.KeyedRecord{heartbeat}, optional...)
+		} else {
+			recs = append([]hv.KeyedRecord{heartbeat}, recs...)
+		}
 	}
 	return w.send(ctx, recs, optional)
 }
