Report stalled runs with the lists that name them, or after

Cause: a side marks a stalled run as reported when it makes a report, and an owner ignores a stalled run that it does not know. A new owner learns of the runs from the first lists, which wait while a start has no response; stalled runs were reported before them. The owner also processed the stalled runs of a report before its lists. In both cases the run held its task until another connection. Same class of fault as: what was put into one report counts as delivered.

Change: stalled runs are reported only once the lists were, and the owner processes them after the lists of the same report.

TestStalledRunIsReportedWithLists failed before (the run is in the report without lists, and in none after), and so did TestStalledRunInFirstListsIsStopped (no stop). hvnode and hvcell pass.

--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -122,11 +122,6 @@
 	for _, f := range r.Refused {
 		c.handleRefusal(now, h, f)
 	}
-	for _, s := range r.Stalled {
-		if run := h.runs[s]; run != nil && run.phase == phaseActive && !run.task.step.spec.Gang {
-			c.abandonRun(now, run)
-		}
-	}
 	c.observeTails(h, r)
 	h.cpuShare = fullShare + r.ShareOffset
 	h.updateThrottled(now)
@@ -137,6 +132,8 @@
 		// Older lists may name runs that have ended since.
 		c.reconcile(now, h, r)
 	}
+	// The lists may be the first with a stalled run.
+	c.handleStalls(now, h, r.Stalled)
 	h.recordProgress(now, r.Clock, r.Running)
 	c.recordSavedStates(h, r.Running)
 	g := c.grant(now, h, r)
@@ -144,6 +141,15 @@
 	return g
 }
 
+// handleStalls abandons the runs that make no progress.
+func (c *Cell) handleStalls(now time.Time, h *host, stalled []hvorder.Run) {
+	for _, s := range stalled {
+		if r := h.runs[s]; r != nil && r.phase == phaseActive && !r.task.step.spec.Gang {
+			c.abandonRun(now, r)
+		}
+	}
+}
+
 // resetIncarnation records a new incarnation of the executor. A run that was ordered
 // around the restart may run in the new incarnation, so runs are kept until its full
 // lists are reconciled.
--- a/hvcell/straggler_test.go
+++ b/hvcell/straggler_test.go
@@ -29,6 +29,26 @@
 	}
 }
 
+// Guards against a stalled run that a new owner ignores because the report with it is the
+// one whose lists name the run first: it is not replaced.
+func TestStalledRunInFirstListsIsStopped(t *testing.T) {
+	w := newSimCluster(t, 1)
+	w.attachAll()
+	w.submit(urgentJob(testStep(1, 1000)))
+	w.exchange()
+	e := w.hosts["host-0"]
+	w.replaceOwner()
+	e.minEpoch = w.epoch
+	r := e.report(true)
+	for task, run := range e.running {
+		r.Stalled = append(r.Stalled, hvorder.Run{Task: task, Run: run})
+	}
+	w.cell.NodeAttached(w.now, e.name, r)
+	if o, _ := w.cell.Orders(e.name); len(o.Stops) != 1 {
+		t.Fatalf("orders are %+v, want a stop of the stalled run", o)
+	}
+}
+
 // Guards against a task that takes much longer than its caller estimated and is
 // abandoned repeatedly.
 func TestLongTaskIsNotAbandonedForever(t *testing.T) {
--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -109,8 +109,11 @@
 		r.Running = n.unreportedRuns()
 		r.Ended = n.unreportedEnds()
 	}
-	if n.stateKnown {
+	if n.stateKnown && n.fullReported {
+		// Before the lists the owner may not know the runs.
 		r.Stalled = n.newlyStalled(n.deps.Clock.Now())
+	}
+	if n.stateKnown {
 		r.ShareOffset = -n.interferingShare.reduction
 		r.TailChanges, n.tailChanges = n.tailChanges, nil
 		r.LoadChanges, n.loadChanges = n.loadChanges, nil
--- a/hvnode/report_test.go
+++ b/hvnode/report_test.go
@@ -120,3 +120,27 @@
 		}
 	}
 }
+
+// Guards against a stalled run that is reported before the lists of a new owner, which
+// does not know the run yet and ignores it: the run holds its task for good.
+func TestStalledRunIsReportedWithLists(t *testing.T) {
+	n, clock := newClockedNode(t)
+	n.list("1", clock.now.UnixMilli(), testRun)
+	clock.advance(stallTimeout + time.Second)
+	n.list("1", clock.now.UnixMilli(), testRun)
+	n.mu.Lock()
+	n.startsInFlight++
+	n.mu.Unlock()
+	if _, err := n.attach(t.Context(), &hvwire.Conn{}, hvorder.Attach{Epoch: 4, Owner: "gate"}); err != nil {
+		t.Fatal(err)
+	}
+	n.list("1", clock.now.UnixMilli()+1, testRun)
+	if _, r, _ := n.nextReport(); r.Full || len(r.Stalled) > 0 {
+		t.Errorf("report %+v without lists, want no stalled run", r)
+	}
+	n.endStartCall()
+	n.list("1", clock.now.UnixMilli()+2, testRun)
+	if _, r, _ := n.nextReport(); !r.Full || len(r.Stalled) != 1 {
+		t.Fatalf("report %+v, want the lists with the stalled run", r)
+	}
+}
