Repeat the lists of busy hosts too

Cause: a side repeats the full lists only if no start was called since it requested them. A renewal waits up to 0.8 s for the end of a run, so on a host with a start in each of these waits the lists were never repeated, and a run that is nowhere counted as long as the host was busy (LOST). Class of fault: a wait that begins anew with each small step.

Change: once the lists are due, renewals do not wait until one has lists without a start in between; these are reported at once. A host without starts renews as before.

TestListsAreRepeatedOnBusyHost failed before (no list in 20 s with a start in each renewal, now one every 3 s). hvnode and hvowner pass.

--- a/hvnode/renew.go
+++ b/hvnode/renew.go
@@ -94,8 +94,9 @@
 	if len(n.executorState.Ended) > 0 && lastEnd(n.executorState.Ended, 0) > n.ackedEnd {
 		renewal.WaitMS = 0
 	}
-	if !n.fullReported && n.startsInFlight == 0 {
-		// The owner waits for a full report.
+	if n.startsInFlight == 0 && (!n.fullReported || n.listsDue() && !n.hasFullState()) {
+		// The owner waits for a full report. On a busy host a start is called during each
+		// renewal that waits, and the lists in its response may lack that run.
 		renewal.WaitMS = 0
 	}
 	return renewal, version, n.epoch > 0
@@ -163,5 +164,5 @@
 func (n *Node) hasUnreported() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return lastEnd(n.executorState.Ended, 0) > n.reportedEnd || !n.hostReported && n.host != nil || !n.fullReported && n.hasFullState()
+	return lastEnd(n.executorState.Ended, 0) > n.reportedEnd || !n.hostReported && n.host != nil || n.listsDue() && n.hasFullState()
 }
--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -100,7 +100,7 @@
 		n.hostReported = true
 	}
 	switch {
-	case n.hasFullState() && (!n.fullReported || n.deps.Clock.Now().Sub(n.listedAt) >= listInterval):
+	case n.hasFullState() && n.listsDue():
 		n.fillReport(&r)
 	case n.stateKnown && !n.fullReported:
 		r.Incarnation, r.Clock = n.executorState.Incarnation, n.executorState.ClockMS
@@ -126,6 +126,12 @@
 	return n.ownerConn, r, true
 }
 
+// listsDue reports whether the owner waits for the full lists or they are to be repeated.
+// The lock is held.
+func (n *Node) listsDue() bool {
+	return n.ownerConn != nil && (!n.fullReported || n.deps.Clock.Now().Sub(n.listedAt) >= listInterval)
+}
+
 // unreportedRuns returns the runs with a saved state that has not been reported, and
 // those whose progress is due.
 func (n *Node) unreportedRuns() []hv.RunState {
--- a/hvnode/report_test.go
+++ b/hvnode/report_test.go
@@ -50,6 +50,34 @@
 	}
 }
 
+// Guards against a busy host that never repeats its lists because a start is called during
+// each renewal that waits for the end of a run.
+func TestListsAreRepeatedOnBusyHost(t *testing.T) {
+	n, clock := newClockedNode(t)
+	if _, err := n.attach(t.Context(), &hvwire.Conn{}, hvorder.Attach{Epoch: 3, Owner: "gate"}); err != nil {
+		t.Fatal(err)
+	}
+	lists := 0
+	for until := clock.now.Add(20 * time.Second); clock.now.Before(until); {
+		renewal, version, _ := n.nextRenewal()
+		if renewal.WaitMS > 0 {
+			clock.advance(50 * time.Millisecond)
+			n.startNow(testRun)
+			n.mu.Lock()
+			n.startCalls++
+			n.mu.Unlock()
+		}
+		clock.advance(time.Millisecond)
+		n.applyState(hv.ExecutorState{Incarnation: "1", ClockMS: clock.now.UnixMilli()}, version)
+		if _, r, _ := n.nextReport(); r.Full {
+			lists++
+		}
+	}
+	if lists < 5 || lists > 7 {
+		t.Fatalf("%d lists in 20 s, want one every 3 s", lists)
+	}
+}
+
 func (n *Node) lockedFullReport() hvorder.Report {
 	n.mu.Lock()
 	defer n.mu.Unlock()
