--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -120,8 +120,11 @@
 		r.Ended = n.unreportedEnds()
 		n.addDigest(&r)
 	}
-	if n.stateKnown {
+	if n.stateKnown && n.fullReported {
+		// Before the lists the owner may not know the runs.
 		r.Stalled = n.newlyStalled(n.deps.Clock.Now())
+	}
+	if n.stateKnown {
 		r.ShareOffset = -n.interferingShare.reduction
 		r.TailChanges, n.tailChanges = n.tailChanges, nil
 		r.LoadChanges, n.loadChanges = n.loadChanges, nil
@@ -137,7 +140,7 @@
 // addDigest adds the digest of all runs on the host if it is due and they are known. The
 // lock is held.
 func (n *Node) addDigest(r *hvorder.Report) {
-	if !n.hasFullState() || n.deps.Clock.Now().Sub(n.digestAt) < digestInterval {
+	if !n.hasFullState() || !n.runsDue() {
 		return
 	}
 	n.digestAt = n.deps.Clock.Now()
@@ -157,6 +160,12 @@
 	return slices.ContainsFunc(n.executorState.Running, func(r hv.RunState) bool { return runOf(r) == run })
 }
 
+// runsDue reports whether the owner waits for the full lists, or a digest of the runs is
+// due. The lock is held.
+func (n *Node) runsDue() bool {
+	return n.ownerConn != nil && (!n.fullReported || n.deps.Clock.Now().Sub(n.digestAt) >= digestInterval)
+}
+
 // unreportedRuns returns the runs with a saved state that has not been reported, and
 // those whose progress is due.
 func (n *Node) unreportedRuns() []hv.RunState {
--- a/hvnode/report_test.go
+++ b/hvnode/report_test.go
@@ -61,6 +61,34 @@
 	}
 }
 
+// Guards against a busy host that never says which runs it has because a start is called
+// during each renewal that waits for the end of a run.
+func TestDigestsAreSentFromBusyHost(t *testing.T) {
+	n, clock := newClockedNode(t)
+	if _, err := n.attach(t.Context(), &hvwire.Conn{}, hvorder.Attach{Epoch: 3, Owner: "gate"}); err != nil {
+		t.Fatal(err)
+	}
+	digests := 0
+	for until := clock.now.Add(20 * time.Second); clock.now.Before(until); {
+		renewal, version, _ := n.nextRenewal()
+		if renewal.WaitMS > 0 {
+			clock.advance(50 * time.Millisecond)
+			n.startNow(testRun)
+			n.mu.Lock()
+			n.startCalls++
+			n.mu.Unlock()
+		}
+		clock.advance(time.Millisecond)
+		n.applyState(hv.ExecutorState{Incarnation: "1", ClockMS: clock.now.UnixMilli()}, version)
+		if _, r, _ := n.nextReport(); r.Digest != 0 {
+			digests++
+		}
+	}
+	if digests < 5 || digests > 7 {
+		t.Fatalf("%d digests in 20 s, want one every 3 s", digests)
+	}
+}
+
 func (n *Node) lockedFullReport() hvorder.Report {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -131,3 +159,27 @@
 		}
 	}
 }
+
+// Guards against a stalled run that is reported before the lists of a new owner, which
+// does not know the run yet and ignores it: the run holds its task for good.
+func TestStalledRunIsReportedWithLists(t *testing.T) {
+	n, clock := newClockedNode(t)
+	n.list("1", clock.now.UnixMilli(), testRun)
+	clock.advance(stallTimeout + time.Second)
+	n.list("1", clock.now.UnixMilli(), testRun)
+	n.mu.Lock()
+	n.startsInFlight++
+	n.mu.Unlock()
+	if _, err := n.attach(t.Context(), &hvwire.Conn{}, hvorder.Attach{Epoch: 4, Owner: "gate"}); err != nil {
+		t.Fatal(err)
+	}
+	n.list("1", clock.now.UnixMilli()+1, testRun)
+	if _, r, _ := n.nextReport(); r.Full || len(r.Stalled) > 0 {
+		t.Errorf("report %+v without lists, want no stalled run", r)
+	}
+	n.endStartCall()
+	n.list("1", clock.now.UnixMilli()+2, testRun)
+	if _, r, _ := n.nextReport(); !r.Full || len(r.Stalled) != 1 {
+		t.Fatalf("report %+v, want the lists with the stalled run", r)
+	}
+}
