Pass changes to a new owner only after the state before them

Cause: a gate that has won an election passes the jobs and nodes in its replica to the new owner one by one, while changes that it reads reach the owner at once. A node whose registration was removed meanwhile came back, and its new address was replaced by the old one. Class of fault: an older list that is processed after a newer change.

Change: changes wait until the lists have been passed. The replica holds a change before it passes it on, so the lists have it or it comes after them.

--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -79,6 +79,8 @@
 	notReady atomic.Bool
 	// passing serializes passOperatorState.
 	passing sync.Mutex
+	// handingOver serializes handOver and the changes that are passed to the owner.
+	handingOver sync.Mutex
 
 	mu    sync.Mutex
 	owner *hvowner.Owner
@@ -193,21 +195,29 @@
 		Writer: w, ClaimOffset: claimOffset, Learned: g.replica.Learned(), StoreFailed: g.relay.Failed, StoreResponse: g.admission.response, Adviser: g.options.Adviser, EarlyStart: g.options.EarlyStart, Retention: g.options.Retention,
 		Policy: g.options.Policy, Clock: g.options.Clock, Metrics: g.options.Metrics, Logger: g.options.Logger,
 	})
+	g.handOver(owner)
+	owner.Run(ctx)
+	g.mu.Lock()
+	g.owner = nil
+	g.mu.Unlock()
+}
+
+// handOver passes the nodes and jobs in the replica to a new owner. Changes wait until
+// then: passed before the older state they would be undone by it. The owner may see a
+// change twice, in the lists and as a notification.
+func (g *Gate) handOver(owner *hvowner.Owner) {
+	g.handingOver.Lock()
+	defer g.handingOver.Unlock()
 	g.mu.Lock()
 	g.owner = owner
 	g.mu.Unlock()
 	g.passOperatorState()
-	// The owner may see a change twice: in these lists and as a notification.
 	for _, n := range g.replica.Nodes() {
 		owner.NodeChanged(n, false)
 	}
 	for _, e := range g.replica.Jobs() {
 		owner.JobChanged(e)
 	}
-	owner.Run(ctx)
-	g.mu.Lock()
-	g.owner = nil
-	g.mu.Unlock()
 }
 
 func (g *Gate) currentOwner() *hvowner.Owner {
@@ -218,6 +228,8 @@
 
 // JobChanged implements hvledger.Observer.
 func (g *Gate) JobChanged(e hvledger.Entry) {
+	g.handingOver.Lock()
+	defer g.handingOver.Unlock()
 	if o := g.currentOwner(); o != nil {
 		o.JobChanged(e)
 	}
@@ -225,6 +237,8 @@
 
 // NodeChanged implements hvledger.Observer.
 func (g *Gate) NodeChanged(n hvledger.Node, dropped bool) {
+	g.handingOver.Lock()
+	defer g.handingOver.Unlock()
 	if o := g.currentOwner(); o != nil {
 		o.NodeChanged(n, dropped)
 	}
