Accept changes of nodes before the owner runs

Cause: a link gets its cancel function when the owner begins to run.

Change: a link that was not started has nothing to cancel.

TestNodesChangeBeforeOwnerRuns failed before (nil pointer dereference). hvowner passes.

--- a/hvowner/link.go
+++ b/hvowner/link.go
@@ -35,6 +35,7 @@
 	addr  string
 	wake  chan struct{}
 
+	// cancel ends the link; it is nil until the owner runs.
 	cancel context.CancelFunc
 	// conn is the attached connection and lastReport the time of the last report on
 	// it. The owner's lock protects both.
@@ -47,6 +48,13 @@
 	go l.run(ctx)
 }
 
+// end ends a link whose node was removed or has another address. The owner's lock is held.
+func (l *link) end() {
+	if l.cancel != nil {
+		l.cancel()
+	}
+}
+
 func (l *link) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := l.serve(ctx); err != nil && hv.KindOf(err) == hv.Conflict && ctx.Err() == nil {
--- a/hvowner/link_test.go
+++ b/hvowner/link_test.go
@@ -59,3 +59,12 @@
 		}
 	}
 }
+
+// Guards against a gate that ends because the registration of a node is removed or changes
+// between the hand-over of the cell and the start of the owner.
+func TestNodesChangeBeforeOwnerRuns(t *testing.T) {
+	o := hvowner.New(hvowner.Options{Writer: claim(t), Retention: time.Minute, Clock: hv.SystemClock{}, Metrics: hvmetric.New(4), Logger: log.NewNopLogger()})
+	o.NodeChanged(hvledger.Node{Name: "side", Addr: "127.0.0.1:1"}, false)
+	o.NodeChanged(hvledger.Node{Name: "side", Addr: "127.0.0.1:2"}, false)
+	o.NodeChanged(hvledger.Node{Name: "side"}, true)
+}
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -159,7 +159,7 @@
 	old := o.links[n.Name]
 	if dropped {
 		if old != nil {
-			old.cancel()
+			old.end()
 			delete(o.links, n.Name)
 			o.cell.DropHost(n.Name)
 		}
@@ -173,7 +173,7 @@
 		return
 	}
 	if old != nil {
-		old.cancel()
+		old.end()
 	}
 	l := &link{owner: o, name: n.Name, addr: n.Addr, wake: make(chan struct{}, 1)}
 	o.links[n.Name] = l
