Detach a node at once when its link is replaced

Cause: the link to the earlier address of a node, or to one that was removed and registered again, detached the node when its goroutine noticed the end, on whatever connection the node was attached by then. The node then counted as disconnected while its new link was attached and its reports renewed leases: nothing started there until that connection ended. A response to an attachment that arrived after the end of the link also replaced the newer one.

Change: the end of a link detaches the node under the same lock, and a link that has ended attaches nothing.

TestReplacedLinkDoesNotDetachNode failed before (no host is connected). hvowner passes.

--- a/hvowner/link.go
+++ b/hvowner/link.go
@@ -53,6 +53,7 @@
 	if l.cancel != nil {
 		l.cancel()
 	}
+	l.detachLocked(l.conn)
 }
 
 func (l *link) run(ctx context.Context) {
@@ -113,10 +114,13 @@
 	}
 	o := l.owner
 	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.links[l.name] != l {
+		return failure("link", hv.Unavailable, "node %s was removed or has another address", l.name)
+	}
 	l.conn, l.lastReport = conn, o.options.Clock.Now()
 	o.checkAuthority()
 	o.cell.NodeAttached(o.options.Clock.Now(), l.name, r)
-	o.mu.Unlock()
 	hvtick.Wake(o.wakePlan)
 	hvtick.Wake(o.wakeFlush)
 	return nil
@@ -133,9 +137,14 @@
 	o := l.owner
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if l.conn == conn {
+	l.detachLocked(conn)
+}
+
+// detachLocked is detach with the owner's lock held.
+func (l *link) detachLocked(conn *hvwire.Conn) {
+	if conn != nil && l.conn == conn {
 		l.conn = nil
-		o.cell.NodeDetached(o.options.Clock.Now(), l.name)
+		l.owner.cell.NodeDetached(l.owner.options.Clock.Now(), l.name)
 	}
 }
 
