--- a/hvowner/link.go
+++ b/hvowner/link.go
@@ -35,6 +35,7 @@
 	addr  string
 	wake  chan struct{}
 
+	// cancel ends the link; it is nil until the owner runs.
 	cancel context.CancelFunc
 	// conn is the attached connection and lastReport the time of the last report on
 	// it. The owner's lock protects both.
@@ -47,6 +48,14 @@
 	go l.run(ctx)
 }
 
+// end ends a link whose node was removed or has another address. The owner's lock is held.
+func (l *link) end() {
+	if l.cancel != nil {
+		l.cancel()
+	}
+	l.detachLocked(l.conn)
+}
+
 func (l *link) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := l.serve(ctx); err != nil && hv.KindOf(err) == hv.Conflict && ctx.Err() == nil {
@@ -105,10 +114,13 @@
 	}
 	o := l.owner
 	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.links[l.name] != l {
+		return failure("link", hv.Unavailable, "node %s was removed or has another address", l.name)
+	}
 	l.conn, l.lastReport = conn, o.options.Clock.Now()
 	o.checkAuthority()
 	o.cell.NodeAttached(o.options.Clock.Now(), l.name, r)
-	o.mu.Unlock()
 	hvtick.Wake(o.wakePlan)
 	hvtick.Wake(o.wakeFlush)
 	return nil
@@ -125,9 +137,14 @@
 	o := l.owner
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if l.conn == conn {
+	l.detachLocked(conn)
+}
+
+// detachLocked is detach with the owner's lock held.
+func (l *link) detachLocked(conn *hvwire.Conn) {
+	if conn != nil && l.conn == conn {
 		l.conn = nil
-		o.cell.NodeDetached(o.options.Clock.Now(), l.name)
+		l.owner.cell.NodeDetached(l.owner.options.Clock.Now(), l.name)
 	}
 }
 
