Test how long long-running tasks stay without a run among crashes

A model of 11 hosts with long-running tasks, short jobs of which some crash their hosts, hosts that crash for other reasons or most of them together with the owner.

--- a/hvcell/crash_test.go
+++ b/hvcell/crash_test.go
@@ -31,8 +31,9 @@
 	deadly map[string]bool
 	// starts counts the starts of each deadly task, and seen holds its last run.
 	starts, seen map[string]int
-	// gangs holds the jobs whose tasks end together.
-	gangs map[string]bool
+	// gangs holds the jobs whose tasks end together, and lasting those whose tasks only end
+	// with their host.
+	gangs, lasting map[string]bool
 	// downUntil is when a crashed host restarts.
 	downUntil map[string]time.Time
 	// runTime is how long all other tasks run.
@@ -74,6 +75,12 @@
 // play advances the time in steps, in which the owner and its hosts exchange messages,
 // and runs end and hosts crash and restart.
 func (c *crashCluster) play(t *testing.T, d time.Duration) {
+	t.Helper()
+	c.playAndObserve(t, d, func() {})
+}
+
+// playAndObserve is like play, and calls observe after each step.
+func (c *crashCluster) playAndObserve(t *testing.T, d time.Duration, observe func()) {
 	t.Helper()
 	for end := c.now.Add(d); c.now.Before(end); {
 		c.exchangeUnlessLost()
@@ -81,6 +88,7 @@
 		for _, name := range c.names() {
 			c.playHost(t, c.hosts[name])
 		}
+		observe()
 	}
 }
 
@@ -112,7 +120,7 @@
 		return
 	}
 	for task, run := range e.running {
-		if !c.deadly[task] && c.now.Sub(e.startTimes[task]) >= c.runTime {
+		if !c.deadly[task] && !c.lasting[hvjob.JobOf(task)] && c.now.Sub(e.startTimes[task]) >= c.runTime {
 			e.end(task, run, "done")
 		}
 	}
