Repeat lists only for owners that number their orders

An owner of an earlier build takes each full list for newer than its orders, and would stop the runs of those that crossed it. An owner now asks for repeated lists when it attaches.

Tests: TestListsAreRepeated asks for them, and TestListsAreRepeatedOnlyOnRequest checks that nothing is repeated without. hvnode, hvowner and platform pass.

--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -114,6 +114,8 @@
 	// listedAt.
 	fullReported bool
 	listedAt     time.Time
+	// repeatsLists is true if the owner lets the full lists be repeated.
+	repeatsLists bool
 	// batch is the number of the last orders on the owner's connection.
 	batch int64
 	// attachments counts the attempts of owners to attach.
@@ -228,6 +230,7 @@
 	// Until the response nothing is reported: the owner would process older lists after
 	// the ones in the response.
 	n.epoch, n.ownerConn, n.lastOwnerContact, n.batch = req.Epoch, nil, n.deps.Clock.Now(), 0
+	n.repeatsLists = req.Lists
 	n.attachments++
 	attachment := n.attachments
 	n.progressReports = progressReports{wanted: req.Progress}
--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -99,7 +99,7 @@
 		n.hostReported = true
 	}
 	switch {
-	case n.hasFullState() && (!n.fullReported || n.deps.Clock.Now().Sub(n.listedAt) >= listInterval):
+	case n.hasFullState() && n.listsAreDue():
 		n.fillReport(&r)
 	case n.stateKnown && !n.fullReported:
 		r.Incarnation, r.Clock = n.executorState.Incarnation, n.executorState.ClockMS
@@ -122,6 +122,12 @@
 	return n.ownerConn, r, true
 }
 
+// listsAreDue reports whether the owner has no full lists yet, or they are to be repeated.
+// The lock is held.
+func (n *Node) listsAreDue() bool {
+	return !n.fullReported || n.repeatsLists && n.deps.Clock.Now().Sub(n.listedAt) >= listInterval
+}
+
 // unreportedRuns returns the runs with a saved state that has not been reported, and
 // those whose progress is due.
 func (n *Node) unreportedRuns() []hv.RunState {
--- a/hvnode/report_test.go
+++ b/hvnode/report_test.go
@@ -33,7 +33,7 @@
 // reverse, which nobody notices until the owner connects again: its task never runs.
 func TestListsAreRepeated(t *testing.T) {
 	n, clock := newClockedNode(t)
-	if _, err := n.attach(t.Context(), &hvwire.Conn{}, hvorder.Attach{Epoch: 3, Owner: "gate"}); err != nil {
+	if _, err := n.attach(t.Context(), &hvwire.Conn{}, hvorder.Attach{Epoch: 3, Owner: "gate", Lists: true}); err != nil {
 		t.Fatal(err)
 	}
 	if _, r, _ := n.nextReport(); r.Full {
@@ -50,6 +50,20 @@
 	}
 }
 
+// Guards against repeated lists for an owner of an earlier build, which takes every list
+// for newer than its orders and stops the runs that it lacks.
+func TestListsAreRepeatedOnlyOnRequest(t *testing.T) {
+	n, clock := newClockedNode(t)
+	if _, err := n.attach(t.Context(), &hvwire.Conn{}, hvorder.Attach{Epoch: 3, Owner: "gate"}); err != nil {
+		t.Fatal(err)
+	}
+	n.list("1", 100, testRun)
+	clock.advance(4 * time.Second)
+	if _, r, _ := n.nextReport(); r.Full {
+		t.Fatalf("report %+v repeats the lists for an owner that does not number its orders", r)
+	}
+}
+
 func (n *Node) lockedFullReport() hvorder.Report {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/hvorder/order.go
+++ b/hvorder/order.go
@@ -32,6 +32,9 @@
 	Owner string `json:"owner"`
 	// Progress asks for the progress of runs beside that with their saved states.
 	Progress bool `json:"progress,omitempty"`
+	// Lists is true if the owner numbers its orders, so that the node may repeat its full
+	// lists: an owner of an earlier build would stop the runs whose orders they crossed.
+	Lists bool `json:"lists,omitempty"`
 }
 
 // Orders is a batch of orders of an owner for the executor of one host.
--- a/hvowner/link.go
+++ b/hvowner/link.go
@@ -99,7 +99,7 @@
 	claim := l.owner.options.Writer.Claim()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	r, err := hvwire.Call[hvorder.Report](ctx, conn, hvorder.MethodAttach, hvorder.Attach{Epoch: claim.Epoch, Owner: claim.Name, Progress: l.owner.options.Policy.Tail})
+	r, err := hvwire.Call[hvorder.Report](ctx, conn, hvorder.MethodAttach, hvorder.Attach{Epoch: claim.Epoch, Owner: claim.Name, Progress: l.owner.options.Policy.Tail, Lists: true})
 	if err != nil {
 		return err
 	}
