--- a/hvnode/report_test.go
+++ b/hvnode/report_test.go
@@ -89,6 +89,20 @@
 	}
 }
 
+// Guards against repeated lists for an owner of an earlier build, which takes every list
+// for newer than its orders and stops the runs that it lacks.
+func TestListsAreRepeatedOnlyOnRequest(t *testing.T) {
+	n, clock := newClockedNode(t)
+	if _, err := n.attach(t.Context(), &hvwire.Conn{}, hvorder.Attach{Epoch: 3, Owner: "gate"}); err != nil {
+		t.Fatal(err)
+	}
+	n.list("1", 100, testRun)
+	clock.advance(4 * time.Second)
+	if _, r, _ := n.nextReport(); r.Full {
+		t.Fatalf("report %+v repeats the lists although the owner has not asked for them", r)
+	}
+}
+
 func (n *Node) lockedFullReport() hvorder.Report {
 	n.mu.Lock()
 	defer n.mu.Unlock()
