Repeat no start at the next incarnation of an executor

Timeline: at 3.805 s the executor beside side-5 restarts; from 4.005 s on it responds again. The side repeats starts without a response every 0.1 s and lists the new incarnation at 4.137 s. A start repeated in between carries the lease of its order, about 9.5 s on the clock of the incarnation before, and extends the lease of everything that runs there to 13.3 s. Side-5 is paused from 4.2 s on, and the owner counts the leases as expired 5.45 s after the last report, at 9.6 s; the executor still lists run 1001 at 10.199 s.

A start is now sent again, or sent at all after a failed call, only once the executor has listed its runs as the incarnation of the order, with a call that extends nothing. TestStartIsNotRepeatedAtNextIncarnation and TestStartWaitsForIncarnation failed before (2 calls and 1 call).

--- a/hvnode/node_test.go
+++ b/hvnode/node_test.go
@@ -116,6 +116,42 @@
 	}
 }
 
+// Guards against a start without a response that is repeated at the next incarnation of the
+// executor: the lease of the order ends at a time of the clock of the one before, so that
+// all runs of the new one would outlast what the owner counts, and their tasks run twice.
+func TestStartIsNotRepeatedAtNextIncarnation(t *testing.T) {
+	e := &fakeExecutor{errs: []error{errorOfKind(hv.Uncertain)}}
+	n := newNode(t, e)
+	e.state.Incarnation = "2"
+	if err := n.handleOrders(t.Context(), startOrder(3)); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(5 * callRetryInterval)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.starts) != 1 {
+		t.Fatalf("%d start calls, want the one before the executor restarted", len(e.starts))
+	}
+}
+
+// Guards against a start that is sent while it is not known whether the executor is still
+// the incarnation of the order.
+func TestStartWaitsForIncarnation(t *testing.T) {
+	e := &fakeExecutor{}
+	n := newNode(t, e)
+	n.handleRenewError(errorOfKind(hv.Uncertain))
+	e.state.Incarnation = "2"
+	if err := n.handleOrders(t.Context(), startOrder(3)); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(5 * callRetryInterval)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.starts) != 0 {
+		t.Fatalf("%d start calls at another incarnation than that of the order", len(e.starts))
+	}
+}
+
 // Guards against a job that callers see as queued while a task of it runs, or as running
 // although its start was refused.
 func TestBegunJobsAreReported(t *testing.T) {
--- a/hvnode/orders.go
+++ b/hvnode/orders.go
@@ -56,10 +56,10 @@
 		job := hvjob.JobOf(s.Task)
 		run := hv.StartRun{Task: s.Task, Run: s.Profile.Run.Run, Spec: o.Specs[job], SavedState: s.SavedState, Ticket: s.Ticket, Epoch: o.Epoch, LeaseEnd: o.LeaseEnd}
 		if ref, ok := o.SpecRefs[job]; ok {
-			go n.startWithSpec(ctx, run, ref)
+			go n.startWithSpec(ctx, run, o.Incarnation, ref)
 			continue
 		}
-		go n.start(ctx, run)
+		go n.start(ctx, run, o.Incarnation)
 	}
 	for _, run := range o.Stops {
 		delete(n.pendingStarts, run)
@@ -101,22 +101,30 @@
 }
 
 // startWithSpec fetches the work description of a run and starts the run.
-func (n *Node) startWithSpec(ctx context.Context, s hv.StartRun, ref hvorder.SpecRef) {
+func (n *Node) startWithSpec(ctx context.Context, s hv.StartRun, incarnation string, ref hvorder.SpecRef) {
 	text, ok := n.spec(ctx, hvorder.Run{Task: s.Task, Run: s.Run}, s.Epoch, ref)
 	if !ok {
 		return
 	}
 	s.Spec = text
-	n.start(ctx, s)
+	n.start(ctx, s, incarnation)
 }
 
 // start calls the executor until it responds or the start is no longer wanted.
-// Retries are safe, because the executor recognizes the run by its number.
-func (n *Node) start(ctx context.Context, s hv.StartRun) {
+// Retries are safe, because the executor recognizes the run by its number. Another
+// incarnation than that of the order does not: its clock is another one too, so that the
+// lease of the order would last longer there than the owner counts.
+func (n *Node) start(ctx context.Context, s hv.StartRun, incarnation string) {
 	run := hvorder.Run{Task: s.Task, Run: s.Run}
 	// uncertain is true once a call got no response: it may still be carried out.
 	uncertain := false
-	for attempt := 1; ctx.Err() == nil && n.beginStartCall(run, s.Epoch); attempt++ {
+	for attempt := 1; ctx.Err() == nil; attempt++ {
+		if (attempt > 1 || !n.isConfirmed()) && !n.confirmIncarnation(ctx, run, s.Epoch, incarnation) {
+			return
+		}
+		if !n.beginStartCall(run, s.Epoch) {
+			return
+		}
 		err := n.deps.Executor.Start(ctx, s)
 		n.endStartCall()
 		if err == nil {
@@ -149,6 +157,27 @@
 	}
 }
 
+// isConfirmed reports whether the last call to the executor succeeded.
+func (n *Node) isConfirmed() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.incarnationConfirmed
+}
+
+// confirmIncarnation waits until the executor lists its runs and reports whether it is
+// still the incarnation that a start was ordered for. It returns false if the start is no
+// longer wanted.
+func (n *Node) confirmIncarnation(ctx context.Context, run hvorder.Run, epoch int64, incarnation string) bool {
+	for ctx.Err() == nil && n.isStartWanted(run, epoch) {
+		state, err := n.deps.Executor.RenewLeases(ctx, hv.LeaseRenewal{Epoch: epoch})
+		if err == nil {
+			return state.Incarnation == incarnation
+		}
+		hvtick.Sleep(ctx, callRetryInterval)
+	}
+	return false
+}
+
 // returnStart reports a start to the owner as refused. If an earlier call may still
 // be carried out, it stops the run instead, which keeps it from starting, and
 // reports it as stopped.
