Wait for all ends before a run counts as missing

Found by reading, while a test that showed tasks running twice was traced. With a job of 600 tasks on one host that are done while the store does not respond for 5 s, 100 tasks that were done start a second time (TestEndsThatAreNotListedYetCount: 700 starts of 600 tasks). The leases did not expire, and the first ends are acknowledged later. How often callers meet this was not measured; it takes more than 500 ends on one host that are not acknowledged.

Cause: an executor lists 500 ends at a time. A run whose end is behind them is neither running nor ended in the lists, but the node passed the lists on as complete. The owner ordered a stop of each such run, and the node reported it as stopped before its start, because no end was listed. The task started again. The lists are repeated every 3 s, so no lost connection is needed.

Class: a list that is cut off is taken for complete.

While they are, the node makes no full report, a stop and a refused start wait, and the crash tracker keeps runs that are not listed. On a new connection the node reports the listed ends by themselves until the owner has acknowledged enough of them for full lists; without that, an owner would wait for the lists and the node for the acknowledgement.

--- a/executor.go
+++ b/executor.go
@@ -64,6 +64,9 @@
 	ClockMS int64
 	Running []RunState
 	Ended   []RunEnd
+	// MoreEnded is true if there may be later ends, which are listed once the listed
+	// ones are acknowledged.
+	MoreEnded bool
 }
 
 // RunState is a run that has not ended.
--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -285,10 +285,10 @@
 }
 
 // hasFullState reports whether executorState lists every run that may be on the
-// host: it was requested in the epoch of the owner, and no start was called since.
-// The lock is held.
+// host: it was requested in the epoch of the owner, no start was called since, and no end
+// is left out, whose run would be neither running nor ended. The lock is held.
 func (n *Node) hasFullState() bool {
-	return n.stateKnown && n.startsInFlight == 0 && n.stateVersion == n.currentVersionLocked()
+	return n.stateKnown && !n.executorState.MoreEnded && n.startsInFlight == 0 && n.stateVersion == n.currentVersionLocked()
 }
 
 // fullReport returns a report on attachment, which lists everything on the host if
@@ -345,7 +345,7 @@
 	now := n.deps.Clock.Now()
 	n.executorState, n.stateVersion, n.stateKnown, n.incarnationConfirmed, n.executorGone = h, version, true, true, false
 	n.refusals = 0
-	n.crash.listed(now, h, version == n.currentVersionLocked())
+	n.crash.listed(now, h, version == n.currentVersionLocked() && !h.MoreEnded)
 	n.confirmListed(h)
 	n.recordProgress(now, h.Running)
 }
--- a/hvnode/orders.go
+++ b/hvnode/orders.go
@@ -171,6 +171,8 @@
 		return failure("start", hv.Uncertain, "cannot list the runs after refusal (%v): %v", refusal, err)
 	case isListed(state, run):
 		return nil
+	case state.MoreEnded:
+		return failure("start", hv.Uncertain, "the list of ends after refusal (%v) is not complete", refusal)
 	}
 	return refusal
 }
@@ -261,7 +263,12 @@
 			hvtick.Sleep(ctx, callRetryInterval)
 			continue
 		}
-		if !isListed(state, run) {
+		listed := isListed(state, run)
+		if !listed && state.MoreEnded {
+			hvtick.Sleep(ctx, callRetryInterval)
+			continue
+		}
+		if !listed {
 			n.mu.Lock()
 			n.crash.neverStarted(run)
 			n.stopped = append(n.stopped, run)
--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -104,6 +104,11 @@
 		n.fillReport(&r)
 	case n.stateKnown && !n.fullReported:
 		r.Incarnation, r.Clock = n.executorState.Incarnation, n.executorState.ClockMS
+		if n.executorState.MoreEnded {
+			// The lists become full only once these ends are acknowledged.
+			r.Ended = n.executorState.Ended
+			n.reportedEnd = lastEnd(r.Ended, n.reportedEnd)
+		}
 	case n.stateKnown:
 		r.Incarnation, r.Clock = n.executorState.Incarnation, n.executorState.ClockMS
 		r.Running = n.unreportedRuns()
