Keep an empty list of interfering images in grants

Cause: a grant names the best-effort images that interfere with the services of a host. If none does, the list is empty, and the encoding left it out.

Change: only a missing list is left out (omitzero). The message is the same otherwise; a node of an older build reads it too.

Found by reading. TestGrantWithoutInterferingImagesIsKept failed before (the empty list arrives as nil).

--- a/hvorder/order.go
+++ b/hvorder/order.go
@@ -215,7 +215,7 @@
 	// Effects holds the best-effort images that interfere with the serving tasks on
 	// the host: by how many thousandths each processor in use raises the logarithm of
 	// the tail latency that it raises most. Other images do not interfere.
-	Effects map[string]int64 `json:"effects,omitempty"`
+	Effects map[string]int64 `json:"effects,omitzero"`
 	// LeaseEnd extends the lease and AckedEnd acknowledges ends, as in
 	// hibiscusvane.LeaseRenewal.
 	LeaseEnd int64 `json:"until,omitempty"`
