Give a late start of the model the lease of its order

Trace: a start to host-0 is delayed; host-1 is paused for 6 s, so that the run is lost with its lease and run 1002 starts there; then the delayed start arrives at host-0.

The model gave that start a lease of 4 s from its arrival. A start carries the lease end of its order, which has passed, and an executor refuses it as late; only the next incarnation, whose clock is another one, may take it for a later time.

--- a/hvcell/random_test.go
+++ b/hvcell/random_test.go
@@ -270,8 +270,13 @@
 	if !e.alive || o.Epoch < e.minEpoch {
 		return
 	}
-	// The call does not name the incarnation, so a later one may carry it out.
-	e.applyGrant(hvorder.Grant{LeaseEnd: e.clock() + 4000})
+	leaseEnd := o.LeaseEnd
+	if o.Incarnation != e.incarnationName() {
+		// The call does not name the incarnation, so a later one may carry it out, with a
+		// lease by the clock of the earlier one.
+		leaseEnd = e.clock() + 4000
+	}
+	e.applyGrant(hvorder.Grant{LeaseEnd: leaseEnd})
 	for _, s := range o.Starts {
 		e.begin(s)
 	}
