Keep the effects of best-effort work when a grant has none

Cause: a grant of an owner that is suspended, or the response to a report on an earlier connection, replaced what the node knew of the effects on its host by nothing. Until the next grant all work there counted as interfering and could be throttled to 0. Found in the review by reading.

Only grants with effects, on the present connection, replace them now.

--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -77,13 +77,16 @@
 			n.fullReported = false
 			hvtick.Wake(n.wakeReport)
 		}
+		if grant.Effects != nil {
+			// A suspended owner sends none; what is known is still true then.
+			n.effects = grant.Effects
+		}
 	}
 	if r.Epoch == n.epoch && r.Incarnation == n.executorState.Incarnation {
 		n.leaseEnd = max(n.leaseEnd, grant.LeaseEnd)
 		n.ackedEnd = max(n.ackedEnd, grant.AckedEnd)
 	}
 	n.lastOwnerContact = n.deps.Clock.Now()
-	n.effects = grant.Effects
 }
 
 // detach closes the connection of an owner; an owner that is alive attaches again.
--- a/hvnode/report_test.go
+++ b/hvnode/report_test.go
@@ -197,3 +197,19 @@
 		t.Fatalf("report %+v, want the lists with the stalled run", r)
 	}
 }
+
+// Guards against harmless work that is throttled as interfering because a grant of a
+// suspended owner, or one on an earlier connection, says nothing of effects.
+func TestEffectsOutlastGrantsWithoutThem(t *testing.T) {
+	n, _ := newClockedNode(t)
+	conn := &hvwire.Conn{}
+	if _, err := n.attach(t.Context(), conn, hvorder.Attach{Epoch: 3, Owner: "gate"}); err != nil {
+		t.Fatal(err)
+	}
+	n.handleGrant(conn, hvorder.Report{}, hvorder.Grant{Effects: map[string]int64{"loud": 300}})
+	n.handleGrant(conn, hvorder.Report{}, hvorder.Grant{})
+	n.handleGrant(&hvwire.Conn{}, hvorder.Report{}, hvorder.Grant{Effects: map[string]int64{"quiet": 300}})
+	if n.isHarmless("loud") || !n.isHarmless("quiet") {
+		t.Fatalf("effects are %v, want those of the last grant with some on the present connection", n.effects)
+	}
+}
