Measure the load of best-effort work every 5 s

The gauges of it were computed ten times a second, with the effects of each throttled host, while only the log line each 5 s and the scrape of the metrics read them. The load is now measured when it is logged. TestLoadOfBestEffortWorkIsMeasured guards the figures; two tests of starts share their steps.

--- a/hvcell/besteffort_load.go
+++ b/hvcell/besteffort_load.go
@@ -6,8 +6,9 @@
 	"github.com/go-kit/log/level"
 )
 
-// loadLogInterval is the interval between two log lines on the load of best-effort work.
-const loadLogInterval = 5 * time.Second
+// loadInterval is the interval at which the load of best-effort work is measured and
+// logged.
+const loadInterval = 5 * time.Second
 
 // BestEffortLoad describes the processors for best-effort tasks on all hosts, in
 // thousandths of a processor.
@@ -19,8 +20,11 @@
 	Throttled int64
 }
 
-// BestEffortLoad returns the current load of best-effort work.
-func (c *Cell) BestEffortLoad() BestEffortLoad {
+// BestEffortLoad returns the load of best-effort work when it was last measured.
+func (c *Cell) BestEffortLoad() BestEffortLoad { return c.load }
+
+// measureBestEffortLoad returns the current load of best-effort work.
+func (c *Cell) measureBestEffortLoad() BestEffortLoad {
 	var out BestEffortLoad
 	for _, h := range c.hosts {
 		out.Needed += h.bestEffortCPU
@@ -50,14 +54,14 @@
 	return sum
 }
 
-// logBestEffortLoad logs the load of best-effort work, and by when the rounds with such
-// work can be complete.
-func (c *Cell) logBestEffortLoad(now time.Time) {
-	if now.Sub(c.loadLogged) < loadLogInterval {
+// updateBestEffortLoad measures the load of best-effort work, and logs it with when the
+// rounds with such work can be complete.
+func (c *Cell) updateBestEffortLoad(now time.Time) {
+	if now.Sub(c.loadMeasured) < loadInterval {
 		return
 	}
-	c.loadLogged = now
-	l := c.BestEffortLoad()
+	c.load, c.loadMeasured = c.measureBestEffortLoad(), now
+	l := c.load
 	if l.Needed == 0 {
 		return
 	}
--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -93,8 +93,9 @@
 	// loggedColocation is what was logged at colocationLogged.
 	loggedColocation ColocationCounts
 	colocationLogged time.Time
-	// loadLogged is when the load of best-effort work was last logged.
-	loadLogged time.Time
+	// load is the load of best-effort work at loadMeasured.
+	load         BestEffortLoad
+	loadMeasured time.Time
 	// hostBuffer is reused by withUnusedCPU.
 	hostBuffer []*host
 	// effectsVersion counts the changes of the estimated effects.
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -421,7 +421,7 @@
 		c.migrateThrottled(now)
 	}
 	c.logColocation(now)
-	c.logBestEffortLoad(now)
+	c.updateBestEffortLoad(now)
 }
 
 // leasesExpired reports whether all runs on a host have ended for certain and no other
--- a/hvcell/interference_test.go
+++ b/hvcell/interference_test.go
@@ -211,3 +211,25 @@
 		w.exchange()
 	}
 }
+
+// Guards against throttled work that on-call engineers cannot see: what best-effort tasks
+// need, and what of it they get.
+func TestLoadOfBestEffortWorkIsMeasured(t *testing.T) {
+	w := newSimCluster(t, 1)
+	w.hosts["host-0"].capacityCPU = 16_000
+	w.attachAll()
+	_, overload := submitServing(w)
+	reportInterference(w, "host-0")
+	w.hosts["host-0"].shareOffset = -100
+	w.exchange()
+	w.submit(overload)
+	w.exchange()
+	w.advance(2 * time.Second)
+	w.exchange()
+	w.advance(loadInterval)
+	w.exchange()
+	l := w.cell.BestEffortLoad()
+	if l.Needed != 1000 || l.Granted != 0 || l.Throttled != 1 || l.Unused <= 0 {
+		t.Fatalf("load is %+v, want 1000 needed, none of it granted, on one throttled host", l)
+	}
+}
--- a/hvnode/node_test.go
+++ b/hvnode/node_test.go
@@ -116,12 +116,10 @@
 	}
 }
 
-// Guards against a start without a response that is repeated at the next incarnation of the
-// executor: the lease of the order ends at a time of the clock of the one before, so that
-// all runs of the new one would outlast what the owner counts, and their tasks run twice.
-func TestStartIsNotRepeatedAtNextIncarnation(t *testing.T) {
-	e := &fakeExecutor{errs: []error{errorOfKind(hv.Uncertain)}}
-	n := newNode(t, e)
+// startsAtNextIncarnation orders a start when the executor has restarted unnoticed, and
+// returns the number of calls.
+func startsAtNextIncarnation(t *testing.T, n *Node, e *fakeExecutor) int {
+	t.Helper()
 	e.state.Incarnation = "2"
 	if err := n.handleOrders(t.Context(), startOrder(3)); err != nil {
 		t.Fatal(err)
@@ -129,8 +127,16 @@
 	time.Sleep(5 * callRetryInterval)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if len(e.starts) != 1 {
-		t.Fatalf("%d start calls, want the one before the executor restarted", len(e.starts))
+	return len(e.starts)
+}
+
+// Guards against a start without a response that is repeated at the next incarnation of the
+// executor: the lease of the order ends at a time of the clock of the one before, so that
+// all runs of the new one would outlast what the owner counts, and their tasks run twice.
+func TestStartIsNotRepeatedAtNextIncarnation(t *testing.T) {
+	e := &fakeExecutor{errs: []error{errorOfKind(hv.Uncertain)}}
+	if calls := startsAtNextIncarnation(t, newNode(t, e), e); calls != 1 {
+		t.Fatalf("%d start calls, want the one before the executor restarted", calls)
 	}
 }
 
@@ -140,15 +146,8 @@
 	e := &fakeExecutor{}
 	n := newNode(t, e)
 	n.handleRenewError(errorOfKind(hv.Uncertain))
-	e.state.Incarnation = "2"
-	if err := n.handleOrders(t.Context(), startOrder(3)); err != nil {
-		t.Fatal(err)
-	}
-	time.Sleep(5 * callRetryInterval)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if len(e.starts) != 0 {
-		t.Fatalf("%d start calls at another incarnation than that of the order", len(e.starts))
+	if calls := startsAtNextIncarnation(t, n, e); calls != 0 {
+		t.Fatalf("%d start calls at another incarnation than that of the order", calls)
 	}
 }
 
