Confirm the executor's incarnation after the node stood still

Timeline: the start is ordered at 17.984 s for the incarnation of 11.917 s; side-5 is paused from 17.83 s to 24.08 s; its executor restarts meanwhile; the owner counts the leases as expired and starts the task elsewhere. When the side goes on it takes the order, as it knows of no other incarnation, and sends the start with a lease end of 11.07 s on the clock of the incarnation before. The same incarnation would refuse it as late; the clock of the next one has just begun. A renewal could carry such a lease, too.

What a node knows of the incarnation now holds for 1.2 s, as executors respond at least every 0.8 s; after that it asks before it sends a start or a lease. TestPausedNodeConfirmsIncarnation failed before (a lease of 9000 and one call). A restart within a pause of less than 1.2 s remains possible.

--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -70,7 +70,9 @@
 	// listed its runs again: end numbers of the previous incarnation must not
 	// acknowledge ends of a new one.
 	incarnationConfirmed bool
-	executorGone         bool
+	// confirmedAt is when the executor last listed its runs.
+	confirmedAt  time.Time
+	executorGone bool
 	// refusals counts the consecutive renewals that found no executor, of the executor
 	// that was announced last.
 	refusals int
@@ -344,12 +346,28 @@
 	}
 	now := n.deps.Clock.Now()
 	n.executorState, n.stateVersion, n.stateKnown, n.incarnationConfirmed, n.executorGone = h, version, true, true, false
+	n.confirmedAt = now
 	n.refusals = 0
 	n.crash.listed(now, h, version == n.currentVersionLocked() && !h.MoreEnded)
 	n.confirmListed(h)
 	n.recordProgress(now, h.Running)
 }
 
+// maxConfirmationAge is how long the executor counts as the incarnation that it was in its
+// last response. It responds to renewals at least every 0.8 s, so an older response means
+// that this process stood still; the executor may have restarted meanwhile.
+const maxConfirmationAge = 1200 * time.Millisecond
+
+// isConfirmed reports whether the executor is known to be the incarnation in
+// executorState. A lease by the clock of another one would last longer than the owner
+// counts. The lock is held.
+func (n *Node) isConfirmed() bool {
+	now := n.deps.Clock.Now()
+	// The time of day counts suspensions, which the steady clock may not.
+	age := max(now.Sub(n.confirmedAt), now.Round(0).Sub(n.confirmedAt.Round(0)))
+	return n.incarnationConfirmed && age <= maxConfirmationAge
+}
+
 // confirmListed ends the pending starts of runs that the executor lists. A start that is
 // repeated after the executor has restarted would run the task again. The lock is held.
 func (n *Node) confirmListed(h hv.ExecutorState) {
--- a/hvnode/node_test.go
+++ b/hvnode/node_test.go
@@ -151,6 +151,27 @@
 	}
 }
 
+// Guards against a node that stood still while its executor restarted, and that goes on
+// with an order and a lease by the clock of the incarnation before.
+func TestPausedNodeConfirmsIncarnation(t *testing.T) {
+	e := &fakeExecutor{}
+	n := newNode(t, e)
+	clock := &manualClock{now: time.Now()}
+	n.deps.Clock = clock
+	n.leaseEnd = 9000
+	clock.advance(500 * time.Millisecond)
+	if renewal, _, _ := n.nextRenewal(); renewal.LeaseEnd != 9000 {
+		t.Fatalf("renewal is %+v after 0.5 s, want the lease", renewal)
+	}
+	clock.advance(2 * time.Second)
+	if renewal, _, _ := n.nextRenewal(); renewal.LeaseEnd != 0 {
+		t.Errorf("renewal is %+v after a pause, want no lease before the executor has responded", renewal)
+	}
+	if calls := startsAtNextIncarnation(t, n, e); calls != 0 {
+		t.Errorf("%d start calls at another incarnation than that of the order", calls)
+	}
+}
+
 // Guards against a job that callers see as queued while a task of it runs, or as running
 // although its start was refused.
 func TestBegunJobsAreReported(t *testing.T) {
--- a/hvnode/orders.go
+++ b/hvnode/orders.go
@@ -119,7 +119,7 @@
 	// uncertain is true once a call got no response: it may still be carried out.
 	uncertain := false
 	for attempt := 1; ctx.Err() == nil; attempt++ {
-		if (attempt > 1 || !n.isConfirmed()) && !n.confirmIncarnation(ctx, run, s.Epoch, incarnation) {
+		if (attempt > 1 || !n.knowsIncarnation()) && !n.confirmIncarnation(ctx, run, s.Epoch, incarnation) {
 			return
 		}
 		if !n.beginStartCall(run, s.Epoch) {
@@ -157,11 +157,11 @@
 	}
 }
 
-// isConfirmed reports whether the last call to the executor succeeded.
-func (n *Node) isConfirmed() bool {
+// knowsIncarnation is isConfirmed without the lock held.
+func (n *Node) knowsIncarnation() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.incarnationConfirmed
+	return n.isConfirmed()
 }
 
 // confirmIncarnation waits until the executor lists its runs and reports whether it is
--- a/hvnode/renew.go
+++ b/hvnode/renew.go
@@ -83,7 +83,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	renewal, version := hv.LeaseRenewal{Epoch: n.epoch, WaitMS: renewWaitMS}, n.currentVersionLocked()
-	if !n.incarnationConfirmed {
+	if !n.isConfirmed() {
 		renewal.WaitMS = 0
 		return renewal, version, n.epoch > 0
 	}
