Wait for all renewals before the heartbeats of hvslope are measured

The fixture waited until the gate owned all shards and granted key slots, and an owned shard does not renew before it is confirmed, so on a busy machine the first measured heartbeat came too early.

--- a/hvslope/fit_test.go
+++ b/hvslope/fit_test.go
@@ -34,10 +34,7 @@
 	t.Parallel()
 	g := newGate(newFleet(11))
 	defer g.close()
-	want := map[int]bool{}
-	for _, a := range g.attempts(0) {
-		want[a.Shard] = true
-	}
+	want := g.shardsOf(0)
 	for sequence := range uint64(3) {
 		ack := g.sendHeartbeat(t.Context(), 0, 2+sequence)
 		if len(ack.Renewals) != len(want) || !ack.AttemptsStored || ack.Grant == nil || len(ack.Grant.Slots) == 0 {
--- a/hvslope/gate.go
+++ b/hvslope/gate.go
@@ -58,12 +58,24 @@
 	for i := range f.hosts {
 		g.announce(i)
 	}
-	// The keys stream has no owner, so Owned does not cover it: wait until the
-	// gate grants key slots.
-	waitFor(func() bool { return g.sendHeartbeat(ctx, 0, 1).Grant != nil })
+	// The keys stream has no owner, so Owned does not cover it, and an owned shard renews
+	// only once it is confirmed: wait until the gate grants key slots and renews all.
+	waitFor(func() bool {
+		ack := g.sendHeartbeat(ctx, 0, 1)
+		return ack.Grant != nil && len(ack.Renewals) == len(g.shardsOf(0))
+	})
 	return g
 }
 
+// shardsOf returns the shards with attempts on a host.
+func (g *gate) shardsOf(host int) map[int]bool {
+	out := map[int]bool{}
+	for _, a := range g.attempts(host) {
+		out[a.Shard] = true
+	}
+	return out
+}
+
 func waitFor(condition func() bool) {
 	for deadline := time.Now().Add(loadTimeout); !condition(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(deadline) {
