Stop interfering work when a service stays over its target

Cause: the share follows from the effect that the work has with all processors that it needs. Where it needs far more than it gets, lowering the share by that much changes nothing, and the controller waits for a second before it lowers it again.

Interfering work is now stopped once a service has been over its target for 1.8 s, whatever the effects say; it goes on as before when the tail has fallen. TestInterferingWorkStopsIfTailStays failed before (a share of 96 after 2.5 s).

--- a/hvnode/share.go
+++ b/hvnode/share.go
@@ -34,6 +34,9 @@
 	// until all other work is throttled. A tail latency covers the time before its
 	// measurement and falls for about a second.
 	harmlessDelay = 1500 * time.Millisecond
+	// maxOverTarget is how long a service may be over its target until interfering work is
+	// stopped, even if the effects call for less: 4 s harm its users.
+	maxOverTarget = 1800 * time.Millisecond
 	// defaultLogEffect is used for best-effort work whose effect is not known yet:
 	// the logarithm by which it raises the tail latency at the full share.
 	defaultLogEffect = 0.5
@@ -74,6 +77,12 @@
 	return next
 }
 
+// stop lowers the share to 0.
+func (c *shareController) stop(now time.Time) int {
+	c.reduction, c.loweredAt = fullShare, now
+	return 0
+}
+
 // shareForGoal returns the share at which the ratio is expected to be at its goal. The
 // effect is proportional to the share, so the difference follows from that between the
 // logarithms of the ratio and of the goal.
@@ -195,11 +204,15 @@
 // and of harmless best-effort work. The lock is held.
 func (n *Node) decideShares(m measurement) (interfering, harmless int) {
 	if !m.hasServing {
-		n.interferingShare, n.harmlessShare, n.overSince = shareController{}, shareController{}, time.Time{}
+		n.interferingShare, n.harmlessShare = shareController{}, shareController{}
+		n.overTargetSince, n.overSince = time.Time{}, time.Time{}
 		return fullShare, fullShare
 	}
 	now := n.deps.Clock.Now()
 	interfering = n.interferingShare.update(now, m.worstRatio, m.fullEffect)
+	if n.overTargetFor(now, m.worstRatio) >= maxOverTarget {
+		interfering = n.interferingShare.stop(now)
+	}
 	stopped := n.harmlessShare.reduction == fullShare
 	harmless = fullShare - n.harmlessShare.reduction
 	if n.staysOver(now, m, interfering) || m.worstRatio < goalRatio && harmless < fullShare {
@@ -211,6 +224,18 @@
 	return interfering, harmless
 }
 
+// overTargetFor returns for how long a service has been over its target. The lock is held.
+func (n *Node) overTargetFor(now time.Time, worstRatio float64) time.Duration {
+	if worstRatio < 1 {
+		n.overTargetSince = time.Time{}
+		return 0
+	}
+	if n.overTargetSince.IsZero() {
+		n.overTargetSince = now
+	}
+	return now.Sub(n.overTargetSince)
+}
+
 // staysOver reports whether a service has been over its target for harmlessDelay after
 // the interfering work was stopped, or without any, so that other work slows it. The lock
 // is held.
--- a/hvnode/share_test.go
+++ b/hvnode/share_test.go
@@ -170,6 +170,29 @@
 	}
 }
 
+// Guards against a service that stays over its target while the share of interfering work
+// is lowered little by little, as when the work needs far more processors than it gets: it
+// is stopped within 2.5 s, as 4 s over the target harm users and a tail takes a second to
+// fall.
+func TestInterferingWorkStopsIfTailStays(t *testing.T) {
+	n, clock := serviceNode(t)
+	loud := hvorder.Run{Task: "loud", Run: 1}
+	n.profiles[loud] = hvorder.Profile{Run: loud, BestEffort: true, Image: "loud", CPU: 40_000}
+	interfering := fullShare
+	for range int(2500 * time.Millisecond / measureInterval) {
+		interfering, _ = n.sharesAfter(clock, 11, 4000, 0)
+	}
+	if interfering != 0 {
+		t.Fatalf("share of interfering work is %d after 2.5 s over the target, want 0", interfering)
+	}
+	for range 6 {
+		interfering, _ = n.sharesAfter(clock, 3, 4000, 0)
+	}
+	if interfering == 0 {
+		t.Fatal("the work is still stopped after the tail latency has fallen")
+	}
+}
+
 // Guards against a service that stays over its target because work that was taken for
 // harmless slows it: all work is stopped within 3 s, as a tail latency over the target for
 // 4 s harms the service's users and takes a second to fall.
