Count what a response tells of the incarnation from its request

What a response tells now counts from the time of its request, for 1.8 s: renewals follow each other and take up to 0.8 s each. The call that confirms the incarnation before a start is repeated if it took longer. TestResponseFromBeforePauseConfirmsNothing failed before (a lease of 9000).

--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -70,7 +70,8 @@
 	// listed its runs again: end numbers of the previous incarnation must not
 	// acknowledge ends of a new one.
 	incarnationConfirmed bool
-	// confirmedAt is when the executor last listed its runs.
+	// confirmedAt is when the last state was requested. Its response may have waited in the
+	// connection while this process stood still.
 	confirmedAt  time.Time
 	executorGone bool
 	// refusals counts the consecutive renewals that found no executor, of the executor
@@ -271,6 +272,15 @@
 	// startCalls is the number of start calls before the request, or -1 if one of
 	// them had no response yet.
 	startCalls int64
+	// requestedAt is the time of the request.
+	requestedAt time.Time
+}
+
+// isCurrent reports whether nothing that changes the executor's state was called since the
+// request. The lock is held.
+func (n *Node) isCurrent(v stateVersion) bool {
+	c := n.currentVersionLocked()
+	return v.epoch == c.epoch && v.startCalls == c.startCalls
 }
 
 func (n *Node) currentVersion() stateVersion {
@@ -280,17 +290,18 @@
 }
 
 func (n *Node) currentVersionLocked() stateVersion {
+	v := stateVersion{epoch: n.epoch, startCalls: n.startCalls, requestedAt: n.deps.Clock.Now()}
 	if n.startsInFlight > 0 {
-		return stateVersion{n.epoch, -1}
+		v.startCalls = -1
 	}
-	return stateVersion{n.epoch, n.startCalls}
+	return v
 }
 
 // hasFullState reports whether executorState lists every run that may be on the
 // host: it was requested in the epoch of the owner, no start was called since, and no end
 // is left out, whose run would be neither running nor ended. The lock is held.
 func (n *Node) hasFullState() bool {
-	return n.stateKnown && !n.executorState.MoreEnded && n.startsInFlight == 0 && n.stateVersion == n.currentVersionLocked()
+	return n.stateKnown && !n.executorState.MoreEnded && n.startsInFlight == 0 && n.isCurrent(n.stateVersion)
 }
 
 // fullReport returns a report on attachment, which lists everything on the host if
@@ -346,26 +357,31 @@
 	}
 	now := n.deps.Clock.Now()
 	n.executorState, n.stateVersion, n.stateKnown, n.incarnationConfirmed, n.executorGone = h, version, true, true, false
-	n.confirmedAt = now
+	n.confirmedAt = version.requestedAt
 	n.refusals = 0
-	n.crash.listed(now, h, version == n.currentVersionLocked() && !h.MoreEnded)
+	n.crash.listed(now, h, n.isCurrent(version) && !h.MoreEnded)
 	n.confirmListed(h)
 	n.recordProgress(now, h.Running)
 }
 
-// maxConfirmationAge is how long the executor counts as the incarnation that it was in its
-// last response. It responds to renewals at least every 0.8 s, so an older response means
-// that this process stood still; the executor may have restarted meanwhile.
-const maxConfirmationAge = 1200 * time.Millisecond
+// maxConfirmationAge is how long after a request the executor counts as the incarnation that
+// it was in its response. Renewals follow each other and take up to 0.8 s each, so an older
+// request means that this process stood still; the executor may have restarted meanwhile.
+const maxConfirmationAge = 1800 * time.Millisecond
 
 // isConfirmed reports whether the executor is known to be the incarnation in
 // executorState. A lease by the clock of another one would last longer than the owner
 // counts. The lock is held.
 func (n *Node) isConfirmed() bool {
+	return n.incarnationConfirmed && n.isRecent(n.confirmedAt)
+}
+
+// isRecent reports whether the response to a request that was sent at a time still tells
+// the executor's incarnation.
+func (n *Node) isRecent(sentAt time.Time) bool {
 	now := n.deps.Clock.Now()
 	// The time of day counts suspensions, which the steady clock may not.
-	age := max(now.Sub(n.confirmedAt), now.Round(0).Sub(n.confirmedAt.Round(0)))
-	return n.incarnationConfirmed && age <= maxConfirmationAge
+	return max(now.Sub(sentAt), now.Round(0).Sub(sentAt.Round(0))) <= maxConfirmationAge
 }
 
 // confirmListed ends the pending starts of runs that the executor lists. A start that is
--- a/hvnode/node_test.go
+++ b/hvnode/node_test.go
@@ -172,6 +172,19 @@
 	}
 }
 
+// Guards against a response that waited in the connection while the node stood still, and
+// that is taken for a sign of the executor's present incarnation.
+func TestResponseFromBeforePauseConfirmsNothing(t *testing.T) {
+	n, clock := newClockedNode(t)
+	n.leaseEnd = 9000
+	version := n.currentVersion()
+	clock.advance(5 * time.Second)
+	n.applyState(n.executorState, version)
+	if renewal, _, _ := n.nextRenewal(); renewal.LeaseEnd != 0 {
+		t.Fatalf("renewal is %+v after a response to a request from before the pause, want no lease", renewal)
+	}
+}
+
 // Guards against a job that callers see as queued while a task of it runs, or as running
 // although its start was refused.
 func TestBegunJobsAreReported(t *testing.T) {
--- a/hvnode/orders.go
+++ b/hvnode/orders.go
@@ -169,8 +169,9 @@
 // longer wanted.
 func (n *Node) confirmIncarnation(ctx context.Context, run hvorder.Run, epoch int64, incarnation string) bool {
 	for ctx.Err() == nil && n.isStartWanted(run, epoch) {
+		sentAt := n.deps.Clock.Now()
 		state, err := n.deps.Executor.RenewLeases(ctx, hv.LeaseRenewal{Epoch: epoch})
-		if err == nil {
+		if err == nil && n.isRecent(sentAt) {
 			return state.Incarnation == incarnation
 		}
 		hvtick.Sleep(ctx, callRetryInterval)
