Derive when the incarnation was confirmed, and share the set-up of two tests

A node kept the time of the request of its last state twice, beside and in the version of that state; the version alone now holds it. Two tests of starved steps share their set-up. Behaviour and checks are the same; hvnode and the tests of interference in hvcell pass.

--- a/hvcell/interference_test.go
+++ b/hvcell/interference_test.go
@@ -184,10 +184,10 @@
 	}
 }
 
-// Guards against a step with idle tasks for most of the time while other best-effort work
-// takes all processors: once it has waited without a run, one of its tasks runs at all
-// times.
-func TestStarvedStepKeepsARun(t *testing.T) {
+// newStarvedCluster returns a cluster of one host that pauses interfering work, and a job of
+// such work that has waited for 2 s.
+func newStarvedCluster(t *testing.T) (*simCluster, hvjob.Job) {
+	t.Helper()
 	w := newSimCluster(t, 1)
 	w.hosts["host-0"].capacityCPU = 16_000
 	w.attachAll()
@@ -198,6 +198,14 @@
 	w.submit(overload)
 	w.exchange()
 	w.advance(2 * time.Second)
+	return w, overload
+}
+
+// Guards against a step with idle tasks for most of the time while other best-effort work
+// takes all processors: once it has waited without a run, one of its tasks runs at all
+// times.
+func TestStarvedStepKeepsARun(t *testing.T) {
+	w, overload := newStarvedCluster(t)
 	for i := range overload.Steps[0].Count {
 		w.exchange()
 		if !w.hosts["host-0"].runsImage("best-effort") {
@@ -215,16 +223,7 @@
 // Guards against throttled work that on-call engineers cannot see: what best-effort tasks
 // need, and what of it they get.
 func TestLoadOfBestEffortWorkIsMeasured(t *testing.T) {
-	w := newSimCluster(t, 1)
-	w.hosts["host-0"].capacityCPU = 16_000
-	w.attachAll()
-	_, overload := submitServing(w)
-	reportInterference(w, "host-0")
-	w.hosts["host-0"].shareOffset = -100
-	w.exchange()
-	w.submit(overload)
-	w.exchange()
-	w.advance(2 * time.Second)
+	w, _ := newStarvedCluster(t)
 	w.exchange()
 	w.advance(loadInterval)
 	w.exchange()
--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -70,10 +70,7 @@
 	// listed its runs again: end numbers of the previous incarnation must not
 	// acknowledge ends of a new one.
 	incarnationConfirmed bool
-	// confirmedAt is when the last state was requested. Its response may have waited in the
-	// connection while this process stood still.
-	confirmedAt  time.Time
-	executorGone bool
+	executorGone         bool
 	// refusals counts the consecutive renewals that found no executor, of the executor
 	// that was announced last.
 	refusals int
@@ -357,7 +354,6 @@
 	}
 	now := n.deps.Clock.Now()
 	n.executorState, n.stateVersion, n.stateKnown, n.incarnationConfirmed, n.executorGone = h, version, true, true, false
-	n.confirmedAt = version.requestedAt
 	n.refusals = 0
 	n.crash.listed(now, h, n.isCurrent(version) && !h.MoreEnded)
 	n.confirmListed(h)
@@ -371,9 +367,10 @@
 
 // isConfirmed reports whether the executor is known to be the incarnation in
 // executorState. A lease by the clock of another one would last longer than the owner
-// counts. The lock is held.
+// counts. Its age counts from the request, as the response may have waited in the connection
+// while this process stood still. The lock is held.
 func (n *Node) isConfirmed() bool {
-	return n.incarnationConfirmed && n.isRecent(n.confirmedAt)
+	return n.incarnationConfirmed && n.isRecent(n.stateVersion.requestedAt)
 }
 
 // isRecent reports whether the response to a request that was sent at a time still tells
