Wait for balanced key slots before requests that must be served

Cause: the test. When a side has been replaced, half of the key slots move to the new one once the set of sides has been unchanged for 2 s. From the handover until the grant of the new owner, about 1 s, the slots are refused as not-run with a retry time of 1 s, as docs/design.md says. The script waited for a load of 100 requests at intervals of 20 ms, which takes 2.0 s, so the request came when the handover began.

Of 80 new keys sent one after the other from 1.6 s after the replacement on, the first 20 were served; from the log line "handing over key slots to successor ... slots=128" until the last key, 0.8 s later, 22 were refused: 18 with this error, all with key slots of the upper half, and 4 as the table of the gate showed no owner. Ruled out: a side or a gate without a grant, as only slots of the half that moves were refused.

Change: the command balanced waits until each side serves an equal part of the slots. No slot moves then, and a single request has to be served, as before; no expectation is changed.

--- a/hvprocess/fleet_test.go
+++ b/hvprocess/fleet_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"hibiscusvane.example/hibiscusvane/hvkey"
 )
 
 // Tokens in the settings of the fleet.
@@ -183,6 +185,35 @@
 	ts.Logf("settings version %s in effect at %d daemons after %s", args[0], len(daemons), timeout-time.Until(deadline))
 }
 
+// cmdBalanced waits until each side of the fleet serves an equal part of the key
+// slots, so that no slot is about to move: balanced DURATION.
+func cmdBalanced(ts *testscript.TestScript, _ bool, args []string) {
+	timeout, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	hosts, err := strconv.Atoi(ts.Getenv("HOSTS"))
+	ts.Check(err)
+	want := fmt.Sprintf("\nhv_key_slots %d\n", hvkey.SlotCount/hosts)
+	start := time.Now()
+	for !allSidesShow(ts, hosts, want) {
+		if time.Since(start) > timeout {
+			ts.Fatalf("the %d sides do not serve %d key slots each within %s", hosts, hvkey.SlotCount/hosts, timeout)
+		}
+		time.Sleep(pollInterval)
+	}
+	ts.Logf("key slots balanced after %s", time.Since(start).Round(time.Millisecond))
+}
+
+// allSidesShow reports whether the metrics of all sides contain a text.
+func allSidesShow(ts *testscript.TestScript, hosts int, text string) bool {
+	for i := 1; i <= hosts; i++ {
+		out, err := sendRequest(ts, []string{"GET", "http://" + ts.Getenv(fmt.Sprint("SIDE", i)) + "/metrics"})
+		if err != nil || !strings.Contains(out, text) {
+			return false
+		}
+	}
+	return true
+}
+
 func writeJSON(ts *testscript.TestScript, name string, v any) {
 	b, err := json.Marshal(v)
 	ts.Check(err)
--- a/hvprocess/process_test.go
+++ b/hvprocess/process_test.go
@@ -50,6 +50,7 @@
 			"expand":      cmdExpand,
 			"fleet":       cmdFleet,
 			"inforce":     cmdInForce,
+			"balanced":    cmdBalanced,
 			"publish":     cmdPublish,
 			"publication": cmdPublication,
 			"spawn":       cmdSpawn,
