Watch the process of the present owner, not of the one before

What callers see (found by reading, not reported): after a change of the owner in which the gate before stays alive (it stood still, was cut off or released the cell), no other gate notices when the process of the new owner ends. The cell is claimed after 1.0 s or more without a record in place of at once, and the authority of the ended owner counts in full, so that inherited tasks wait for up to 6 s longer for a host that does not respond.

Cause: a gate that watches the process of an owner waited only for the end of that connection. Nothing told it that another gate had claimed the cell, so it watched the first owner for as long as that process lived.

Ruled out: what a look concludes is about the claim that it began with, so a claim that changes during a look does not count another process as ended.

Change: the wait ends once the claim is no longer the present one, checked every 0.2 s.

Test: TestProcessOfPresentOwnerIsWatched failed before ("the end of the second owner's process was not noticed while the first one's is alive" after 3 s) and passes 5 of 5 with -race. hventry passes.

--- a/hventry/peers.go
+++ b/hventry/peers.go
@@ -129,16 +129,16 @@
 func (p *peers) watchOwners(ctx context.Context, claim func() hvledger.Claim) {
 	for ctx.Err() == nil {
 		if c := claim(); c.Epoch > 0 && c.Name != p.self {
-			p.watchOwner(ctx, c)
+			p.watchOwner(ctx, c, func() bool { return claim() == c })
 		}
 		hvtick.Sleep(ctx, watchInterval)
 	}
 }
 
 // watchOwner checks the process at the owner's address. If it is the owner's, it
-// returns when the connection ends; if it is another process, or none listens, it
-// records the end of the owner's process.
-func (p *peers) watchOwner(ctx context.Context, c hvledger.Claim) {
+// returns when the connection ends or the claim is no longer the present one; if it is
+// another process, or none listens, it records the end of the owner's process.
+func (p *peers) watchOwner(ctx context.Context, c hvledger.Claim, isPresent func() bool) {
 	info, err := hvwire.CallPeer[processInfo](ctx, p.pool, c.Addr, methodProcess, peerCallTimeout, struct{}{})
 	switch {
 	case err == nil && info.ID == c.Process:
@@ -146,9 +146,10 @@
 		if err != nil {
 			return
 		}
-		select {
-		case <-ctx.Done():
-		case <-conn.Done():
+		for ctx.Err() == nil && isPresent() {
+			if hvtick.Wait(ctx, conn.Done(), watchInterval) {
+				return
+			}
 		}
 	case err == nil || errors.Is(err, syscall.ECONNREFUSED):
 		p.mu.Lock()
