Count how long the store is slow from the last slow period

What callers see (found by reading, not reported): a submission that a gate refuses after its first slow call for a while gets a Retry-After of up to 8 s in place of 1 s.

Cause: the begin of a slow period was forgotten only by a call that ended while the store was fast. A gate without calls in between (one that does not own the cell sends a put only when a job is submitted) took the first slow call a minute later for the same period, and expected the outage to last for half a minute more.

Ruled out: looking at the estimate when a call ends: at an outage the calls of a gate follow each other by more than the 2 s for which a sample counts, and the period would begin anew with each.

Change: the begin is also forgotten if the store was not slow when the call began.

Test: TestSlowTimeCountsFromLastSlowPeriod failed before ("slow for 1m0.4s after one slow call in a minute, want 400ms"). hvshed and hventry pass.

--- a/hvshed/calls.go
+++ b/hvshed/calls.go
@@ -60,6 +60,9 @@
 	if i := slices.IndexFunc(c.started, began.Equal); i >= 0 {
 		c.started = slices.Delete(c.started, i, i+1)
 	}
+	if c.slowResponse(began) == 0 {
+		c.slowSince = time.Time{}
+	}
 	took := now.Sub(began)
 	if responded || took >= SlowResponse {
 		c.addSample(sample{at: now, took: min(took, MaxResponse)})
--- a/hvshed/hvshed_test.go
+++ b/hvshed/hvshed_test.go
@@ -46,6 +46,26 @@
 	expect("old samples", hvshed.DefaultResponse)
 }
 
+// Guards against callers that are sent away for the longest time although the store has
+// only just become slow, as the time counts from an earlier slow period after which no
+// call was made.
+func TestSlowTimeCountsFromLastSlowPeriod(t *testing.T) {
+	var c hvshed.Calls
+	slow := func(from, to int) {
+		c.Begin(at(from))
+		c.End(at(from), at(to), true)
+	}
+	slow(0, 400)
+	slow(2300, 2700)
+	if got, want := c.SlowFor(at(2700)), 2700*time.Millisecond; got != want {
+		t.Errorf("slow for %v after two slow calls, want %v", got, want)
+	}
+	slow(60000, 60400)
+	if got, want := c.SlowFor(at(60400)), 400*time.Millisecond; got != want {
+		t.Errorf("slow for %v after one slow call in a minute, want %v", got, want)
+	}
+}
+
 // Guards against a slow store that counts as away, and one away that does not.
 func TestDownNeedsSilence(t *testing.T) {
 	var c hvshed.Calls
