Forget crashes and rates that an owner noted with a clock ahead

A crash that the owner before noted with a clock 5 s ahead makes its rack one that is losing its hosts for 5 s and more: the rate of crashes for other reasons there is 2.0 per second in place of 0.006, which explains each further crash, and tasks under suspicion avoid the rack. The share of jobs of a queue that crash hosts did not decay until the clock of the new owner had caught up.

Cause: the times in the learned state are those of the clock of the owner before, or of this one before it was set back. A crash in the future counted as one of this moment, and a rate from the future as one of now.

Change: a crash counts if its time is at most 30 s away in either direction, and for its rack only if it is not in the future; a rate decays with the distance of its time. A crash whose time is in the future by the difference of the clocks still counts for its host.

--- a/hvcrash/history.go
+++ b/hvcrash/history.go
@@ -37,10 +37,17 @@
 	Unexplained float64 `json:"unexplained"`
 }
 
-func (k HostCrash) age(now time.Time) time.Duration {
-	return time.Duration(now.UnixMilli()-k.At) * time.Millisecond
+func (k HostCrash) age(now time.Time) time.Duration { return sinceUnixMillis(now, k.At) }
+
+// sinceUnixMillis returns the time since a Unix time in milliseconds. It is negative if the
+// time was taken with a clock that is ahead, such as that of an earlier owner.
+func sinceUnixMillis(now time.Time, at int64) time.Duration {
+	return time.Duration(now.UnixMilli()-at) * time.Millisecond
 }
 
+// isRecent reports whether the crash counts for the background rate.
+func (k HostCrash) isRecent(now time.Time) bool { return k.age(now).Abs() <= historyWindow }
+
 // History holds the recent crashes of hosts. The zero value is empty.
 type History struct {
 	crashes []HostCrash
@@ -50,7 +57,7 @@
 // Add records a crash, with the probability that no task caused it, and returns its
 // identifier.
 func (h *History) Add(now time.Time, host, rack string, unexplained float64) int {
-	h.crashes = slices.DeleteFunc(h.crashes, func(k HostCrash) bool { return k.age(now) > historyWindow })
+	h.crashes = slices.DeleteFunc(h.crashes, func(k HostCrash) bool { return !k.isRecent(now) })
 	if len(h.crashes) >= maxCrashes {
 		h.crashes = h.crashes[1:]
 	}
@@ -69,7 +76,7 @@
 func (h *History) Background(now time.Time, host, rack string, hosts int) float64 {
 	rate := minBackground
 	for _, k := range h.crashes {
-		if k.age(now) > historyWindow {
+		if !k.isRecent(now) {
 			continue
 		}
 		rate += k.Unexplained / (fleetPrior + time.Duration(hosts)*historyWindow).Seconds()
@@ -85,7 +92,8 @@
 
 // isNear reports whether a crash may have a cause that reaches a rack.
 func (k HostCrash) isNear(now time.Time, rack string) bool {
-	return k.Rack == rack && rack != "" && k.age(now) <= rackWindow
+	age := k.age(now)
+	return k.Rack == rack && rack != "" && age >= 0 && age <= rackWindow
 }
 
 // RackUnsteady reports whether a host of a rack crashed so recently that the others may
--- a/hvcrash/rates.go
+++ b/hvcrash/rates.go
@@ -83,8 +83,8 @@
 }
 
 func (q QueueRate) decayed(now time.Time) QueueRate {
-	age := time.Duration(now.UnixMilli()-q.At) * time.Millisecond
-	weight := math.Exp(-max(age, 0).Seconds() / rateMemory.Seconds())
+	age := sinceUnixMillis(now, q.At).Abs()
+	weight := math.Exp(-age.Seconds() / rateMemory.Seconds())
 	return QueueRate{Jobs: q.Jobs * weight, Crashing: q.Crashing * weight, At: now.UnixMilli()}
 }
 
