Forget the queue of the owner before when the owner changes

What callers see (found by reading, not reported): for up to 2 s after a change of the owner, gates refuse submissions with a Retry-After because the queue of the owner before was long, although that of the new owner is empty.

Cause: the report of an owner on its queue counts for 2 s, whichever owner sent it.

Ruled out: forgetting the report as a whole. The response time in it is that of the store, which does not change with the owner; without it a gate would append records itself beside those of a slow owner.

Change: a change of the claim clears the records and bytes of the last report.

Test: TestQueueOfEarlierOwnerDoesNotCount failed before (refused, queue-full). hventry passes.

--- a/hventry/admission.go
+++ b/hventry/admission.go
@@ -106,6 +106,14 @@
 	return a.appends.Response(a.clock.Now())
 }
 
+// ownerChanged forgets the queue of the owner before. The response time that it reported is
+// that of the store.
+func (a *admission) ownerChanged() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ownerLoad.Records, a.ownerLoad.Bytes = 0, 0
+}
+
 // ownLoad returns the load of the appends of this process, with the given queue.
 func (a *admission) ownLoad(records, bytes int) hvshed.Load {
 	a.mu.Lock()
--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -248,6 +248,7 @@
 func (g *Gate) ClaimChanged(c hvledger.Claim) {
 	_ = level.Info(g.options.Logger).Log("msg", "owner of the cell changed", "owner", c.Name, "epoch", c.Epoch, "released", c.Released)
 	g.options.Metrics.Set("hv_owner_epoch", c.Epoch)
+	g.admission.ownerChanged()
 	if o := g.currentOwner(); o != nil && c.Process != g.options.Process {
 		o.ClaimChanged(c)
 	}
