Ignore results of requests from before an ejection that arrive after it

What callers see (found by reading, not reported; the path of the demo): an upstream that stood still for a moment with requests in flight gets no requests for long after it has recovered. Each of the requests that time out later ejects it again, and each ejection lasts twice as long as the one before, up to 30 s; their times count as its latency.

Cause: results of requests that were sent before an ejection were ignored only until the ejection ended. Those that arrived later counted as results of probes, or of requests after the readmission.

Ruled out: ejecting by the number of results since the readmission, as eight slots of old requests are more than any threshold that reacts within a second.

Change: a result whose request was sent before the last ejection ended, and that arrives after it, is ignored.

Test: TestRequestsFromBeforeEjectionDoNotCount failed before in both variants (0 of 1000 requests in the second after the old ones timed out). hvroute and hvdispatch pass.

--- a/hvroute/eject.go
+++ b/hvroute/eject.go
@@ -43,6 +43,8 @@
 	ejectedUntil time.Time
 	duration     time.Duration
 	probesPassed int
+	// probedFrom is when the last ejection ended, and probing began.
+	probedFrom time.Time
 	// probeOutstanding is true while a probe that was sent at probeSent has no
 	// result.
 	probeOutstanding bool
@@ -72,6 +74,13 @@
 func (h *host) eject(now time.Time) {
 	h.duration = min(max(2*h.duration, minEjection), maxEjection)
 	h.ejectedUntil, h.probesPassed, h.probeOutstanding = now.Add(h.duration), 0, false
+	h.probedFrom = h.ejectedUntil
+}
+
+// precedesProbes reports whether a result is one of a request that was sent before the last
+// ejection ended, although it arrives later: it says nothing about the host since then.
+func (h *host) precedesProbes(now time.Time, took time.Duration) bool {
+	return !now.Before(h.probedFrom) && now.Add(-took).Before(h.probedFrom)
 }
 
 func (h *host) recordProbe(now time.Time, ok bool) {
@@ -84,7 +93,7 @@
 		return
 	}
 	if h.probesPassed++; h.probesPassed >= requiredProbes {
-		h.ejection = ejection{updated: now}
+		h.ejection = ejection{updated: now, probedFrom: h.probedFrom}
 		h.failureRate = 0
 	}
 }
--- a/hvroute/router_test.go
+++ b/hvroute/router_test.go
@@ -206,3 +206,33 @@
 	fmt.Println(targets[r.Pick("labels", targets)].Host)
 	// Output: b
 }
+
+// Guards against an upstream that stood still for a moment and is ejected again and again,
+// as the requests from before its ejection time out after the first probes.
+func TestRequestsFromBeforeEjectionDoNotCount(t *testing.T) {
+	const timeout, outstanding = 5 * time.Second, 8
+	for name, probed := range map[string]bool{"before the probes": false, "after the probes": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 11, newRouter)
+			sent := f.clock.now
+			for range 3 {
+				f.picker.Observe("labels", "h0", time.Millisecond, hv.Failed)
+			}
+			f.run(900 * time.Millisecond)
+			if f.counts["h0"] > 0 {
+				t.Fatalf("the upstream got %d requests, want it to be ejected", f.counts["h0"])
+			}
+			if probed {
+				f.run(timeout - time.Second)
+			}
+			f.clock.now = sent.Add(timeout)
+			for range outstanding {
+				f.picker.Observe("labels", "h0", timeout, hv.TimedOut)
+			}
+			f.run(time.Second)
+			if f.counts["h0"] < 20 {
+				t.Errorf("the upstream got %d of 1000 requests after the old ones timed out, want at least 20", f.counts["h0"])
+			}
+		})
+	}
+}
--- a/hvroute/score.go
+++ b/hvroute/score.go
@@ -116,6 +116,9 @@
 
 func (p *pool) observe(h *host, now time.Time, took time.Duration, result hv.DispatchResult) {
 	h.lastSeen = now
+	if h.precedesProbes(now, took) {
+		return
+	}
 	if result == hv.Refused {
 		h.lastRefused = now
 		h.probeOutstanding = false
