Forget jobs and nodes that were removed while a replica was behind

What callers see (found by reading, not reported): a gate that is cut off or stands still for longer than the store keeps its history (300 s) goes on to show jobs that have ended and been removed meanwhile, in the state that it knew. If it then owns the cell, it starts their tasks again although they are done, and it waits for nodes whose registration was removed before inherited tasks start.

Cause: the removal of a key is a record like any other. A replica that is behind loads the newest record of each key, among which removed keys are not, and nothing compared what it had with what is listed.

Ruled out: jobs and nodes that are stored between the pages of a load: they are not known before, and the page lists them or they are read next. A page that is older than what was read removes nothing.

Change: a load removes the jobs and nodes that it does not list, and tells the owner of removed nodes.

Test: TestReloadForgetsRemovedJobsAndNodes failed before in three checks (the job was known as queued, node-1 was listed, the observer was not told). hvledger, hventry and hvowner pass.

--- a/hvledger/ledger_test.go
+++ b/hvledger/ledger_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -25,10 +26,12 @@
 
 const topic = "keyed.cell"
 
-// jobCounter counts the notifications of a replica by job.
+// jobCounter counts the notifications of a replica by job, and lists the nodes that were
+// removed.
 type jobCounter struct {
-	mu   sync.Mutex
-	jobs map[string]int
+	mu      sync.Mutex
+	jobs    map[string]int
+	removed []string
 }
 
 func (o *jobCounter) JobChanged(e hvledger.Entry) {
@@ -36,8 +39,15 @@
 	defer o.mu.Unlock()
 	o.jobs[e.Job.ID]++
 }
-func (o *jobCounter) NodeChanged(hvledger.Node, bool) {}
-func (o *jobCounter) ClaimChanged(hvledger.Claim)     {}
+
+func (o *jobCounter) NodeChanged(n hvledger.Node, dropped bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if dropped {
+		o.removed = append(o.removed, n.Name)
+	}
+}
+func (o *jobCounter) ClaimChanged(hvledger.Claim) {}
 
 // gate is a replica with its tailer and elector.
 type gate struct {
@@ -215,6 +225,37 @@
 	}
 }
 
+// Guards against jobs and nodes that were removed while a gate was cut off for longer than
+// the store keeps its history, and that the gate goes on to show: as the owner it runs the
+// tasks of such a job again, and waits for such a node before it starts inherited tasks.
+func TestReloadForgetsRemovedJobsAndNodes(t *testing.T) {
+	s, addr := serve(t)
+	store := platform.NewStore(addr)
+	g := newGate(store, "gate")
+	put(t, store, jobRecord(t, 1), jobRecord(t, 2))
+	for _, name := range []string{"node-1", "node-2"} {
+		if err := hvledger.Register(t.Context(), store, topic, hvledger.Node{Name: name, Addr: name}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	g.sync(t)
+	put(t, store, append(hvledger.JobTombstones(job(1).ID), hvledger.NodeTombstone("node-1"))...)
+	s.Compact()
+	g.sync(t)
+	if e, ok := g.replica.Job(job(1).ID); ok {
+		t.Errorf("the removed job is still known as %s", e.State())
+	}
+	if _, ok := g.replica.Job(job(2).ID); !ok {
+		t.Error("the other job is no longer known")
+	}
+	if nodes := g.replica.Nodes(); len(nodes) != 1 || nodes[0].Name != "node-2" {
+		t.Errorf("nodes are %v, want node-2", nodes)
+	}
+	if !slices.Equal(g.observer.removed, []string{"node-1"}) {
+		t.Errorf("the observer was told that %v were removed, want node-1", g.observer.removed)
+	}
+}
+
 // Guards against electing a new owner because the store did not respond, and
 // against electing none when the owner appends nothing while the store responds.
 func TestOwnerTimeoutCountsOnlyWhileStoreResponds(t *testing.T) {
--- a/hvledger/replica.go
+++ b/hvledger/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"sync"
 	"time"
 
@@ -77,9 +78,11 @@
 	return &Replica{clock: clock, logger: logger, observer: observer, jobs: map[string]*Entry{}, nodes: map[string]Node{}, loadedOffsets: map[string]int64{}, lastOwnerRecord: clock.Now()}
 }
 
-// Load applies the newest records of all keys and continues from page.Next.
+// Load applies the newest records of all keys and continues from page.Next. Jobs and nodes
+// whose keys are not among them have been removed.
 func (r *Replica) Load(page hv.KeyedPage) {
 	r.mu.Lock()
+	removed := r.removeUnlisted(page)
 	r.next = page.Next
 	r.loadedOffsets = map[string]int64{}
 	for _, rec := range page.Records {
@@ -88,6 +91,9 @@
 		}
 	}
 	r.mu.Unlock()
+	for _, n := range removed {
+		r.observer.NodeChanged(n, true)
+	}
 	for _, rec := range jobsFirst(page.Records) {
 		r.apply(rec)
 	}
@@ -97,6 +103,28 @@
 	r.mu.Unlock()
 }
 
+// removeUnlisted removes the jobs and nodes that a page of the newest records does not list,
+// and returns the nodes. The lock is held.
+func (r *Replica) removeUnlisted(page hv.KeyedPage) []Node {
+	if page.Next < r.next {
+		// The page is older than what was read.
+		return nil
+	}
+	listed := make(map[string]bool, len(page.Records))
+	for _, rec := range page.Records {
+		listed[rec.Key] = true
+	}
+	maps.DeleteFunc(r.jobs, func(id string, _ *Entry) bool { return !listed[jobPrefix+id] })
+	var removed []Node
+	for name, n := range r.nodes {
+		if !listed[nodePrefix+name] {
+			delete(r.nodes, name)
+			removed = append(removed, n)
+		}
+	}
+	return removed
+}
+
 // jobsFirst moves the records of jobs before those that refer to jobs.
 func jobsFirst(recs []hv.KeyedRecord) []hv.KeyedRecord {
 	var jobs, rest []hv.KeyedRecord
