Try peers through which a call to the store failed after all others

What callers see (found by reading, not reported): the store turns a gate away, and so does every peer that the gate prefers, because they are gone or turned away too. All its calls fail for as long as that lasts, although other gates reach the store: its replica does not advance, and submissions that the owner does not take are refused.

Cause: a call goes through two peers at most, the first ones by capacity and hash. Nothing compares the registered gates with those that respond, and the registration of a gate that is gone is never removed, so each call went through the same two.

Ruled out: more peers for each call, as a call through a peer that does not respond takes 1.3 s.

Change: a peer through which a call failed comes after all others for 3 s, the one that failed last at the end.

Test: TestFailedPeersAreTriedLast failed before (none of three calls reached the store) and passes 5 of 5 with -race; it needs one argument more for the constructor, which is all that changes in the tests before it. hventry passes.

--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -93,7 +93,7 @@
 func New(o Options) *Gate {
 	g := &Gate{options: o, submitted: newSubmittedSpecs()}
 	g.replica = hvledger.NewReplica(o.Clock, o.Logger, g)
-	g.peers = newPeers(o.Name, g.replica.Nodes, o.Logger)
+	g.peers = newPeers(o.Name, g.replica.Nodes, o.Clock, o.Logger)
 	g.admission = newAdmission(o.Clock, o.Metrics, o.Logger)
 	g.relay = hvledger.NewRelay(&measuredStore{KeyedStore: o.Store, admission: g.admission}, measuredPeers{g.peers, g.admission}, o.Clock, o.Logger)
 	g.direct = &directWriter{store: g.relay, topic: o.CellTopic, clock: o.Clock, response: g.admission.response}
--- a/hventry/peers.go
+++ b/hventry/peers.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"syscall"
@@ -28,6 +29,9 @@
 	peerCallTimeout = 1300 * time.Millisecond
 	// watchInterval is the time between checks of the owner's process.
 	watchInterval = 200 * time.Millisecond
+	// failedPeerPause is how long a peer comes after all others once a call to the store
+	// through it has failed. Outages of the store for some gates last 5 to 6 s.
+	failedPeerPause = 3 * time.Second
 	// methodProcess returns the process ID of a gate, Options.Process.
 	methodProcess = "who"
 )
@@ -40,6 +44,7 @@
 type peers struct {
 	self   string
 	nodes  func() []hvledger.Node
+	clock  hv.Clock
 	logger log.Logger
 
 	// pool holds the connections to the other gates.
@@ -48,20 +53,26 @@
 	mu sync.Mutex
 	// endedOwner is the claim of the last owner whose process was found to have ended.
 	endedOwner hvledger.Claim
+	// failedAt is, by address, when a call to the store through a peer failed, unless one
+	// has succeeded since.
+	failedAt map[string]time.Time
 }
 
-func newPeers(self string, nodes func() []hvledger.Node, logger log.Logger) *peers {
-	return &peers{self: self, nodes: nodes, logger: logger, pool: hvwire.NewPool(peerDialTimeout)}
+func newPeers(self string, nodes func() []hvledger.Node, clock hv.Clock, logger log.Logger) *peers {
+	return &peers{self: self, nodes: nodes, clock: clock, logger: logger, pool: hvwire.NewPool(peerDialTimeout), failedAt: map[string]time.Time{}}
 }
 
 // Stores implements hvledger.Peers. Gates with more capacity come first, because
 // relayed records use the bandwidth of the peer. Gates with equal capacity are in an
-// order that differs from gate to gate, to spread the load.
+// order that differs from gate to gate, to spread the load. Those through which a call has
+// just failed come last: the registration of a gate outlives it, and the store may turn
+// several gates away.
 func (p *peers) Stores() []hv.KeyedStore {
 	var out []hv.KeyedStore
 	nodes := p.nodes()
+	failed := p.recentFailures()
 	slices.SortFunc(nodes, func(a, b hvledger.Node) int {
-		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(xxhash.Sum64String(p.self+a.Name), xxhash.Sum64String(p.self+b.Name)))
+		return cmp.Or(failed[a.Addr].Compare(failed[b.Addr]), cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(xxhash.Sum64String(p.self+a.Name), xxhash.Sum64String(p.self+b.Name)))
 	})
 	for _, n := range nodes {
 		if n.Gate && n.Name != p.self {
@@ -71,6 +82,34 @@
 	return out
 }
 
+// recentFailures returns, by address, when a call through a peer failed within
+// failedPeerPause.
+func (p *peers) recentFailures() map[string]time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	maps.DeleteFunc(p.failedAt, func(_ string, at time.Time) bool { return now.Sub(at) > failedPeerPause })
+	return maps.Clone(p.failedAt)
+}
+
+// recordCall records the result of a call to the store through a peer.
+func (p *peers) recordCall(addr string, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if responded(err) {
+		delete(p.failedAt, addr)
+	} else {
+		p.failedAt[addr] = p.clock.Now()
+	}
+}
+
+// callStore calls a method of a peer that calls the store for this gate.
+func callStore[Resp any](ctx context.Context, s *peerStore, method string, timeout time.Duration, req any) (Resp, error) {
+	resp, err := hvwire.CallPeer[Resp](ctx, s.peers.pool, s.addr, method, timeout, req)
+	s.peers.recordCall(s.addr, err)
+	return resp, err
+}
+
 // peerStore accesses the platform's store through another gate.
 type peerStore struct {
 	peers *peers
@@ -79,18 +118,18 @@
 
 // Append implements hibiscusvane.KeyedStore.
 func (s *peerStore) Append(ctx context.Context, topic string, recs []hv.KeyedRecord, f hv.Fence) (int64, error) {
-	resp, err := hvwire.CallPeer[hvorder.AppendResult](ctx, s.peers.pool, s.addr, hvorder.MethodAppend, peerCallTimeout, hvorder.Append{Topic: topic, Records: recs, Fence: f})
+	resp, err := callStore[hvorder.AppendResult](ctx, s, hvorder.MethodAppend, peerCallTimeout, hvorder.Append{Topic: topic, Records: recs, Fence: f})
 	return resp.End, err
 }
 
 // Read implements hibiscusvane.KeyedStore.
 func (s *peerStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (hv.KeyedPage, error) {
-	return hvwire.CallPeer[hv.KeyedPage](ctx, s.peers.pool, s.addr, hvorder.MethodRead, peerCallTimeout+wait, hvorder.Read{Topic: topic, From: from, Wait: wait.Milliseconds()})
+	return callStore[hv.KeyedPage](ctx, s, hvorder.MethodRead, peerCallTimeout+wait, hvorder.Read{Topic: topic, From: from, Wait: wait.Milliseconds()})
 }
 
 // Newest implements hibiscusvane.KeyedStore.
 func (s *peerStore) Newest(ctx context.Context, topic string) (hv.KeyedPage, error) {
-	return hvwire.CallPeer[hv.KeyedPage](ctx, s.peers.pool, s.addr, hvorder.MethodNewest, peerCallTimeout, hvorder.Read{Topic: topic})
+	return callStore[hv.KeyedPage](ctx, s, hvorder.MethodNewest, peerCallTimeout, hvorder.Read{Topic: topic})
 }
 
 // relayMux returns the handlers that make calls to the store for other gates, and
--- a/hventry/peers_test.go
+++ b/hventry/peers_test.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
 
+	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvledger"
+	"hibiscusvane.example/hibiscusvane/hvorder"
 	"hibiscusvane.example/hibiscusvane/hvwire"
 	"hibiscusvane.example/hibiscusvane/hvwire/hvwiretest"
 )
@@ -30,7 +33,7 @@
 	}
 	firstPeers := map[string]bool{}
 	for i := range gates {
-		stores := newPeers(fmt.Sprint("gate-", i), nodes, log.NewNopLogger()).Stores()
+		stores := newPeers(fmt.Sprint("gate-", i), nodes, hv.SystemClock{}, log.NewNopLogger()).Stores()
 		if len(stores) != gates-1 {
 			t.Fatalf("%d stores, want %d", len(stores), gates-1)
 		}
@@ -60,7 +63,7 @@
 	second := hvledger.Claim{Epoch: 2, Name: "gate-2", Addr: "127.0.0.1:1", Process: "second"}
 	var claim atomic.Pointer[hvledger.Claim]
 	claim.Store(&first)
-	p := newPeers("gate-3", func() []hvledger.Node { return nil }, log.NewNopLogger())
+	p := newPeers("gate-3", func() []hvledger.Node { return nil }, hv.SystemClock{}, log.NewNopLogger())
 	go p.watchOwners(t.Context(), func() hvledger.Claim { return *claim.Load() })
 	<-asked
 	claim.Store(&second)
@@ -73,3 +76,43 @@
 		t.Error("the first owner's process counts as ended")
 	}
 }
+
+// Guards against a gate whose calls to the store all fail, as the peers that it prefers are
+// gone or cannot reach the store either, although another one can.
+func TestFailedPeersAreTriedLast(t *testing.T) {
+	mux := hvwire.Mux{}
+	hvwire.Handle(mux, hvorder.MethodRead, func(context.Context, *hvwire.Conn, hvorder.Read) (hv.KeyedPage, error) {
+		return hv.KeyedPage{End: 7}, nil
+	})
+	cutOff := hvwire.Mux{}
+	hvwire.Handle(cutOff, hvorder.MethodRead, func(context.Context, *hvwire.Conn, hvorder.Read) (hv.KeyedPage, error) {
+		return hv.KeyedPage{}, failure("direct", hv.Unavailable, "the store has failed and does not respond yet")
+	})
+	nodes := []hvledger.Node{
+		{Name: "gone-1", Addr: "127.0.0.1:1", Gate: true, Capacity: 800},
+		{Name: "cut-off", Addr: hvwiretest.Serve(t, cutOff), Gate: true, Capacity: 800},
+		{Name: "gone-2", Addr: "127.0.0.1:2", Gate: true, Capacity: 800},
+		{Name: "good", Addr: hvwiretest.Serve(t, mux), Gate: true, Capacity: 100},
+	}
+	p := newPeers("gate", func() []hvledger.Node { return slices.Clone(nodes) }, hv.SystemClock{}, log.NewNopLogger())
+	r := hvledger.NewRelay(unavailableStore{}, p, hv.SystemClock{}, log.NewNopLogger())
+	for call := 1; ; call++ {
+		_, err := r.Read(t.Context(), "topic", 0, 0)
+		if err == nil {
+			break
+		}
+		if call == 3 {
+			t.Fatalf("no call reached the store through the fourth peer: %v", err)
+		}
+	}
+	if _, err := r.Read(t.Context(), "topic", 0, 0); err != nil {
+		t.Errorf("a call fails after one succeeded: %v", err)
+	}
+}
+
+// unavailableStore turns every call away.
+type unavailableStore struct{ hv.KeyedStore }
+
+func (unavailableStore) Read(context.Context, string, int64, time.Duration) (hv.KeyedPage, error) {
+	return hv.KeyedPage{}, failure("read", hv.Unavailable, "the store turns this gate away")
+}
