Look again for the process of an owner that has become silent

What callers see (found by reading, not reported): the process of an owner ends while the connection of a gate to it has gone silent, as the platform says that open connections may. The gate does not notice the end, waits for 1.0 s or more without a record before it claims the cell, and counts the authority of the ended owner in full.

Cause: a gate asked for the process once and then waited for the end of the connection, which does not arrive on a silent one. What it learned at the begin was taken as true for as long as the connection lasted.

Ruled out: asking at an interval, which costs a message a second for each gate while nothing is wrong; asking on the present connection, as the call would take 1.3 s to fail.

Change: once the owner has appended nothing for 0.5 s (it appends every 0.3 s) a gate asks again on a new connection, every 0.4 s.

Test: TestEndOfOwnerIsNoticedBehindSilentConnection failed before (not noticed within 3 s) and passes 5 of 5 with -race; TestProcessOfPresentOwnerIsWatched keeps its checks and shares the set-up. hventry and platform pass.

--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -134,7 +134,7 @@
 		g.peers.watchOwners(ctx, func() hvledger.Claim {
 			c, _ := g.replica.Claim()
 			return c
-		})
+		}, g.replica.SinceOwnerRecord)
 	})
 	loops.Go(func() { g.runElections(ownerCtx) })
 	loops.Wait()
--- a/hventry/peers.go
+++ b/hventry/peers.go
@@ -29,6 +29,10 @@
 	peerCallTimeout = 1300 * time.Millisecond
 	// watchInterval is the time between checks of the owner's process.
 	watchInterval = 200 * time.Millisecond
+	// lookAgainAfter is the time without a record of the owner after which its process is
+	// looked for again: a connection may go silent without an end. An owner appends at
+	// least every 0.3 s.
+	lookAgainAfter = 500 * time.Millisecond
 	// failedPeerPause is how long a peer comes after all others once a call to the store
 	// through it has failed. Outages of the store for some gates last 5 to 6 s.
 	failedPeerPause = 3 * time.Second
@@ -164,29 +168,30 @@
 }
 
 // watchOwners detects the end of the owner's process sooner than missing heartbeats
-// would show it.
-func (p *peers) watchOwners(ctx context.Context, claim func() hvledger.Claim) {
+// would show it. It is told the present claim, and for how long the owner has appended
+// nothing.
+func (p *peers) watchOwners(ctx context.Context, claim func() hvledger.Claim, silence func() time.Duration) {
 	for ctx.Err() == nil {
 		if c := claim(); c.Epoch > 0 && c.Name != p.self {
-			p.watchOwner(ctx, c, func() bool { return claim() == c })
+			p.watchOwner(ctx, c, func() bool { return claim() == c && silence() < lookAgainAfter })
 		}
 		hvtick.Sleep(ctx, watchInterval)
 	}
 }
 
 // watchOwner checks the process at the owner's address. If it is the owner's, it
-// returns when the connection ends or the claim is no longer the present one; if it is
-// another process, or none listens, it records the end of the owner's process.
-func (p *peers) watchOwner(ctx context.Context, c hvledger.Claim, isPresent func() bool) {
-	info, err := hvwire.CallPeer[processInfo](ctx, p.pool, c.Addr, methodProcess, peerCallTimeout, struct{}{})
+// returns when the connection ends or the owner no longer appends as the present one; if it
+// is another process, or none listens, it records the end of the owner's process.
+func (p *peers) watchOwner(ctx context.Context, c hvledger.Claim, appends func() bool) {
+	id, err := processAt(ctx, c.Addr)
 	switch {
-	case err == nil && info.ID == c.Process:
+	case err == nil && id == c.Process:
 		conn, err := p.pool.Conn(ctx, c.Addr)
 		if err != nil {
 			return
 		}
-		for ctx.Err() == nil && isPresent() {
-			if hvtick.Wait(ctx, conn.Done(), watchInterval) {
+		for ctx.Err() == nil {
+			if hvtick.Wait(ctx, conn.Done(), watchInterval) || !appends() {
 				return
 			}
 		}
@@ -201,6 +206,23 @@
 	}
 }
 
+// processAt returns the ID of the process at an address. It asks on a connection of its own,
+// because an older one may have gone silent.
+func processAt(ctx context.Context, addr string) (string, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, peerDialTimeout)
+	defer cancel()
+	conn, err := hvwire.Dial(dialCtx, addr, hvwire.Mux{})
+	if err != nil {
+		return "", err
+	}
+	// The connection has served its purpose, whatever closing it returns.
+	defer func() { _ = conn.Close() }()
+	ctx, cancelCall := context.WithTimeout(ctx, peerCallTimeout)
+	defer cancelCall()
+	info, err := hvwire.Call[processInfo](ctx, conn, methodProcess, struct{}{})
+	return info.ID, err
+}
+
 // ownerEnded reports whether an owner's process is known to have ended.
 func (p *peers) ownerEnded(c hvledger.Claim) bool {
 	p.mu.Lock()
--- a/hventry/peers_test.go
+++ b/hventry/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -13,6 +14,7 @@
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvledger"
 	"hibiscusvane.example/hibiscusvane/hvorder"
+	"hibiscusvane.example/hibiscusvane/hvtick"
 	"hibiscusvane.example/hibiscusvane/hvwire"
 	"hibiscusvane.example/hibiscusvane/hvwire/hvwiretest"
 )
@@ -54,29 +56,74 @@
 // alive, and does not notice that the process of the present owner has ended.
 func TestProcessOfPresentOwnerIsWatched(t *testing.T) {
 	asked := make(chan struct{}, 1)
-	mux := hvwire.Mux{}
-	hvwire.Handle(mux, methodProcess, func(context.Context, *hvwire.Conn, struct{}) (processInfo, error) {
-		asked <- struct{}{}
-		return processInfo{ID: "first"}, nil
-	})
-	first := hvledger.Claim{Epoch: 1, Name: "gate-1", Addr: hvwiretest.Serve(t, mux), Process: "first"}
+	first := hvledger.Claim{Epoch: 1, Name: "gate-1", Addr: hvwiretest.Serve(t, processMux("first", asked)), Process: "first"}
 	second := hvledger.Claim{Epoch: 2, Name: "gate-2", Addr: "127.0.0.1:1", Process: "second"}
 	var claim atomic.Pointer[hvledger.Claim]
 	claim.Store(&first)
 	p := newPeers("gate-3", func() []hvledger.Node { return nil }, hv.SystemClock{}, log.NewNopLogger())
-	go p.watchOwners(t.Context(), func() hvledger.Claim { return *claim.Load() })
+	go p.watchOwners(t.Context(), func() hvledger.Claim { return *claim.Load() }, func() time.Duration { return 0 })
 	<-asked
 	claim.Store(&second)
-	for deadline := time.Now().Add(3 * time.Second); !p.ownerEnded(second); time.Sleep(time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatal("the end of the second owner's process was not noticed while the first one's is alive")
-		}
-	}
+	waitForEnd(t, p, second)
 	if p.ownerEnded(first) {
 		t.Error("the first owner's process counts as ended")
 	}
 }
 
+// Guards against an owner whose process has ended and whose connection went silent before:
+// no end of the connection arrives, and new ones are refused.
+func TestEndOfOwnerIsNoticedBehindSilentConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	asked := make(chan struct{}, 1)
+	accepted := make(chan net.Conn, 8)
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				close(accepted)
+				return
+			}
+			accepted <- nc
+			hvwire.NewConn(nc, processMux("first", asked))
+		}
+	}()
+	owner := hvledger.Claim{Epoch: 1, Name: "gate-1", Addr: l.Addr().String(), Process: "first"}
+	var silence atomic.Int64
+	p := newPeers("gate-2", func() []hvledger.Node { return nil }, hv.SystemClock{}, log.NewNopLogger())
+	go p.watchOwners(t.Context(), func() hvledger.Claim { return owner }, func() time.Duration { return time.Duration(silence.Load()) })
+	<-asked
+	time.Sleep(watchInterval)
+	_ = l.Close()
+	silence.Store(int64(time.Second))
+	waitForEnd(t, p, owner)
+	for nc := range accepted {
+		_ = nc.Close()
+	}
+}
+
+// processMux serves the process ID of a gate and tells when it is asked for the first time.
+func processMux(id string, asked chan<- struct{}) hvwire.Mux {
+	mux := hvwire.Mux{}
+	hvwire.Handle(mux, methodProcess, func(context.Context, *hvwire.Conn, struct{}) (processInfo, error) {
+		hvtick.Wake(asked)
+		return processInfo{ID: id}, nil
+	})
+	return mux
+}
+
+// waitForEnd fails the test if the end of an owner's process is not noticed.
+func waitForEnd(t *testing.T, p *peers, owner hvledger.Claim) {
+	t.Helper()
+	for deadline := time.Now().Add(3 * time.Second); !p.ownerEnded(owner); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("the end of the process of %s was not noticed", owner.Name)
+		}
+	}
+}
+
 // Guards against a gate whose calls to the store all fail, as the peers that it prefers are
 // gone or cannot reach the store either, although another one can.
 func TestFailedPeersAreTriedLast(t *testing.T) {
