--- a/hventry/peers.go
+++ b/hventry/peers.go
@@ -35,7 +35,7 @@
 	lookAgainAfter = 500 * time.Millisecond
 	// failedPeerPause is how long a peer comes after all others once a call to the store
 	// through it has failed. Outages of the store for some gates last 5 to 6 s.
-	failedPeerPause = 3 * time.Second
+	failedPeerPause = 10 * time.Second
 	// methodProcess returns the process ID of a gate, Options.Process.
 	methodProcess = "who"
 )
