--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -93,7 +93,7 @@
 func New(o Options) *Gate {
 	g := &Gate{options: o, submitted: newSubmittedSpecs()}
 	g.replica = hvledger.NewReplica(o.Clock, o.Logger, g)
-	g.peers = newPeers(o.Name, g.replica.Nodes, o.Logger)
+	g.peers = newPeers(o.Name, g.replica.Nodes, o.Clock, o.Logger)
 	g.admission = newAdmission(o.Clock, o.Metrics, o.Logger)
 	g.relay = hvledger.NewRelay(&measuredStore{KeyedStore: o.Store, admission: g.admission}, measuredPeers{g.peers, g.admission}, o.Clock, o.Logger)
 	g.direct = &directWriter{store: g.relay, topic: o.CellTopic, clock: o.Clock, response: g.admission.response}
@@ -134,7 +134,7 @@
 		g.peers.watchOwners(ctx, func() hvledger.Claim {
 			c, _ := g.replica.Claim()
 			return c
-		})
+		}, g.replica.SinceOwnerRecord)
 	})
 	loops.Go(func() { g.runElections(ownerCtx) })
 	loops.Wait()
@@ -248,6 +248,7 @@
 func (g *Gate) ClaimChanged(c hvledger.Claim) {
 	_ = level.Info(g.options.Logger).Log("msg", "owner of the cell changed", "owner", c.Name, "epoch", c.Epoch, "released", c.Released)
 	g.options.Metrics.Set("hv_owner_epoch", c.Epoch)
+	g.admission.ownerChanged()
 	if o := g.currentOwner(); o != nil && c.Process != g.options.Process {
 		o.ClaimChanged(c)
 	}
--- a/hventry/peers.go
+++ b/hventry/peers.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"syscall"
@@ -28,6 +29,13 @@
 	peerCallTimeout = 1300 * time.Millisecond
 	// watchInterval is the time between checks of the owner's process.
 	watchInterval = 200 * time.Millisecond
+	// lookAgainAfter is the time without a record of the owner after which its process is
+	// looked for again: a connection may go silent without an end. An owner appends at
+	// least every 0.3 s.
+	lookAgainAfter = 500 * time.Millisecond
+	// failedPeerPause is how long a peer comes after all others once a call to the store
+	// through it has failed. Outages of the store for some gates last 5 to 6 s.
+	failedPeerPause = 10 * time.Second
 	// methodProcess returns the process ID of a gate, Options.Process.
 	methodProcess = "who"
 )
@@ -40,6 +48,7 @@
 type peers struct {
 	self   string
 	nodes  func() []hvledger.Node
+	clock  hv.Clock
 	logger log.Logger
 
 	// pool holds the connections to the other gates.
@@ -48,20 +57,26 @@
 	mu sync.Mutex
 	// endedOwner is the claim of the last owner whose process was found to have ended.
 	endedOwner hvledger.Claim
+	// failedAt is, by address, when a call to the store through a peer failed, unless one
+	// has succeeded since.
+	failedAt map[string]time.Time
 }
 
-func newPeers(self string, nodes func() []hvledger.Node, logger log.Logger) *peers {
-	return &peers{self: self, nodes: nodes, logger: logger, pool: hvwire.NewPool(peerDialTimeout)}
+func newPeers(self string, nodes func() []hvledger.Node, clock hv.Clock, logger log.Logger) *peers {
+	return &peers{self: self, nodes: nodes, clock: clock, logger: logger, pool: hvwire.NewPool(peerDialTimeout), failedAt: map[string]time.Time{}}
 }
 
 // Stores implements hvledger.Peers. Gates with more capacity come first, because
 // relayed records use the bandwidth of the peer. Gates with equal capacity are in an
-// order that differs from gate to gate, to spread the load.
+// order that differs from gate to gate, to spread the load. Those through which a call has
+// just failed come last: the registration of a gate outlives it, and the store may turn
+// several gates away.
 func (p *peers) Stores() []hv.KeyedStore {
 	var out []hv.KeyedStore
 	nodes := p.nodes()
+	failed := p.recentFailures()
 	slices.SortFunc(nodes, func(a, b hvledger.Node) int {
-		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(xxhash.Sum64String(p.self+a.Name), xxhash.Sum64String(p.self+b.Name)))
+		return cmp.Or(failed[a.Addr].Compare(failed[b.Addr]), cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(xxhash.Sum64String(p.self+a.Name), xxhash.Sum64String(p.self+b.Name)))
 	})
 	for _, n := range nodes {
 		if n.Gate && n.Name != p.self {
@@ -71,6 +86,34 @@
 	return out
 }
 
+// recentFailures returns, by address, when a call through a peer failed within
+// failedPeerPause.
+func (p *peers) recentFailures() map[string]time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	maps.DeleteFunc(p.failedAt, func(_ string, at time.Time) bool { return now.Sub(at) > failedPeerPause })
+	return maps.Clone(p.failedAt)
+}
+
+// recordCall records the result of a call to the store through a peer.
+func (p *peers) recordCall(addr string, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if responded(err) {
+		delete(p.failedAt, addr)
+	} else {
+		p.failedAt[addr] = p.clock.Now()
+	}
+}
+
+// callStore calls a method of a peer that calls the store for this gate.
+func callStore[Resp any](ctx context.Context, s *peerStore, method string, timeout time.Duration, req any) (Resp, error) {
+	resp, err := hvwire.CallPeer[Resp](ctx, s.peers.pool, s.addr, method, timeout, req)
+	s.peers.recordCall(s.addr, err)
+	return resp, err
+}
+
 // peerStore accesses the platform's store through another gate.
 type peerStore struct {
 	peers *peers
@@ -79,18 +122,18 @@
 
 // Append implements hibiscusvane.KeyedStore.
 func (s *peerStore) Append(ctx context.Context, topic string, recs []hv.KeyedRecord, f hv.Fence) (int64, error) {
-	resp, err := hvwire.CallPeer[hvorder.AppendResult](ctx, s.peers.pool, s.addr, hvorder.MethodAppend, peerCallTimeout, hvorder.Append{Topic: topic, Records: recs, Fence: f})
+	resp, err := callStore[hvorder.AppendResult](ctx, s, hvorder.MethodAppend, peerCallTimeout, hvorder.Append{Topic: topic, Records: recs, Fence: f})
 	return resp.End, err
 }
 
 // Read implements hibiscusvane.KeyedStore.
 func (s *peerStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (hv.KeyedPage, error) {
-	return hvwire.CallPeer[hv.KeyedPage](ctx, s.peers.pool, s.addr, hvorder.MethodRead, peerCallTimeout+wait, hvorder.Read{Topic: topic, From: from, Wait: wait.Milliseconds()})
+	return callStore[hv.KeyedPage](ctx, s, hvorder.MethodRead, peerCallTimeout+wait, hvorder.Read{Topic: topic, From: from, Wait: wait.Milliseconds()})
 }
 
 // Newest implements hibiscusvane.KeyedStore.
 func (s *peerStore) Newest(ctx context.Context, topic string) (hv.KeyedPage, error) {
-	return hvwire.CallPeer[hv.KeyedPage](ctx, s.peers.pool, s.addr, hvorder.MethodNewest, peerCallTimeout, hvorder.Read{Topic: topic})
+	return callStore[hv.KeyedPage](ctx, s, hvorder.MethodNewest, peerCallTimeout, hvorder.Read{Topic: topic})
 }
 
 // relayMux returns the handlers that make calls to the store for other gates, and
@@ -125,30 +168,32 @@
 }
 
 // watchOwners detects the end of the owner's process sooner than missing heartbeats
-// would show it.
-func (p *peers) watchOwners(ctx context.Context, claim func() hvledger.Claim) {
+// would show it. It is told the present claim, and for how long the owner has appended
+// nothing.
+func (p *peers) watchOwners(ctx context.Context, claim func() hvledger.Claim, silence func() time.Duration) {
 	for ctx.Err() == nil {
 		if c := claim(); c.Epoch > 0 && c.Name != p.self {
-			p.watchOwner(ctx, c)
+			p.watchOwner(ctx, c, func() bool { return claim() == c && silence() < lookAgainAfter })
 		}
 		hvtick.Sleep(ctx, watchInterval)
 	}
 }
 
 // watchOwner checks the process at the owner's address. If it is the owner's, it
-// returns when the connection ends; if it is another process, or none listens, it
-// records the end of the owner's process.
-func (p *peers) watchOwner(ctx context.Context, c hvledger.Claim) {
-	info, err := hvwire.CallPeer[processInfo](ctx, p.pool, c.Addr, methodProcess, peerCallTimeout, struct{}{})
+// returns when the connection ends or the owner no longer appends as the present one; if it
+// is another process, or none listens, it records the end of the owner's process.
+func (p *peers) watchOwner(ctx context.Context, c hvledger.Claim, appends func() bool) {
+	id, err := processAt(ctx, c.Addr)
 	switch {
-	case err == nil && info.ID == c.Process:
+	case err == nil && id == c.Process:
 		conn, err := p.pool.Conn(ctx, c.Addr)
 		if err != nil {
 			return
 		}
-		select {
-		case <-ctx.Done():
-		case <-conn.Done():
+		for ctx.Err() == nil {
+			if hvtick.Wait(ctx, conn.Done(), watchInterval) || !appends() {
+				return
+			}
 		}
 	case err == nil || errors.Is(err, syscall.ECONNREFUSED):
 		p.mu.Lock()
@@ -161,6 +206,23 @@
 	}
 }
 
+// processAt returns the ID of the process at an address. It asks on a connection of its own,
+// because an older one may have gone silent.
+func processAt(ctx context.Context, addr string) (string, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, peerDialTimeout)
+	defer cancel()
+	conn, err := hvwire.Dial(dialCtx, addr, hvwire.Mux{})
+	if err != nil {
+		return "", err
+	}
+	// The connection has served its purpose, whatever closing it returns.
+	defer func() { _ = conn.Close() }()
+	ctx, cancelCall := context.WithTimeout(ctx, peerCallTimeout)
+	defer cancelCall()
+	info, err := hvwire.Call[processInfo](ctx, conn, methodProcess, struct{}{})
+	return info.ID, err
+}
+
 // ownerEnded reports whether an owner's process is known to have ended.
 func (p *peers) ownerEnded(c hvledger.Claim) bool {
 	p.mu.Lock()
