Refuse orders on connections that have been replaced

Orders that the owner gave up on wait in the socket of a node that stands still. When it goes on, it may process them after the next connection was attached, and their number counted as that of the last orders on the present connection. It is far above those that the owner sends there, so that each digest and list claimed to include orders that were still on their way: the owner saw a difference, asked for the lists, and stopped runs that it had just ordered.

The orders themselves do no harm, as the lists at the attachment stop their runs and their leases bound the rest; they are refused too now, and the owner lists again.

TestOrdersOnReplacedConnectionAreRefused failed before: lists as of orders 500, want 2. The other tests pass the connection that they attached.

--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -161,8 +161,8 @@
 	hvwire.Handle(m, hvorder.MethodAttach, func(_ context.Context, c *hvwire.Conn, req hvorder.Attach) (hvorder.Report, error) {
 		return n.attach(ctx, c, req)
 	})
-	hvwire.Handle(m, hvorder.MethodOrders, func(_ context.Context, _ *hvwire.Conn, req hvorder.Orders) (struct{}, error) {
-		return struct{}{}, n.handleOrders(ctx, req)
+	hvwire.Handle(m, hvorder.MethodOrders, func(_ context.Context, c *hvwire.Conn, req hvorder.Orders) (struct{}, error) {
+		return struct{}{}, n.handleOrders(ctx, c, req)
 	})
 	return m
 }
--- a/hvnode/node_test.go
+++ b/hvnode/node_test.go
@@ -99,7 +99,7 @@
 func TestStartIsRetriedUntilResponse(t *testing.T) {
 	e := &fakeExecutor{errs: []error{errorOfKind(hv.Uncertain), errorOfKind(hv.Uncertain)}}
 	n := newNode(t, e)
-	if err := n.handleOrders(t.Context(), startOrder(3)); err != nil {
+	if err := n.handleOrders(t.Context(), nil, startOrder(3)); err != nil {
 		t.Fatal(err)
 	}
 	n.waitStarted(t)
@@ -121,7 +121,7 @@
 func startsAtNextIncarnation(t *testing.T, n *Node, e *fakeExecutor) int {
 	t.Helper()
 	e.state.Incarnation = "2"
-	if err := n.handleOrders(t.Context(), startOrder(3)); err != nil {
+	if err := n.handleOrders(t.Context(), nil, startOrder(3)); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(5 * callRetryInterval)
@@ -194,7 +194,7 @@
 			e.errs = []error{errorOfKind(kind)}
 		}
 		n := newNode(t, e)
-		if err := n.handleOrders(t.Context(), startOrder(3)); err != nil {
+		if err := n.handleOrders(t.Context(), nil, startOrder(3)); err != nil {
 			t.Fatal(err)
 		}
 		n.waitStarted(t)
@@ -218,7 +218,7 @@
 				e.errs = append(e.errs, errorOfKind(hv.Uncertain))
 			}
 			n := newNode(t, e)
-			if err := n.handleOrders(t.Context(), startOrder(3)); err != nil {
+			if err := n.handleOrders(t.Context(), nil, startOrder(3)); err != nil {
 				t.Fatal(err)
 			}
 			n.applyState(state, n.currentVersion())
@@ -237,7 +237,7 @@
 	for _, kind := range []hv.ErrorKind{hv.Full, hv.Expired, hv.Conflict, hv.Invalid} {
 		e := &fakeExecutor{errs: []error{errorOfKind(kind)}}
 		n := newNode(t, e)
-		if err := n.handleOrders(t.Context(), startOrder(3)); err != nil {
+		if err := n.handleOrders(t.Context(), nil, startOrder(3)); err != nil {
 			t.Fatal(err)
 		}
 		n.waitStarted(t)
@@ -254,12 +254,12 @@
 func TestStaleOrdersAreRefused(t *testing.T) {
 	e := &fakeExecutor{}
 	n := newNode(t, e)
-	if err := n.handleOrders(t.Context(), startOrder(2)); hv.KindOf(err) != hv.Conflict {
+	if err := n.handleOrders(t.Context(), nil, startOrder(2)); hv.KindOf(err) != hv.Conflict {
 		t.Errorf("orders of an older epoch: %v, want a conflict", err)
 	}
 	o := startOrder(3)
 	o.Incarnation = "0"
-	if err := n.handleOrders(t.Context(), o); hv.KindOf(err) != hv.NotFound {
+	if err := n.handleOrders(t.Context(), nil, o); hv.KindOf(err) != hv.NotFound {
 		t.Errorf("orders for another incarnation: %v, want kind not-found", err)
 	}
 	if _, err := n.attach(t.Context(), nil, hvorder.Attach{Epoch: 2}); hv.KindOf(err) != hv.Conflict {
@@ -275,7 +275,7 @@
 	e := &fakeExecutor{}
 	n := newNode(t, e)
 	n.Announce("i-1", hvorder.Host{Incarnation: "1", Capacity: hvjob.Resources{CPU: 1000}, Draining: true})
-	if err := n.handleOrders(t.Context(), startOrder(3)); err != nil {
+	if err := n.handleOrders(t.Context(), nil, startOrder(3)); err != nil {
 		t.Fatal(err)
 	}
 	if len(e.starts) != 0 || len(n.refused) != 1 {
@@ -327,7 +327,7 @@
 	e := &fakeExecutor{errs: []error{errorOfKind(hv.Uncertain), errorOfKind(hv.Expired)}}
 	n := newNode(t, e)
 	e.state.Ended = []hv.RunEnd{{Number: 1, Task: testRun.Task, Run: testRun.Run, Reason: hv.EndDone}}
-	if err := n.handleOrders(t.Context(), startOrder(3)); err != nil {
+	if err := n.handleOrders(t.Context(), nil, startOrder(3)); err != nil {
 		t.Fatal(err)
 	}
 	n.waitStarted(t)
@@ -363,7 +363,7 @@
 	for _, kind := range []hv.ErrorKind{hv.Full, hv.Invalid} {
 		e := &fakeExecutor{errs: []error{errorOfKind(hv.Uncertain), errorOfKind(kind)}}
 		n := newNode(t, e)
-		if err := n.handleOrders(t.Context(), startOrder(3)); err != nil {
+		if err := n.handleOrders(t.Context(), nil, startOrder(3)); err != nil {
 			t.Fatal(err)
 		}
 		n.waitStarted(t)
@@ -392,7 +392,7 @@
 func TestFullReportNeedsStateOfTheEpoch(t *testing.T) {
 	e := &fakeExecutor{}
 	n := newNode(t, e)
-	if err := n.handleOrders(t.Context(), startOrder(3)); err != nil {
+	if err := n.handleOrders(t.Context(), nil, startOrder(3)); err != nil {
 		t.Fatal(err)
 	}
 	n.waitStarted(t)
@@ -416,10 +416,10 @@
 		e.errs = append(e.errs, errorOfKind(hv.Uncertain))
 	}
 	n := newNode(t, e)
-	if err := n.handleOrders(t.Context(), startOrder(3)); err != nil {
+	if err := n.handleOrders(t.Context(), nil, startOrder(3)); err != nil {
 		t.Fatal(err)
 	}
-	if err := n.handleOrders(t.Context(), hvorder.Orders{Epoch: 3, Incarnation: "1", Withdraw: true}); err != nil {
+	if err := n.handleOrders(t.Context(), nil, hvorder.Orders{Epoch: 3, Incarnation: "1", Withdraw: true}); err != nil {
 		t.Fatal(err)
 	}
 	n.waitStarted(t)
@@ -463,7 +463,7 @@
 			}
 			n := newNode(t, e)
 			n.Announce("i-1", hvorder.Host{Incarnation: "1", Capacity: hvjob.Resources{CPU: 1000, Memory: 100, GPU: 1}})
-			if err := n.handleOrders(t.Context(), startOrder(3)); err != nil {
+			if err := n.handleOrders(t.Context(), nil, startOrder(3)); err != nil {
 				t.Fatal(err)
 			}
 			n.Announce("i-1", hvorder.Host{Incarnation: "1", Capacity: c.capacity})
--- a/hvnode/orders.go
+++ b/hvnode/orders.go
@@ -11,6 +11,7 @@
 	"hibiscusvane.example/hibiscusvane/hvjob"
 	"hibiscusvane.example/hibiscusvane/hvorder"
 	"hibiscusvane.example/hibiscusvane/hvtick"
+	"hibiscusvane.example/hibiscusvane/hvwire"
 )
 
 const (
@@ -23,12 +24,16 @@
 
 // handleOrders carries out a batch of orders. Start and stop calls continue after it
 // returns.
-func (n *Node) handleOrders(ctx context.Context, o hvorder.Orders) error {
+func (n *Node) handleOrders(ctx context.Context, conn *hvwire.Conn, o hvorder.Orders) error {
 	n.mu.Lock()
 	if o.Epoch != n.epoch {
 		n.mu.Unlock()
 		return failure("orders", hv.Conflict, "orders have epoch %d, node has epoch %d", o.Epoch, n.epoch)
 	}
+	if conn != n.ownerConn {
+		n.mu.Unlock()
+		return failure("orders", hv.Unavailable, "orders were sent on a connection that is not attached")
+	}
 	if o.Incarnation != n.executorState.Incarnation {
 		n.mu.Unlock()
 		return failure("orders", hv.NotFound, "orders are for incarnation %s, executor has incarnation %s", o.Incarnation, n.executorState.Incarnation)
--- a/hvnode/report_test.go
+++ b/hvnode/report_test.go
@@ -1,6 +1,7 @@
 package hvnode
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -115,7 +116,7 @@
 	n := newNode(t, e)
 	o := startOrder(3)
 	o.Batch = 7
-	if err := n.handleOrders(t.Context(), o); err != nil {
+	if err := n.handleOrders(t.Context(), nil, o); err != nil {
 		t.Fatal(err)
 	}
 	n.waitStarted(t)
@@ -213,3 +214,33 @@
 		t.Fatalf("effects are %v, want those of the last grant with some on the present connection", n.effects)
 	}
 }
+
+// Guards against orders on a connection that has been replaced, which the node processes
+// after the present one was attached because it stood still: their number counts as taken
+// on the present connection, and the owner stops runs whose orders are still on their way.
+func TestOrdersOnReplacedConnectionAreRefused(t *testing.T) {
+	n, _ := newClockedNode(t)
+	replaced, current := &hvwire.Conn{}, &hvwire.Conn{}
+	for _, c := range []*hvwire.Conn{replaced, current} {
+		if _, err := n.attach(t.Context(), c, hvorder.Attach{Epoch: 3, Owner: "gate"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	orders := func(c *hvwire.Conn, batch int64) error {
+		params, err := json.Marshal(hvorder.Orders{Epoch: 3, Incarnation: "1", Batch: batch})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = n.Mux(t.Context())[hvorder.MethodOrders](t.Context(), c, params)
+		return err
+	}
+	if err := orders(replaced, 500); hv.KindOf(err) != hv.Unavailable {
+		t.Errorf("orders on the replaced connection: %v, want kind unavailable", err)
+	}
+	if err := orders(current, 2); err != nil {
+		t.Fatal(err)
+	}
+	if r := n.lockedFullReport(); r.Batch != 2 {
+		t.Fatalf("lists are as of orders %d, want 2, the last ones on the present connection", r.Batch)
+	}
+}
--- a/hvnode/specs_test.go
+++ b/hvnode/specs_test.go
@@ -60,7 +60,7 @@
 	})
 	e := &fakeExecutor{}
 	n := newNode(t, e)
-	if err := n.handleOrders(t.Context(), orderWithRef(addr)); err != nil {
+	if err := n.handleOrders(t.Context(), nil, orderWithRef(addr)); err != nil {
 		t.Fatal(err)
 	}
 	checkStarts(t, n, e)
@@ -92,7 +92,7 @@
 				t.Fatal(err)
 			}
 			n.ownerConn = owner
-			if err := n.handleOrders(t.Context(), orderWithRef(addr)); err != nil {
+			if err := n.handleOrders(t.Context(), owner, orderWithRef(addr)); err != nil {
 				t.Fatal(err)
 			}
 			checkStarts(t, n, e)
@@ -110,10 +110,10 @@
 	})
 	e := &fakeExecutor{}
 	n := newNode(t, e)
-	if err := n.handleOrders(t.Context(), orderWithRef(addr)); err != nil {
+	if err := n.handleOrders(t.Context(), nil, orderWithRef(addr)); err != nil {
 		t.Fatal(err)
 	}
-	if err := n.handleOrders(t.Context(), hvorder.Orders{Epoch: 3, Incarnation: "1", Withdraw: true}); err != nil {
+	if err := n.handleOrders(t.Context(), nil, hvorder.Orders{Epoch: 3, Incarnation: "1", Withdraw: true}); err != nil {
 		t.Fatal(err)
 	}
 	close(release)
