Report ends while the owner waits for repeated lists

An owner that asks for the lists of a host goes on ordering starts there, other than at an attachment. While a start was in flight at each response of the executor, there were no full lists, and until then the node reported no ends, saved states or stalled runs: tasks of a busy host with slow starts counted as running although they were done. The wish is kept apart from whether any lists were sent on the connection, so changes are reported meanwhile.

TestEndsAreReportedWhileListsAreWanted failed before: no end in the report.

--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -113,10 +113,10 @@
 	lastEnds     []hv.RunEnd
 	hostReported bool
 	crash        crashTracker
-	// fullReported is true once the owner has been sent a full report, and digestAt when
-	// it was last sent one or a digest.
-	fullReported bool
-	digestAt     time.Time
+	// fullReported is true once the owner has been sent a full report, and listWanted if it
+	// has asked for another one since. digestAt is when it was last sent one or a digest.
+	fullReported, listWanted bool
+	digestAt                 time.Time
 	// batch is the number of the last orders on the owner's connection.
 	batch int64
 	// attachments counts the attempts of owners to attach.
@@ -234,7 +234,7 @@
 	n.attachments++
 	attachment := n.attachments
 	n.progressReports = progressReports{wanted: req.Progress}
-	n.refused, n.stopped, n.fullReported = nil, nil, false
+	n.refused, n.stopped, n.fullReported, n.listWanted = nil, nil, false, false
 	n.crash.attached()
 	n.repeatStalls()
 	n.mu.Unlock()
@@ -322,7 +322,7 @@
 		r.Pending = append(r.Pending, run)
 	}
 	n.reportedEnd = lastEnd(n.executorState.Ended, n.reportedEnd)
-	n.fullReported, n.digestAt = true, n.deps.Clock.Now()
+	n.fullReported, n.listWanted, n.digestAt = true, false, n.deps.Clock.Now()
 }
 
 // lastEnd returns the highest Number of the ends, or last if none is higher.
--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -74,7 +74,7 @@
 		n.crash.acknowledged(grant.AckedCrash)
 		n.lastEnds = n.lastEnds[min(len(r.LastEnds), len(n.lastEnds)):]
 		if grant.List {
-			n.fullReported = false
+			n.listWanted = true
 			hvtick.Wake(n.wakeReport)
 		}
 		if grant.Effects != nil {
@@ -113,7 +113,7 @@
 		n.hostReported = true
 	}
 	switch {
-	case n.hasFullState() && !n.fullReported:
+	case n.hasFullState() && (!n.fullReported || n.listWanted):
 		n.fillReport(&r)
 	case n.stateKnown && !n.fullReported:
 		r.Incarnation, r.Clock = n.executorState.Incarnation, n.executorState.ClockMS
@@ -171,7 +171,7 @@
 // runsDue reports whether the owner waits for the full lists, or a digest of the runs is
 // due. The lock is held.
 func (n *Node) runsDue() bool {
-	return n.ownerConn != nil && (!n.fullReported || n.deps.Clock.Now().Sub(n.digestAt) >= digestInterval)
+	return n.ownerConn != nil && (!n.fullReported || n.listWanted || n.deps.Clock.Now().Sub(n.digestAt) >= digestInterval)
 }
 
 // unreportedRuns returns the runs with a saved state that has not been reported, and
--- a/hvnode/report_test.go
+++ b/hvnode/report_test.go
@@ -244,3 +244,29 @@
 		t.Fatalf("lists are as of orders %d, want 2, the last ones on the present connection", r.Batch)
 	}
 }
+
+// Guards against a busy host that reports no ends while the owner waits for its lists: a
+// start is in flight whenever the executor responds, so that there are no full lists.
+func TestEndsAreReportedWhileListsAreWanted(t *testing.T) {
+	n, _ := newClockedNode(t)
+	conn := &hvwire.Conn{}
+	if _, err := n.attach(t.Context(), conn, hvorder.Attach{Epoch: 3, Owner: "gate"}); err != nil {
+		t.Fatal(err)
+	}
+	n.handleGrant(conn, hvorder.Report{}, hvorder.Grant{List: true})
+	n.mu.Lock()
+	n.startsInFlight++
+	n.mu.Unlock()
+	n.applyState(hv.ExecutorState{Incarnation: "1", ClockMS: 100, Ended: []hv.RunEnd{{Number: 1, Task: testRun.Task, Run: testRun.Run, Reason: hv.EndDone}}}, n.currentVersion())
+	if !n.hasUnreported() {
+		t.Error("the end of the run wakes no report")
+	}
+	if _, r, _ := n.nextReport(); r.Full || len(r.Ended) != 1 {
+		t.Fatalf("report %+v while a start is in flight, want the end", r)
+	}
+	n.endStartCall()
+	n.list("1", 200)
+	if _, r, _ := n.nextReport(); !r.Full {
+		t.Fatalf("report %+v, want the lists that the owner has asked for", r)
+	}
+}
