Adopt no runs from lists of an executor whose leases have expired

A node whose executor does not respond goes on sending digests, and lists on request, of what it knew last. Since runs of connected hosts are lost with their leases too, the owner took these lists for current, as their time is that of the last ones: each 3 s it asked for them, adopted the lost runs again and lost them with the next tick. A task that waited counted as running meanwhile, and took over the older saved state of the run. Lists of a time whose leases have all expired are now ignored like older ones. If a node attaches with such lists, the owner asks for current ones with the next digest, as the node sends none on its own.

TestListsOfSilentExecutorAreNotAdopted failed before: a run counts again.

--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -128,8 +128,8 @@
 	c.observeInterference(r)
 	c.markJobsRunning(r)
 	c.markSaved(now, h, r.Running)
-	if r.Full && r.Clock >= h.clock {
-		// Older lists may name runs that have ended since.
+	current := c.isCurrent(now, h, r)
+	if r.Full && current {
 		c.reconcile(now, h, r)
 	}
 	// The lists may be the first with a stalled run.
@@ -138,19 +138,32 @@
 	c.recordSavedStates(h, r.Running)
 	g := c.grant(now, h, r)
 	g.AckedCrash = h.storedCrash
-	g.List = !r.Full && h.differsFrom(r)
+	g.List = current && !r.Full && h.differsFrom(r)
 	if g.List {
 		_ = level.Info(c.options.Logger).Log("msg", "runs of a host are not those that the owner counts; asking for its lists", "host", name, "counted", len(h.runs), "life", h.incarnation)
 	}
 	return g
 }
 
+// isCurrent reports whether the runs in a report may still be on the host. Older ones may
+// have ended since; those that the executor listed last have ended with their leases.
+func (c *Cell) isCurrent(now time.Time, h *host, r hvorder.Report) bool {
+	if r.Clock == h.clock && !h.respondedAt.IsZero() {
+		return !c.leasesExpired(now, h)
+	}
+	return r.Clock >= h.clock
+}
+
 // differsFrom reports whether the runs on a host, as the digest in its report says, are not
-// those that this owner counts.
+// those that this owner counts. A node sends a digest once it has sent the lists; if none
+// was current, they are needed again.
 func (h *host) differsFrom(r hvorder.Report) bool {
-	if r.Digest == 0 || !h.reconciled || r.Incarnation != h.incarnation || r.Clock < h.clock {
+	if r.Digest == 0 || r.Incarnation != h.incarnation {
 		return false
 	}
+	if !h.reconciled {
+		return true
+	}
 	counted := hvorder.EmptyDigest
 	for ref, run := range h.runs {
 		if run.batch <= r.Batch {
--- a/hvcell/silence_test.go
+++ b/hvcell/silence_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"hibiscusvane.example/hibiscusvane/hvorder"
 )
 
 // Guards against tasks that stay without a run because the node beside their executor
@@ -39,3 +41,41 @@
 		t.Errorf("%d tasks start on the silent executor", len(o.Starts))
 	}
 }
+
+// Guards against runs that a silent executor lost with their leases, and that count again
+// because its node repeats the lists from before: their tasks wait, and go on from an older
+// saved state.
+func TestListsOfSilentExecutorAreNotAdopted(t *testing.T) {
+	w := newSimCluster(t, 1)
+	w.attachAll()
+	w.submit(urgentJob(longRunningStep(1)))
+	w.exchange()
+	silent := w.hosts["host-0"]
+	lists := silent.report(true)
+	digest := lists
+	digest.Full, digest.Running, digest.Digest = false, nil, silent.digest()
+	silent.applyGrant(w.cell.Report(w.now, silent.name, lists))
+	for range 7 {
+		w.advance(time.Second)
+		w.cell.Confirm(w.now)
+	}
+	check := func(after string) {
+		t.Helper()
+		if n := w.cell.Counts().Running; n != 0 {
+			t.Fatalf("%d runs count after %s", n, after)
+		}
+	}
+	check("the end of their lease")
+	if g := w.cell.Report(w.now, silent.name, digest); g.List {
+		t.Error("the owner asks for lists that are no newer than those before")
+	}
+	w.cell.Report(w.now, silent.name, lists)
+	check("older lists")
+	w.cell.NodeDetached(w.now, silent.name)
+	w.cell.NodeAttached(w.now, silent.name, lists)
+	check("an attachment with older lists")
+	digest.Clock, digest.Digest = silent.clock(), hvorder.EmptyDigest
+	if g := w.cell.Report(w.now, silent.name, digest); !g.List {
+		t.Error("the owner does not ask for the lists after the executor has responded")
+	}
+}
