Pass leases on before shares change after an unconfirmed renewal

A renewal passes no lease on if the last response was to a request that is older than 1.8 s. Setting the shares of all best-effort runs after each response may take longer than that when the calls are slow, as each waits for the one before. Then no renewal passed a lease on as long as the shares went on changing, and all runs would lapse after 5 s. A renewal that held the lease back is now followed by the next one at once.

TestSlowShareChangesDoNotHoldLeasesBack failed before: 1 of 40 renewals passed the lease on.

--- a/hvnode/node_test.go
+++ b/hvnode/node_test.go
@@ -29,9 +29,11 @@
 	errs   []error
 	state  hv.ExecutorState
 	// renewErr is the error of lease renewals, if it is set, and renewing is called by
-	// each of them, if it is set.
-	renewErr error
-	renewing func()
+	// each of them, if it is set. throttling is called by each change of a share, if it is
+	// set.
+	renewErr             error
+	renewing, throttling func()
+	renewals             []hv.LeaseRenewal
 }
 
 func (e *fakeExecutor) SetExpectedInstance(string) {}
@@ -55,14 +57,22 @@
 	return nil
 }
 
-func (e *fakeExecutor) RenewLeases(context.Context, hv.LeaseRenewal) (hv.ExecutorState, error) {
+func (e *fakeExecutor) RenewLeases(_ context.Context, r hv.LeaseRenewal) (hv.ExecutorState, error) {
+	e.mu.Lock()
+	e.renewals = append(e.renewals, r)
+	e.mu.Unlock()
 	if e.renewing != nil {
 		e.renewing()
 	}
 	return e.state, e.renewErr
 }
 
-func (e *fakeExecutor) Throttle(context.Context, string, int, int, int64) error { return nil }
+func (e *fakeExecutor) Throttle(context.Context, string, int, int, int64) error {
+	if e.throttling != nil {
+		e.throttling()
+	}
+	return nil
+}
 
 func newNode(t *testing.T, e *fakeExecutor) *Node {
 	t.Helper()
--- a/hvnode/renew.go
+++ b/hvnode/renew.go
@@ -53,6 +53,10 @@
 		}
 		failures = 0
 		n.applyState(state, version)
+		if n.isLeaseDue(renewal) {
+			// Changes of many shares take long.
+			continue
+		}
 		n.adjustShares(ctx, state)
 		if n.hasUnreported() {
 			hvtick.Wake(n.wakeReport)
@@ -63,6 +67,13 @@
 	}
 }
 
+// isLeaseDue reports whether a renewal passed no lease on although the owner has granted one.
+func (n *Node) isLeaseDue(r hv.LeaseRenewal) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return r.LeaseEnd == 0 && n.leaseEnd > 0
+}
+
 // retryInterval returns the time before the next renewal after a number of failures in a
 // row.
 func retryInterval(failures int) time.Duration {
--- a/hvnode/renew_test.go
+++ b/hvnode/renew_test.go
@@ -1,7 +1,9 @@
 package hvnode
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvorder"
@@ -32,3 +34,38 @@
 		t.Fatal("the new executor counts as ended after one refused connection")
 	}
 }
+
+// Guards against leases that lapse while many shares change, one call after the other: the
+// last response is then too old to confirm the incarnation, and a renewal without leases
+// was followed by the next changes.
+func TestSlowShareChangesDoNotHoldLeasesBack(t *testing.T) {
+	n, clock := serviceNode(t)
+	e := n.deps.Executor.(*fakeExecutor)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	e.throttling = func() { clock.advance(2 * time.Second) }
+	e.renewing = func() {
+		clock.advance(time.Millisecond)
+		// The tail of the service swings around its goal, so that the share changes.
+		tail := 6
+		if len(e.renewals)%2 == 0 {
+			tail = 12
+		}
+		e.state.Running = []hv.RunState{{Task: "service", Run: 1, Load: tail}, {Task: "loud", Run: 1, Load: 1000}}
+		e.state.ClockMS = clock.now.UnixMilli()
+		if len(e.renewals) == 40 {
+			cancel()
+		}
+	}
+	n.leaseEnd = 9000
+	n.renewLoop(ctx)
+	renewed := 0
+	for _, r := range e.renewals {
+		if r.LeaseEnd > 0 {
+			renewed++
+		}
+	}
+	if renewed < len(e.renewals)/3 {
+		t.Fatalf("%d of %d renewals pass the lease on, want one after each change of the shares", renewed, len(e.renewals))
+	}
+}
