Take no orders on a link that has been replaced

A link whose node has another address may find itself woken in the moment in which it ends. It took the orders of the node by name, also those for the link that had been attached in its place, and sent them on its own connection, which is closed: starts got lost, until a digest showed the difference 3 s later. Only the attached connection takes orders now.

TestReplacedLinkTakesNoOrders failed before: the orders of the new link are gone. It shares its set-up with TestReplacedLinkDoesNotDetachNode, which checks the same as before.

--- a/hvowner/link.go
+++ b/hvowner/link.go
@@ -150,19 +150,28 @@
 
 // send sends the node its pending orders, if there are any.
 func (l *link) send(ctx context.Context, conn *hvwire.Conn) error {
-	o := l.owner
-	o.mu.Lock()
-	orders, ok := o.cell.Orders(l.name)
-	o.mu.Unlock()
-	if !ok {
-		return nil
+	orders, ok, err := l.takeOrders(conn)
+	if err != nil || !ok {
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err := hvwire.Call[struct{}](ctx, conn, hvorder.MethodOrders, orders)
+	_, err = hvwire.Call[struct{}](ctx, conn, hvorder.MethodOrders, orders)
 	return err
 }
 
+// takeOrders removes and returns the pending orders of the node, if there are any.
+func (l *link) takeOrders(conn *hvwire.Conn) (hvorder.Orders, bool, error) {
+	o := l.owner
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if l.conn != conn {
+		return hvorder.Orders{}, false, failure("link", hv.Unavailable, "connection of node %s is not attached", l.name)
+	}
+	orders, ok := o.cell.Orders(l.name)
+	return orders, ok, nil
+}
+
 // mux returns the handler of the node's reports.
 func (l *link) mux() hvwire.Mux {
 	m := hvwire.Mux{}
--- a/hvowner/replaced_link_test.go
+++ b/hvowner/replaced_link_test.go
@@ -13,11 +13,13 @@
 	"hibiscusvane.example/hibiscusvane/hvledger"
 	"hibiscusvane.example/hibiscusvane/hvorder"
 	"hibiscusvane.example/hibiscusvane/hvwire"
+	"hibiscusvane.example/hibiscusvane/hvwire/hvwiretest"
 )
 
-// Guards against a node that counts as disconnected although its new link is attached,
-// because the link to its earlier address ends later: it gets no work any more.
-func TestReplacedLinkDoesNotDetachNode(t *testing.T) {
+// ownerWithReplacedLink returns an owner that is attached to the node side at its second
+// address, and the link to the first one with its connection.
+func ownerWithReplacedLink(t *testing.T) (*Owner, *link, *hvwire.Conn) {
+	t.Helper()
 	logger := log.NewNopLogger()
 	o := &Owner{options: Options{Clock: hv.SystemClock{}, Logger: logger}, links: map[string]*link{}}
 	o.cell = hvcell.New(hvcell.Options{Logger: logger, LeaseDuration: time.Second, Health: hvhealth.New(hvhealth.Options{HostCount: o.hostCount})})
@@ -27,15 +29,44 @@
 	}
 	node := hvledger.Node{Name: "side", Addr: "127.0.0.1:1"}
 	o.NodeChanged(node, false)
-	old, oldConn := o.links["side"], &hvwire.Conn{}
-	attach(old, oldConn)
+	conn, err := hvwire.Dial(t.Context(), hvwiretest.Serve(t, hvwire.Mux{}), hvwire.Mux{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	old := o.links["side"]
+	attach(old, conn)
 	node.Addr = "127.0.0.1:2"
 	o.NodeChanged(node, false)
 	attach(o.links["side"], &hvwire.Conn{})
-	old.detach(oldConn)
-	// An evacuation has orders for each node that is connected.
-	o.cell.SetEvacuated([]string{"north"})
+	return o, old, conn
+}
+
+// checkOrders checks that the node is connected and has orders: an evacuation has some for
+// each such node.
+func (o *Owner) checkOrders(t *testing.T) {
+	t.Helper()
 	if got := o.cell.HostsWithOrders(); !slices.Equal(got, []string{"side"}) {
-		t.Fatalf("hosts %v are connected, want that with the new link", got)
+		t.Fatalf("hosts %v are connected and have orders, want that with the new link", got)
+	}
+}
+
+// Guards against a node that counts as disconnected although its new link is attached,
+// because the link to its earlier address ends later: it gets no work any more.
+func TestReplacedLinkDoesNotDetachNode(t *testing.T) {
+	o, old, conn := ownerWithReplacedLink(t)
+	old.detach(conn)
+	o.cell.SetEvacuated([]string{"north"})
+	o.checkOrders(t)
+}
+
+// Guards against orders of a new link that the link to the earlier address sends on its
+// own connection, where they are lost.
+func TestReplacedLinkTakesNoOrders(t *testing.T) {
+	o, old, conn := ownerWithReplacedLink(t)
+	o.cell.SetEvacuated([]string{"north"})
+	if err := old.send(t.Context(), conn); hv.KindOf(err) != hv.Unavailable {
+		t.Errorf("orders on the replaced link: %v, want kind unavailable", err)
 	}
+	o.checkOrders(t)
 }
