Tell listed runs from running ones by name

Two functions of hvnode were called isListed, one for running runs and one for running and ended ones. Behaviour is the same; hvnode passes.

--- a/hvnode/orders.go
+++ b/hvnode/orders.go
@@ -323,15 +323,10 @@
 
 // isListed reports whether the executor lists a run as running or ended.
 func isListed(h hv.ExecutorState, run hvorder.Run) bool {
-	for _, r := range h.Running {
-		if runOf(r) == run {
-			return true
-		}
-	}
-	for _, e := range h.Ended {
-		if e.Task == run.Task && e.Run == run.Run {
-			return true
-		}
-	}
-	return false
+	return isRunning(h, run) || slices.ContainsFunc(h.Ended, func(e hv.RunEnd) bool { return e.Task == run.Task && e.Run == run.Run })
+}
+
+// isRunning reports whether the executor lists a run as running.
+func isRunning(h hv.ExecutorState, run hvorder.Run) bool {
+	return slices.ContainsFunc(h.Running, func(r hv.RunState) bool { return runOf(r) == run })
 }
--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -157,17 +156,12 @@
 		r.Digest = r.Digest.With(runOf(run))
 	}
 	for run := range n.pendingStarts {
-		if !n.isListed(run) {
+		if !isRunning(n.executorState, run) {
 			r.Digest = r.Digest.With(run)
 		}
 	}
 }
 
-// isListed reports whether the executor lists a run as running. The lock is held.
-func (n *Node) isListed(run hvorder.Run) bool {
-	return slices.ContainsFunc(n.executorState.Running, func(r hv.RunState) bool { return runOf(r) == run })
-}
-
 // runsDue reports whether the owner waits for the full lists, or a digest of the runs is
 // due. The lock is held.
 func (n *Node) runsDue() bool {
