--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -45,10 +45,10 @@
 	// interferingShare controls the best-effort work that interferes with serving
 	// tasks or may do so, harmlessShare all other best-effort work.
 	interferingShare, harmlessShare shareController
-	// overTargetSince is since when a service is over its target, and overSince since when
-	// it is so although no interfering work runs; both are zero if none is.
-	overTargetSince, overSince time.Time
-	specs                      *specs
+	// overTarget holds while a service is over its target, and overWithoutInterfering while
+	// it is so although no interfering work runs.
+	overTarget, overWithoutInterfering condition
+	specs                              *specs
 
 	mu sync.Mutex
 	// host is the last announcement of the executor and executorID the identifier
--- a/hvnode/share.go
+++ b/hvnode/share.go
@@ -205,17 +205,20 @@
 func (n *Node) decideShares(m measurement) (interfering, harmless int) {
 	if !m.hasServing {
 		n.interferingShare, n.harmlessShare = shareController{}, shareController{}
-		n.overTargetSince, n.overSince = time.Time{}, time.Time{}
+		n.overTarget, n.overWithoutInterfering = condition{}, condition{}
 		return fullShare, fullShare
 	}
 	now := n.deps.Clock.Now()
 	interfering = n.interferingShare.update(now, m.worstRatio, m.fullEffect)
-	if n.overTargetFor(now, m.worstRatio) >= maxOverTarget {
+	isOver := m.worstRatio >= 1
+	if n.overTarget.heldFor(now, isOver) >= maxOverTarget {
 		interfering = n.interferingShare.stop(now)
 	}
+	// Other work slows the service once the interfering work was stopped, or without any.
+	isOther := isOver && (interfering == 0 || !n.hasInterfering(m))
 	stopped := n.harmlessShare.reduction == fullShare
 	harmless = fullShare - n.harmlessShare.reduction
-	if n.staysOver(now, m, interfering) || m.worstRatio < goalRatio && harmless < fullShare {
+	if n.overWithoutInterfering.heldFor(now, isOther) >= harmlessDelay || m.worstRatio < goalRatio && harmless < fullShare {
 		harmless = n.harmlessShare.update(now, m.worstRatio, 0)
 	}
 	if (harmless == 0) != stopped {
@@ -224,30 +227,22 @@
 	return interfering, harmless
 }
 
-// overTargetFor returns for how long a service has been over its target. The lock is held.
-func (n *Node) overTargetFor(now time.Time, worstRatio float64) time.Duration {
-	if worstRatio < 1 {
-		n.overTargetSince = time.Time{}
-		return 0
-	}
-	if n.overTargetSince.IsZero() {
-		n.overTargetSince = now
-	}
-	return now.Sub(n.overTargetSince)
+// condition measures for how long a condition has held.
+type condition struct {
+	// since is when the condition began to hold, or zero if it does not.
+	since time.Time
 }
 
-// staysOver reports whether a service has been over its target for harmlessDelay after
-// the interfering work was stopped, or without any, so that other work slows it. The lock
-// is held.
-func (n *Node) staysOver(now time.Time, m measurement, interfering int) bool {
-	if m.worstRatio < 1 || interfering > 0 && n.hasInterfering(m) {
-		n.overSince = time.Time{}
-		return false
+// heldFor records whether the condition holds now and returns for how long it has.
+func (c *condition) heldFor(now time.Time, holds bool) time.Duration {
+	if !holds {
+		c.since = time.Time{}
+		return 0
 	}
-	if n.overSince.IsZero() {
-		n.overSince = now
+	if c.since.IsZero() {
+		c.since = now
 	}
-	return now.Sub(n.overSince) >= harmlessDelay
+	return now.Sub(c.since)
 }
 
 func (n *Node) hasInterfering(m measurement) bool {
