--- /dev/null
+++ b/hvnode/announce.go
@@ -0,0 +1,55 @@
+package hvnode
+
+import (
+	"github.com/go-kit/log/level"
+
+	"hibiscusvane.example/hibiscusvane/hvorder"
+	"hibiscusvane.example/hibiscusvane/hvtick"
+)
+
+// Announce handles a heartbeat of the executor with the identifier id.
+func (n *Node) Announce(id string, h hvorder.Host) {
+	n.mu.Lock()
+	old := n.host
+	if old != nil && !old.Capacity.Fits(h.Capacity) {
+		n.capacityShrunk = true
+		hvtick.Wake(n.wakeWithdraw)
+	}
+	n.host, n.executorID = &h, id
+	if h.Draining {
+		n.crash.leaving = h.Incarnation
+	}
+	changed := old == nil || old.Incarnation != h.Incarnation || old.Draining != h.Draining || old.Capacity != h.Capacity || old.Service != h.Service || (old.ColdMillis > 0) != (h.ColdMillis > 0)
+	if changed {
+		n.hostReported = false
+		n.executorGone, n.refusals = false, 0
+	}
+	n.mu.Unlock()
+	if !changed {
+		return
+	}
+	n.deps.Executor.SetExpectedInstance(id)
+	_ = level.Info(n.deps.Logger).Log("msg", "heartbeat announced a new or changed executor", "id", id, "life", h.Incarnation, "draining", h.Draining, "rack", h.Rack)
+	hvtick.Wake(n.wakeRegister)
+	hvtick.Wake(n.wakeReport)
+	hvtick.Wake(n.wakeRenew)
+}
+
+// Leave handles the executor's notice that it exits.
+func (n *Node) Leave(id string) {
+	n.mu.Lock()
+	if n.executorID != id {
+		n.mu.Unlock()
+		return
+	}
+	if n.host != nil {
+		h := *n.host
+		h.Draining, h.Exiting = true, true
+		n.host = &h
+		n.crash.leaving = h.Incarnation
+	}
+	n.hostReported = false
+	n.mu.Unlock()
+	_ = level.Info(n.deps.Logger).Log("msg", "executor announced that it exits", "id", id)
+	hvtick.Wake(n.wakeReport)
+}
--- /dev/null
+++ b/hvnode/incarnation.go
@@ -0,0 +1,53 @@
+package hvnode
+
+import (
+	"context"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvorder"
+	"hibiscusvane.example/hibiscusvane/hvtick"
+)
+
+// maxConfirmationAge is how long after a request the executor counts as the incarnation that
+// it was in its response. Renewals follow each other and take up to 0.8 s each, so an older
+// request means that this process stood still; the executor may have restarted meanwhile.
+const maxConfirmationAge = 1800 * time.Millisecond
+
+// isConfirmed reports whether the executor is known to be the incarnation in
+// executorState. A lease by the clock of another one would last longer than the owner
+// counts. Its age counts from the request, as the response may have waited in the connection
+// while this process stood still. The lock is held.
+func (n *Node) isConfirmed() bool {
+	return n.incarnationConfirmed && n.isRecent(n.stateVersion.requestedAt)
+}
+
+// isRecent reports whether the response to a request that was sent at a time still tells
+// the executor's incarnation.
+func (n *Node) isRecent(sentAt time.Time) bool {
+	now := n.deps.Clock.Now()
+	// The time of day counts suspensions, which the steady clock may not.
+	return max(now.Sub(sentAt), now.Round(0).Sub(sentAt.Round(0))) <= maxConfirmationAge
+}
+
+// knowsIncarnation is isConfirmed without the lock held.
+func (n *Node) knowsIncarnation() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.isConfirmed()
+}
+
+// confirmIncarnation waits until the executor lists its runs and reports whether it is
+// still the incarnation that a start was ordered for. It returns false if the start is no
+// longer wanted.
+func (n *Node) confirmIncarnation(ctx context.Context, run hvorder.Run, epoch int64, incarnation string) bool {
+	for ctx.Err() == nil && n.isStartWanted(run, epoch) {
+		sentAt := n.deps.Clock.Now()
+		state, err := n.deps.Executor.RenewLeases(ctx, hv.LeaseRenewal{Epoch: epoch})
+		if err == nil && n.isRecent(sentAt) {
+			return state.Incarnation == incarnation
+		}
+		hvtick.Sleep(ctx, callRetryInterval)
+	}
+	return false
+}
--- a/hvnode/orders.go
+++ b/hvnode/orders.go
@@ -162,28 +162,6 @@
 	}
 }
 
-// knowsIncarnation is isConfirmed without the lock held.
-func (n *Node) knowsIncarnation() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.isConfirmed()
-}
-
-// confirmIncarnation waits until the executor lists its runs and reports whether it is
-// still the incarnation that a start was ordered for. It returns false if the start is no
-// longer wanted.
-func (n *Node) confirmIncarnation(ctx context.Context, run hvorder.Run, epoch int64, incarnation string) bool {
-	for ctx.Err() == nil && n.isStartWanted(run, epoch) {
-		sentAt := n.deps.Clock.Now()
-		state, err := n.deps.Executor.RenewLeases(ctx, hv.LeaseRenewal{Epoch: epoch})
-		if err == nil && n.isRecent(sentAt) {
-			return state.Incarnation == incarnation
-		}
-		hvtick.Sleep(ctx, callRetryInterval)
-	}
-	return false
-}
-
 // returnStart reports a start to the owner as refused. If an earlier call may still
 // be carried out, it stops the run instead, which keeps it from starting, and
 // reports it as stopped.
--- /dev/null
+++ b/hvnode/state.go
@@ -0,0 +1,110 @@
+package hvnode
+
+import (
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvorder"
+)
+
+// stateVersion identifies when the executor's state was requested: the epoch of the
+// owner and the start calls before the request.
+type stateVersion struct {
+	epoch int64
+	// startCalls is the number of start calls before the request, or -1 if one of
+	// them had no response yet.
+	startCalls int64
+	// requestedAt is the time of the request.
+	requestedAt time.Time
+}
+
+// isCurrent reports whether nothing that changes the executor's state was called since the
+// request. The lock is held.
+func (n *Node) isCurrent(v stateVersion) bool {
+	c := n.currentVersionLocked()
+	return v.epoch == c.epoch && v.startCalls == c.startCalls
+}
+
+func (n *Node) currentVersion() stateVersion {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.currentVersionLocked()
+}
+
+func (n *Node) currentVersionLocked() stateVersion {
+	v := stateVersion{epoch: n.epoch, startCalls: n.startCalls, requestedAt: n.deps.Clock.Now()}
+	if n.startsInFlight > 0 {
+		v.startCalls = -1
+	}
+	return v
+}
+
+// hasFullState reports whether executorState lists every run that may be on the
+// host: it was requested in the epoch of the owner, no start was called since, and no end
+// is left out, whose run would be neither running nor ended. The lock is held.
+func (n *Node) hasFullState() bool {
+	return n.stateKnown && !n.executorState.MoreEnded && n.startsInFlight == 0 && n.isCurrent(n.stateVersion)
+}
+
+// applyState keeps the state that the executor returned for a request made at a
+// version. After a change of the incarnation it resets the state of the previous
+// one.
+func (n *Node) applyState(h hv.ExecutorState, version stateVersion) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.stateKnown && h.Incarnation == n.executorState.Incarnation && h.ClockMS < n.executorState.ClockMS {
+		// A newer response has already arrived on another connection.
+		return
+	}
+	if h.Incarnation != n.executorState.Incarnation {
+		if n.executorState.Incarnation != "" {
+			n.recordExecutorEnd(n.executorState.Incarnation)
+		}
+		n.ackedEnd, n.reportedEnd, n.leaseEnd = 0, 0, 0
+		n.fullReported = false
+		n.pendingStarts = map[hvorder.Run]bool{}
+		n.reportedSaved = map[hvorder.Run]string{}
+	}
+	now := n.deps.Clock.Now()
+	n.executorState, n.stateVersion, n.stateKnown, n.incarnationConfirmed, n.executorGone = h, version, true, true, false
+	n.refusals = 0
+	n.crash.listed(now, h, n.isCurrent(version) && !h.MoreEnded)
+	n.confirmListed(h)
+	n.recordProgress(now, h.Running)
+}
+
+// confirmListed ends the pending starts of runs that the executor lists. A start that is
+// repeated after the executor has restarted would run the task again. The lock is held.
+func (n *Node) confirmListed(h hv.ExecutorState) {
+	for _, r := range h.Running {
+		n.confirmPending(runOf(r))
+	}
+	for _, e := range h.Ended {
+		n.confirmPending(hvorder.Run{Task: e.Task, Run: e.Run})
+	}
+}
+
+func (n *Node) confirmPending(run hvorder.Run) {
+	if n.pendingStarts[run] {
+		delete(n.pendingStarts, run)
+		n.recordBegun(run)
+	}
+}
+
+// handleCallError records a failed call to the executor and reports whether the
+// executor has seen a newer owner.
+func (n *Node) handleCallError(err error) bool {
+	n.mu.Lock()
+	n.incarnationConfirmed = false
+	n.crash.failed(n.deps.Clock.Now(), err)
+	n.mu.Unlock()
+	kind := hv.KindOf(err)
+	if kind == hv.Conflict {
+		return true
+	}
+	if kind == hv.NotFound {
+		// No executor listens, or another incarnation does: the runs have ended.
+		n.deps.Executor.SetExpectedInstance("")
+	}
+	return false
+}
