--- a/hvcell/crash_test.go
+++ b/hvcell/crash_test.go
@@ -145,10 +145,7 @@
 // Guards against a crash that is acknowledged before its effect is stored, or to a node
 // that has numbered its crashes anew since.
 func TestCrashIsAcknowledgedOnceStored(t *testing.T) {
-	w := newSimCluster(t, 1)
-	w.attachAll()
-	w.submit(urgentJob(testStep(1, 1000)))
-	w.exchange()
+	w := newRunningCluster(t, 1, testStep(1, 1000))
 	e := w.hosts["host-0"]
 	e.crash()
 	if g := w.cell.Report(w.now, e.name, e.report(false)); g.AckedCrash != 0 {
--- a/hvcell/evacuation_test.go
+++ b/hvcell/evacuation_test.go
@@ -13,10 +13,7 @@
 // of a run there, against runs that an evacuation stops, and against a zone that
 // stays unused after it was taken back.
 func TestEvacuatedZoneStartsNothing(t *testing.T) {
-	w := newSimCluster(t, 4)
-	w.attachAll()
-	w.submit(urgentJob(testStep(8, 3000)))
-	w.exchange()
+	w := newRunningCluster(t, 4, testStep(8, 3000))
 	if n := w.runs(); n != 8 {
 		t.Fatalf("%d runs before the evacuation, want 8", n)
 	}
--- a/hvcell/hosts_test.go
+++ b/hvcell/hosts_test.go
@@ -104,10 +104,7 @@
 // Guards against tasks that do not start again after the loss of their host, and
 // against starting them before its lease has expired.
 func TestTasksOfDisconnectedHostStartAfterItsLease(t *testing.T) {
-	w := newSimCluster(t, 2)
-	w.attachAll()
-	w.submit(urgentJob(testStep(8, 1000)))
-	w.exchange()
+	w := newRunningCluster(t, 2, testStep(8, 1000))
 	onDisconnected := len(w.hosts["host-0"].running)
 	if onDisconnected == 0 || w.runs() != 8 {
 		t.Fatalf("%d runs, %d of them on host-0", w.runs(), onDisconnected)
@@ -129,10 +126,7 @@
 
 // Guards against waiting for the lease of an executor that is known to have ended.
 func TestTasksOfEndedExecutorStartAtOnce(t *testing.T) {
-	w := newSimCluster(t, 2)
-	w.attachAll()
-	w.submit(urgentJob(testStep(8, 1000)))
-	w.exchange()
+	w := newRunningCluster(t, 2, testStep(8, 1000))
 	w.hosts["host-0"].crash()
 	w.exchange()
 	if got := len(w.hosts["host-1"].running); got != 8 {
@@ -143,10 +137,7 @@
 // Guards against a task that never starts again because its executor restarted without
 // it under the same identifier.
 func TestNewIncarnationLosesRuns(t *testing.T) {
-	w := newSimCluster(t, 1)
-	w.attachAll()
-	w.submit(urgentJob(testStep(2, 1000)))
-	w.exchange()
+	w := newRunningCluster(t, 1, testStep(2, 1000))
 	w.advance(time.Second)
 	w.hosts["host-0"].start()
 	// The runs are blocked in the new incarnation before their tasks start again.
@@ -288,10 +279,7 @@
 // Guards against an owner that is cut off with some of its hosts and starts the tasks of
 // all others again: a new owner may have taken note of their ends.
 func TestTasksOfLostHostWaitForConfirmedOwnership(t *testing.T) {
-	w := newSimCluster(t, 2)
-	w.attachAll()
-	w.submit(urgentJob(testStep(1, 1000)))
-	w.exchange()
+	w := newRunningCluster(t, 2, testStep(1, 1000))
 	w.cell.NodeDetached(w.now, "host-0")
 	w.cell.NodeDetached(w.now, "host-1")
 	w.advance(2 * time.Second)
--- a/hvcell/inherited_test.go
+++ b/hvcell/inherited_test.go
@@ -11,10 +11,7 @@
 // attached and list the runs of a long-running job.
 func newInheritedCluster(t *testing.T) *simCluster {
 	t.Helper()
-	w := newSimCluster(t, 3)
-	w.attachAll()
-	w.submit(urgentJob(longRunningStep(3)))
-	w.exchange()
+	w := newRunningCluster(t, 3, longRunningStep(3))
 	for name, e := range w.hosts {
 		if len(e.running) != 1 {
 			t.Fatalf("%d tasks run on %s, want 1", len(e.running), name)
--- a/hvcell/reconcile_test.go
+++ b/hvcell/reconcile_test.go
@@ -58,10 +58,7 @@
 // Guards against a long-running task that stays without a run because the owner counts one
 // that is on no host.
 func TestTaskOfVanishedRunStartsAgain(t *testing.T) {
-	w := newSimCluster(t, 2)
-	w.attachAll()
-	w.submit(urgentJob(longRunningStep(2)))
-	w.exchange()
+	w := newRunningCluster(t, 2, longRunningStep(2))
 	if w.runs() != 2 {
 		t.Fatalf("%d of 2 tasks run", w.runs())
 	}
@@ -81,10 +78,7 @@
 // newer one with its end, if the node never lists again: a node that was paused for longer
 // than the lease sent what it knew from before.
 func TestOlderListsAreIgnored(t *testing.T) {
-	w := newSimCluster(t, 2)
-	w.attachAll()
-	w.submit(urgentJob(longRunningStep(2)))
-	w.exchange()
+	w := newRunningCluster(t, 2, longRunningStep(2))
 	e := w.hosts["host-0"]
 	older := e.report(true)
 	for range 6 {
--- a/hvcell/silence_test.go
+++ b/hvcell/silence_test.go
@@ -11,10 +11,7 @@
 // reports while the executor does not respond: its runs end with their leases, which the
 // node cannot renew.
 func TestTasksOfSilentExecutorStartAgain(t *testing.T) {
-	w := newSimCluster(t, 2)
-	w.attachAll()
-	w.submit(urgentJob(longRunningStep(2)))
-	w.exchange()
+	w := newRunningCluster(t, 2, longRunningStep(2))
 	silent, other := w.hosts["host-0"], w.hosts["host-1"]
 	if len(silent.running) != 1 || len(other.running) != 1 {
 		t.Fatalf("runs are %v and %v, want one on each host", silent.running, other.running)
@@ -46,10 +43,7 @@
 // because its node repeats the lists from before: their tasks wait, and go on from an older
 // saved state.
 func TestListsOfSilentExecutorAreNotAdopted(t *testing.T) {
-	w := newSimCluster(t, 1)
-	w.attachAll()
-	w.submit(urgentJob(longRunningStep(1)))
-	w.exchange()
+	w := newRunningCluster(t, 1, longRunningStep(1))
 	silent := w.hosts["host-0"]
 	lists := silent.report(true)
 	digest := lists
--- a/hvcell/simcluster_test.go
+++ b/hvcell/simcluster_test.go
@@ -72,6 +72,16 @@
 	return w
 }
 
+// newRunningCluster returns a cluster whose hosts are attached and have got the orders for
+// an urgent job.
+func newRunningCluster(t rapid.TB, hosts int, steps ...hvjob.Step) *simCluster {
+	w := newSimCluster(t, hosts)
+	w.attachAll()
+	w.submit(urgentJob(steps...))
+	w.exchange()
+	return w
+}
+
 // replaceOwner replaces the owner with a new one that has only read the store.
 func (w *simCluster) replaceOwner() {
 	w.epoch++
--- a/hvcell/store_test.go
+++ b/hvcell/store_test.go
@@ -9,10 +9,7 @@
 
 // Guards against ends that are acknowledged before their effect is stored.
 func TestEndsAreAcknowledgedOnceStored(t *testing.T) {
-	w := newSimCluster(t, 1)
-	w.attachAll()
-	w.submit(urgentJob(testStep(1, 1000)))
-	w.exchange()
+	w := newRunningCluster(t, 1, testStep(1, 1000))
 	w.finishAll(hv.EndDone)
 	e := w.hosts["host-0"]
 	g := w.cell.Report(w.now, e.name, e.report(false))
@@ -48,10 +45,7 @@
 // Guards against a registration that outlasts an executor that has exited: the next owner,
 // and its long-running tasks, would wait for that host.
 func TestHostOfExitedExecutorIsDropped(t *testing.T) {
-	w := newSimCluster(t, 2)
-	w.attachAll()
-	w.submit(urgentJob(testStep(8, 1000)))
-	w.exchange()
+	w := newRunningCluster(t, 2, testStep(8, 1000))
 	r := w.hosts["host-0"].report(false)
 	r.Host.Draining, r.Host.Exiting = true, true
 	w.cell.Report(w.now, "host-0", r)
--- a/hvcell/straggler_test.go
+++ b/hvcell/straggler_test.go
@@ -9,10 +9,7 @@
 
 // Guards against a stalled run whose task does not start elsewhere.
 func TestStalledRunStartsElsewhere(t *testing.T) {
-	w := newSimCluster(t, 2)
-	w.attachAll()
-	w.submit(urgentJob(testStep(1, 1000)))
-	w.exchange()
+	w := newRunningCluster(t, 2, testStep(1, 1000))
 	name := "host-0"
 	if len(w.hosts[name].running) == 0 {
 		name = "host-1"
@@ -32,10 +29,7 @@
 // Guards against a stalled run that a new owner ignores because the report with it is the
 // one whose lists name the run first: it is not replaced.
 func TestStalledRunInFirstListsIsStopped(t *testing.T) {
-	w := newSimCluster(t, 1)
-	w.attachAll()
-	w.submit(urgentJob(testStep(1, 1000)))
-	w.exchange()
+	w := newRunningCluster(t, 1, testStep(1, 1000))
 	e := w.hosts["host-0"]
 	w.replaceOwner()
 	e.minEpoch = w.epoch
