--- a/hvcell/random_test.go
+++ b/hvcell/random_test.go
@@ -48,10 +48,11 @@
 
 // Guards against two runs of a task at once, a start after an acknowledged end, a
 // start out of order, jobs that never end, and long-running tasks that stay without a run.
-// The faults are lost and late orders, lists that arrive after newer ones, lost connections, crashes, expired leases, an unavailable store, changes of the owner
-// and evacuated zones, in which no start may be ordered. The model of the executor checks
-// each start. In half of the histories runs are also moved, and those of speculative
-// steps copied: only these may have two runs at once.
+// The faults are lost and late orders, lists that arrive after newer ones, lost
+// connections, crashes, expired leases, an unavailable store, changes of the owner and
+// evacuated zones, in which no start may be ordered. The model of the executor checks each
+// start. In half of the histories runs are also moved, and those of speculative steps
+// copied: only these may have two runs at once.
 func TestRandomFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		m := &faultMachine{simCluster: newSimCluster(rt, rapid.IntRange(1, 4).Draw(rt, "hosts")), delayed: map[string][]hvorder.Orders{}}
--- a/hvnode/share_test.go
+++ b/hvnode/share_test.go
@@ -143,7 +143,7 @@
 	return n, clock
 }
 
-// shares returns the shares of interfering and of other work after a measurement of the
+// sharesAfter returns the shares of interfering and of other work after a measurement of the
 // service's tail latency and of the loads of the work.
 func (n *Node) sharesAfter(clock *manualClock, tail, loud, quiet int) (interfering, harmless int) {
 	clock.advance(measureInterval)
