Change shares without delay after a renewal that held leases back

Since a renewal without leases is followed by one with them before shares change, and that one waited for up to 0.8 s for the end of a run, so that a service near its target waited too after each failed call. It no longer waits.

TestSlowShareChangesDoNotHoldLeasesBack checks this now and failed on: a renewal waits for 450 ms.

--- a/hvnode/renew.go
+++ b/hvnode/renew.go
@@ -37,9 +37,12 @@
 
 // renewLoop renews the leases at the executor and keeps the state in the response.
 func (n *Node) renewLoop(ctx context.Context) {
-	failures := 0
+	failures, leaseDue := 0, false
 	for ctx.Err() == nil {
 		renewal, version, ready := n.nextRenewal()
+		if leaseDue {
+			renewal.WaitMS = 0
+		}
 		if !ready {
 			n.waitRenew(ctx, failedRetryInterval)
 			continue
@@ -53,7 +56,7 @@
 		}
 		failures = 0
 		n.applyState(state, version)
-		if n.isLeaseDue(renewal) {
+		if leaseDue = n.isLeaseDue(renewal); leaseDue {
 			// Changes of many shares take long.
 			continue
 		}
--- a/hvnode/renew_test.go
+++ b/hvnode/renew_test.go
@@ -45,7 +45,7 @@
 	defer cancel()
 	e.throttling = func() { clock.advance(2 * time.Second) }
 	e.renewing = func() {
-		clock.advance(time.Millisecond)
+		clock.advance(measureInterval)
 		// The tail of the service swings around its goal, so that the share changes.
 		tail := 6
 		if len(e.renewals)%2 == 0 {
@@ -57,13 +57,16 @@
 			cancel()
 		}
 	}
-	n.leaseEnd = 9000
+	n.leaseEnd, e.renewals = 9000, nil
 	n.renewLoop(ctx)
 	renewed := 0
-	for _, r := range e.renewals {
+	for i, r := range e.renewals {
 		if r.LeaseEnd > 0 {
 			renewed++
 		}
+		if i > 0 && e.renewals[i-1].LeaseEnd == 0 && r.WaitMS > 0 {
+			t.Fatalf("renewal %d waits for %d ms after one without leases, and the shares wait for it", i, r.WaitMS)
+		}
 	}
 	if renewed < len(e.renewals)/3 {
 		t.Fatalf("%d of %d renewals pass the lease on, want one after each change of the shares", renewed, len(e.renewals))
