Keep the owner's connection when a renewal for the one before is refused

A renewal for an earlier owner that reaches the executor after the attachment of a newer one is refused. The node took that for a sign of a still newer owner and forgot the connection of the present one, also if it had attached during the call: it sent no reports until the owner connected again after 2.5 s. What such a renewal returns is ignored now.

TestRefusedRenewalOfEarlierOwnerDetachesNobody failed before: the node has no owner.

--- a/hvnode/renew.go
+++ b/hvnode/renew.go
@@ -48,6 +48,10 @@
 			continue
 		}
 		state, err := n.deps.Executor.RenewLeases(ctx, renewal)
+		if err != nil && n.superseded(renewal.Epoch) {
+			// The executor refuses renewals for an earlier owner.
+			continue
+		}
 		if err != nil {
 			n.handleRenewError(err)
 			failures++
--- a/hvnode/renew_test.go
+++ b/hvnode/renew_test.go
@@ -7,6 +7,7 @@
 
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvorder"
+	"hibiscusvane.example/hibiscusvane/hvwire"
 )
 
 // Guards against an executor that ends soon after its announcement, before it has listed
@@ -72,3 +73,30 @@
 		t.Fatalf("%d of %d renewals pass the lease on, want one after each change of the shares", renewed, len(e.renewals))
 	}
 }
+
+// Guards against a node that sends its owner no reports, because a renewal for the owner
+// before was refused while the new one attached.
+func TestRefusedRenewalOfEarlierOwnerDetachesNobody(t *testing.T) {
+	e := &fakeExecutor{}
+	n := newNode(t, e)
+	conn := &hvwire.Conn{}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	e.renewals = nil
+	e.renewing = func() {
+		switch len(e.renewals) {
+		case 1:
+			if _, err := n.attach(ctx, conn, hvorder.Attach{Epoch: 4, Owner: "next"}); err != nil {
+				t.Error(err)
+			}
+			e.renewErr = errorOfKind(hv.Conflict)
+		case 3:
+			e.renewErr = nil
+			cancel()
+		}
+	}
+	n.renewLoop(ctx)
+	if got, _, ok := n.nextReport(); !ok || got != conn {
+		t.Fatal("the node has no owner after the refusal, want the one that has attached")
+	}
+}
