--- a/hvnode/orders.go
+++ b/hvnode/orders.go
@@ -11,6 +11,7 @@
 	"hibiscusvane.example/hibiscusvane/hvjob"
 	"hibiscusvane.example/hibiscusvane/hvorder"
 	"hibiscusvane.example/hibiscusvane/hvtick"
+	"hibiscusvane.example/hibiscusvane/hvwire"
 )
 
 const (
@@ -23,12 +24,16 @@
 
 // handleOrders carries out a batch of orders. Start and stop calls continue after it
 // returns.
-func (n *Node) handleOrders(ctx context.Context, o hvorder.Orders) error {
+func (n *Node) handleOrders(ctx context.Context, conn *hvwire.Conn, o hvorder.Orders) error {
 	n.mu.Lock()
 	if o.Epoch != n.epoch {
 		n.mu.Unlock()
 		return failure("orders", hv.Conflict, "orders have epoch %d, node has epoch %d", o.Epoch, n.epoch)
 	}
+	if conn != n.ownerConn {
+		n.mu.Unlock()
+		return failure("orders", hv.Unavailable, "orders were sent on a connection that is not attached")
+	}
 	if o.Incarnation != n.executorState.Incarnation {
 		n.mu.Unlock()
 		return failure("orders", hv.NotFound, "orders are for incarnation %s, executor has incarnation %s", o.Incarnation, n.executorState.Incarnation)
@@ -157,28 +162,6 @@
 	}
 }
 
-// knowsIncarnation is isConfirmed without the lock held.
-func (n *Node) knowsIncarnation() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.isConfirmed()
-}
-
-// confirmIncarnation waits until the executor lists its runs and reports whether it is
-// still the incarnation that a start was ordered for. It returns false if the start is no
-// longer wanted.
-func (n *Node) confirmIncarnation(ctx context.Context, run hvorder.Run, epoch int64, incarnation string) bool {
-	for ctx.Err() == nil && n.isStartWanted(run, epoch) {
-		sentAt := n.deps.Clock.Now()
-		state, err := n.deps.Executor.RenewLeases(ctx, hv.LeaseRenewal{Epoch: epoch})
-		if err == nil && n.isRecent(sentAt) {
-			return state.Incarnation == incarnation
-		}
-		hvtick.Sleep(ctx, callRetryInterval)
-	}
-	return false
-}
-
 // returnStart reports a start to the owner as refused. If an earlier call may still
 // be carried out, it stops the run instead, which keeps it from starting, and
 // reports it as stopped.
@@ -318,15 +301,10 @@
 
 // isListed reports whether the executor lists a run as running or ended.
 func isListed(h hv.ExecutorState, run hvorder.Run) bool {
-	for _, r := range h.Running {
-		if runOf(r) == run {
-			return true
-		}
-	}
-	for _, e := range h.Ended {
-		if e.Task == run.Task && e.Run == run.Run {
-			return true
-		}
-	}
-	return false
+	return isRunning(h, run) || slices.ContainsFunc(h.Ended, func(e hv.RunEnd) bool { return e.Task == run.Task && e.Run == run.Run })
+}
+
+// isRunning reports whether the executor lists a run as running.
+func isRunning(h hv.ExecutorState, run hvorder.Run) bool {
+	return slices.ContainsFunc(h.Running, func(r hv.RunState) bool { return runOf(r) == run })
 }
--- a/hvnode/renew.go
+++ b/hvnode/renew.go
@@ -37,14 +37,21 @@
 
 // renewLoop renews the leases at the executor and keeps the state in the response.
 func (n *Node) renewLoop(ctx context.Context) {
-	failures := 0
+	failures, leaseDue := 0, false
 	for ctx.Err() == nil {
 		renewal, version, ready := n.nextRenewal()
+		if leaseDue {
+			renewal.WaitMS = 0
+		}
 		if !ready {
 			n.waitRenew(ctx, failedRetryInterval)
 			continue
 		}
 		state, err := n.deps.Executor.RenewLeases(ctx, renewal)
+		if err != nil && n.superseded(renewal.Epoch) {
+			// The executor refuses renewals for an earlier owner.
+			continue
+		}
 		if err != nil {
 			n.handleRenewError(err)
 			failures++
@@ -53,6 +60,10 @@
 		}
 		failures = 0
 		n.applyState(state, version)
+		if leaseDue = n.isLeaseDue(renewal); leaseDue {
+			// Changes of many shares take long.
+			continue
+		}
 		n.adjustShares(ctx, state)
 		if n.hasUnreported() {
 			hvtick.Wake(n.wakeReport)
@@ -63,6 +74,13 @@
 	}
 }
 
+// isLeaseDue reports whether a renewal passed no lease on although the owner has granted one.
+func (n *Node) isLeaseDue(r hv.LeaseRenewal) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return r.LeaseEnd == 0 && n.leaseEnd > 0
+}
+
 // retryInterval returns the time before the next renewal after a number of failures in a
 // row.
 func retryInterval(failures int) time.Duration {
--- a/hvnode/renew_test.go
+++ b/hvnode/renew_test.go
@@ -1,10 +1,13 @@
 package hvnode
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvorder"
+	"hibiscusvane.example/hibiscusvane/hvwire"
 )
 
 // Guards against an executor that ends soon after its announcement, before it has listed
@@ -32,3 +35,68 @@
 		t.Fatal("the new executor counts as ended after one refused connection")
 	}
 }
+
+// Guards against leases that lapse while many shares change, one call after the other: the
+// last response is then too old to confirm the incarnation, and a renewal without leases
+// was followed by the next changes.
+func TestSlowShareChangesDoNotHoldLeasesBack(t *testing.T) {
+	n, clock := serviceNode(t)
+	e := n.deps.Executor.(*fakeExecutor)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	e.throttling = func() { clock.advance(2 * time.Second) }
+	e.renewing = func() {
+		clock.advance(measureInterval)
+		// The tail of the service swings around its goal, so that the share changes.
+		tail := 6
+		if len(e.renewals)%2 == 0 {
+			tail = 12
+		}
+		e.state.Running = []hv.RunState{{Task: "service", Run: 1, Load: tail}, {Task: "loud", Run: 1, Load: 1000}}
+		e.state.ClockMS = clock.now.UnixMilli()
+		if len(e.renewals) == 40 {
+			cancel()
+		}
+	}
+	n.leaseEnd, e.renewals = 9000, nil
+	n.renewLoop(ctx)
+	renewed := 0
+	for i, r := range e.renewals {
+		if r.LeaseEnd > 0 {
+			renewed++
+		}
+		if i > 0 && e.renewals[i-1].LeaseEnd == 0 && r.WaitMS > 0 {
+			t.Fatalf("renewal %d waits for %d ms after one without leases, and the shares wait for it", i, r.WaitMS)
+		}
+	}
+	if renewed < len(e.renewals)/3 {
+		t.Fatalf("%d of %d renewals pass the lease on, want one after each change of the shares", renewed, len(e.renewals))
+	}
+}
+
+// Guards against a node that sends its owner no reports, because a renewal for the owner
+// before was refused while the new one attached.
+func TestRefusedRenewalOfEarlierOwnerDetachesNobody(t *testing.T) {
+	e := &fakeExecutor{}
+	n := newNode(t, e)
+	conn := &hvwire.Conn{}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	e.renewals = nil
+	e.renewing = func() {
+		switch len(e.renewals) {
+		case 1:
+			if _, err := n.attach(ctx, conn, hvorder.Attach{Epoch: 4, Owner: "next"}); err != nil {
+				t.Error(err)
+			}
+			e.renewErr = errorOfKind(hv.Conflict)
+		case 3:
+			e.renewErr = nil
+			cancel()
+		}
+	}
+	n.renewLoop(ctx)
+	if got, _, ok := n.nextReport(); !ok || got != conn {
+		t.Fatal("the node has no owner after the refusal, want the one that has attached")
+	}
+}
