--- a/hvprocess/process_test.go
+++ b/hvprocess/process_test.go
@@ -4,7 +4,6 @@
 import (
 	"fmt"
 	"io"
-	"io/fs"
 	"net"
 	"net/http"
 	"os"
@@ -20,6 +19,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"hibiscusvane.example/hibiscusvane/hvprocess/hvprocesstest"
 )
 
 var programs = []string{"hvgate", "hvside", "hvctl", "hvfake"}
@@ -32,7 +33,7 @@
 
 func runScripts(t *testing.T, dir string) {
 	t.Helper()
-	bin := build(t)
+	bin := hvprocesstest.Build(t, "..", programs...)
 	slots := make(chan struct{}, maxScripts)
 	testscript.Run(t, testscript.Params{
 		Dir: dir,
@@ -68,36 +69,6 @@
 	})
 }
 
-func build(t *testing.T) string {
-	t.Helper()
-	readSources(t)
-	dir := t.TempDir()
-	for _, p := range programs {
-		cmd := exec.Command("go", "build", "-o", filepath.Join(dir, p), "../cmd/"+p)
-		if out, err := cmd.CombinedOutput(); err != nil {
-			t.Fatalf("build %s: %v\n%s", p, err, out)
-		}
-	}
-	return dir
-}
-
-// readSources reads all source files, so that the cache of go test knows them as
-// inputs of the test. The cache does not see the inputs of the build that the test
-// runs.
-func readSources(t *testing.T) {
-	t.Helper()
-	err := filepath.WalkDir("..", func(path string, entry fs.DirEntry, err error) error {
-		if err != nil || entry.IsDir() || filepath.Ext(path) != ".go" {
-			return err
-		}
-		_, err = os.ReadFile(path)
-		return err
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-}
-
 type processSetKey struct{}
 
 type process struct {
