Compute the authority of the previous owner where the cell is claimed

The writer of a new owner had its parts, the silence of the previous owner and whether it is known to have ended, and the owner put them together. No change of behaviour; the test of the measured silence compares the same two times.

--- a/hvledger/elect.go
+++ b/hvledger/elect.go
@@ -20,6 +20,10 @@
 	ownerTimeout = time.Second
 	// HeartbeatInterval is the longest time between two appends of an owner.
 	HeartbeatInterval = 300 * time.Millisecond
+	// AuthorityTimeout is how long an owner continues without a successful append.
+	// Outages of the store last up to about 6 s. A new owner waits until it has passed
+	// since the last record of the previous one if a host does not respond.
+	AuthorityTimeout = 6 * time.Second
 	// rankDelay is the time between the attempts of candidates of adjacent ranks.
 	rankDelay = 200 * time.Millisecond
 	// maxClaimAttempts limits the conditional appends of one attempt. An append
@@ -91,6 +95,15 @@
 	return c.Epoch == 0 || c.Released || c.Name == e.self.Name || e.processEnded(c)
 }
 
+// authorityOf returns how long an owner may still grant leases that has appended nothing for
+// a time.
+func (e *Elector) authorityOf(c Claim, silence time.Duration) time.Duration {
+	if e.ownerHasEnded(c) {
+		return 0
+	}
+	return max(AuthorityTimeout-silence, 0)
+}
+
 // rank returns the position of this gate among the candidates, so that they do
 // not all try at once. Candidates with more capacity come first, because the
 // owner does the most work; equal ones are ordered by a hash.
@@ -163,7 +176,7 @@
 				continue
 			}
 		}
-		w := &Writer{store: e.store, topic: e.topic, claim: c, sequence: first, lastAppend: sentAt, previousOwnerEnded: e.ownerHasEnded(last), previousSilence: silence}
+		w := &Writer{store: e.store, topic: e.topic, claim: c, sequence: first, lastAppend: sentAt, previousAuthority: e.authorityOf(last, silence)}
 		_ = level.Info(e.logger).Log("msg", "this gate claimed the cell", "epoch", c.Epoch, "before", last.Name, "silence", silence)
 		return w
 	}
--- a/hvledger/ledger_test.go
+++ b/hvledger/ledger_test.go
@@ -128,7 +128,7 @@
 	next := newGate(platform.NewStore(addr), "next")
 	next.sync(t)
 	w2 := next.elector.Wait(t.Context())
-	if got := w2.PreviousSilence(); got < time.Second || got > w.SinceLastAppend() {
+	if got := hvledger.AuthorityTimeout - w2.PreviousAuthority(); got < time.Second || got > w.SinceLastAppend() {
 		t.Fatalf("silence is %v; want over 1 s, after which a gate claims, and at most the %v since the last append", got, w.SinceLastAppend())
 	}
 }
--- a/hvledger/writer.go
+++ b/hvledger/writer.go
@@ -32,12 +32,8 @@
 	// zero.
 	pendingSince time.Time
 
-	// previousOwnerEnded is true if the previous owner was known to have ended when
-	// the cell was claimed.
-	previousOwnerEnded bool
-	// previousSilence is the least time from the last append of the previous owner to the
-	// claim.
-	previousSilence time.Duration
+	// previousAuthority is how long after the claim an earlier owner may still grant leases.
+	previousAuthority time.Duration
 
 	mu sync.Mutex
 	// lastAppend is the send time of the last successful append, or of its first attempt
@@ -143,13 +139,9 @@
 // Claim returns the claim whose epoch the writer appends under.
 func (w *Writer) Claim() Claim { return w.claim }
 
-// PreviousOwnerEnded reports whether the previous owner was known to have ended
-// when the cell was claimed, so that it has granted no lease since.
-func (w *Writer) PreviousOwnerEnded() bool { return w.previousOwnerEnded }
-
-// PreviousSilence returns how long the previous owner had appended nothing, at least, when
-// the cell was claimed.
-func (w *Writer) PreviousSilence() time.Duration { return w.previousSilence }
+// PreviousAuthority returns how long after the claim an earlier owner may still grant
+// leases. It is 0 if that is known to have ended.
+func (w *Writer) PreviousAuthority() time.Duration { return w.previousAuthority }
 
 // SinceLastAppend returns the time since the last successful append was sent. It
 // includes time in which the machine was suspended.
--- a/hvowner/authority_test.go
+++ b/hvowner/authority_test.go
@@ -27,7 +27,7 @@
 		t.Fatalf("grant %+v, error %v; want a lease while the owner has authority", g, err)
 	}
 	// The loops of the owner do not run, as in a process that has just gone on.
-	time.Sleep(authorityTimeout + 100*time.Millisecond)
+	time.Sleep(hvledger.AuthorityTimeout + 100*time.Millisecond)
 	report.Clock += 6000
 	if g, err := l.report(t.Context(), nil, report); err != nil || g.LeaseEnd != 0 {
 		t.Errorf("grant %+v, error %v; want no lease without authority", g, err)
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -36,10 +36,6 @@
 	// learnedStoreInterval is the time between appends of the learned state, with
 	// which the next owner continues.
 	learnedStoreInterval = 2 * time.Second
-	// authorityTimeout is how long an owner continues without a successful append.
-	// Outages of the store last up to about 6 s. A new owner waits until it has passed
-	// since the last record of the previous one if a host does not respond.
-	authorityTimeout = 6 * time.Second
 )
 
 // Options configure an Owner.
@@ -91,13 +87,9 @@
 // New returns an owner without jobs or nodes.
 func New(o Options) *Owner {
 	owner := &Owner{options: o, links: map[string]*link{}, wakePlan: make(chan struct{}, 1), wakeFlush: make(chan struct{}, 1), wakeAdvise: make(chan struct{}, 1)}
-	previousAuthority := max(authorityTimeout-o.Writer.PreviousSilence(), 0)
-	if o.Writer.PreviousOwnerEnded() {
-		previousAuthority = 0
-	}
 	health := hvhealth.New(hvhealth.Options{HostCount: owner.hostCount})
 	owner.cell = hvcell.New(hvcell.Options{
-		Epoch: o.Writer.Claim().Epoch, ClaimOffset: o.ClaimOffset, ClaimedAt: o.Clock.Now(), LeaseDuration: leaseDuration, PreviousAuthority: previousAuthority,
+		Epoch: o.Writer.Claim().Epoch, ClaimOffset: o.ClaimOffset, ClaimedAt: o.Clock.Now(), LeaseDuration: leaseDuration, PreviousAuthority: o.Writer.PreviousAuthority(),
 		EarlyStart: o.EarlyStart, Retention: o.Retention, Policy: o.Policy, Health: health, OnJobEnd: owner.observeJobEnd, Logger: o.Logger,
 	})
 	owner.restoreLearned(o.Learned)
@@ -239,7 +231,7 @@
 // is held.
 func (o *Owner) checkAuthority() {
 	silence := o.options.Writer.SinceLastAppend()
-	o.cell.Suspend(silence > authorityTimeout)
+	o.cell.Suspend(silence > hvledger.AuthorityTimeout)
 	o.cell.Confirm(o.options.Clock.Now().Add(-silence))
 }
 
