Count the authority of owners before one that has ended

On a change of owner a task could run twice (TWICE): a new owner took the authority before it as none if the last owner was known to have ended. The owner before that one may only be cut off, though, and grants leases for up to 6 s after its last record to nodes that no newer owner reaches. The new owner then started their tasks up to 6 s too early. The same happened with a single new owner: if the response to its claim is lost and the topic cannot be read at once, the gate claims again and takes itself for the owner before.

A claim now says how long earlier owners may still grant leases, which the next claim takes over less the time since it arrived. Records of a claim leave it out once the time has passed, as a gate that starts later cannot tell when the claim was made: an owner that follows one ended owner still waits for nothing. An owner that is itself silent needs no more than before, as its authority ends later than any that it inherited.

TestPassedAuthorityIsNotCounted fails if the value stays in the records.

--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -187,7 +187,7 @@
 		_ = level.Warn(g.options.Logger).Log("msg", "topic could not be read after the claim of the cell", "err", err)
 	}
 	stored, claimOffset := g.replica.Claim()
-	if stored != w.Claim() {
+	if !stored.SameOwnership(w.Claim()) {
 		_ = level.Warn(g.options.Logger).Log("msg", "claim of this gate is not the latest one in the topic; the cell is not taken over", "epoch", w.Claim().Epoch, "owner", stored.Name, "read", stored.Epoch)
 		return
 	}
--- /dev/null
+++ b/hvledger/authority_test.go
@@ -0,0 +1,128 @@
+package hvledger_test
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvjob"
+	"hibiscusvane.example/hibiscusvane/hvledger"
+	"hibiscusvane.example/hibiscusvane/platform"
+	"hibiscusvane.example/hibiscusvane/platform/platformtest"
+)
+
+// own returns the writer of the next owner, which must claim the cell within a few
+// election intervals.
+func (g *gate) own(t *testing.T) *hvledger.Writer {
+	t.Helper()
+	g.sync(t)
+	w := g.elector.Wait(t.Context())
+	if w == nil {
+		t.Fatal("the gate does not claim the cell")
+	}
+	return w
+}
+
+// goOnFor lets an owner append at intervals for a time.
+func goOnFor(t *testing.T, d time.Duration, appendRecords func() error) {
+	t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(hvledger.HeartbeatInterval) {
+		if err := appendRecords(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// checkAuthority fails the test unless a new owner counts the authority of an owner that
+// last appended at a time, and at most slack more.
+func checkAuthority(t *testing.T, w *hvledger.Writer, appendedAt time.Time, slack time.Duration) {
+	t.Helper()
+	left := hvledger.AuthorityTimeout - time.Since(appendedAt)
+	if got := w.PreviousAuthority(); got < left || got > left+slack {
+		t.Errorf("the new owner counts %v of the authority of the owner that is cut off, want %v to %v", got, left, left+slack)
+	}
+}
+
+// Guards against a task that runs twice: the owner after one that has ended counted no
+// authority, although the one before that was cut off and could still grant leases.
+func TestAuthorityBeforeEndedOwnerIsCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platform.NewStoreWithTransport(platformtest.Transport{Handler: platformtest.NewStore()})
+		newGate(store, "cut-off").own(t)
+		cutOffAt := time.Now()
+		gates := []*gate{newGate(store, "second"), newGate(store, "third"), newGate(store, "fourth")}
+		for _, g := range gates {
+			g.sync(t)
+		}
+		for _, g := range gates {
+			w := g.own(t)
+			checkAuthority(t, w, cutOffAt, 100*time.Millisecond)
+			for _, other := range gates {
+				other.sync(t)
+			}
+			time.Sleep(time.Second)
+			if err := w.Release(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+// Guards against a task that runs twice: a gate that claimed the cell again, as the response
+// to its first claim was lost, counted itself as the owner before, which has ended.
+func TestAuthorityBeforeLostClaimIsCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := platformtest.NewStore()
+		var loseNext atomic.Bool
+		store := platform.NewStoreWithTransport(platformtest.Transport{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/log-append" && loseNext.Swap(false) {
+				defer s.SetFaults(platformtest.Faults{Unavailable: true})
+				s.SetFaults(platformtest.Faults{DropAppendResponses: true})
+			}
+			s.ServeHTTP(w, r)
+		})})
+		first := newGate(store, "cut-off").own(t)
+		cutOffAt := time.Now()
+		next := newGate(store, "next")
+		next.sync(t)
+		loseNext.Store(true)
+		time.AfterFunc(2*time.Second, func() { s.SetFaults(platformtest.Faults{}) })
+		w := next.elector.Wait(t.Context())
+		if got := w.Claim().Epoch; got != first.Claim().Epoch+2 {
+			t.Fatalf("epoch %d follows epoch %d, want that of a second claim", got, first.Claim().Epoch)
+		}
+		checkAuthority(t, w, cutOffAt, 2*time.Second)
+	})
+}
+
+// Guards against waiting for an authority that has passed: a gate that has just started
+// does not know when the last owner claimed the cell.
+func TestPassedAuthorityIsNotCounted(t *testing.T) {
+	progress, err := hvledger.ProgressRecord(job(1).ID, hvjob.Progress{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, appendRecords := range map[string]func(context.Context, *hvledger.Writer) error{
+		"heartbeats": func(ctx context.Context, w *hvledger.Writer) error { return w.Heartbeat(ctx) },
+		"progress": func(ctx context.Context, w *hvledger.Writer) error {
+			return w.Append(ctx, []hv.KeyedRecord{progress})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := platform.NewStoreWithTransport(platformtest.Transport{Handler: platformtest.NewStore()})
+				newGate(store, "cut-off").own(t)
+				w := newGate(store, "next").own(t)
+				goOnFor(t, hvledger.AuthorityTimeout, func() error { return appendRecords(t.Context(), w) })
+				restarted := newGate(store, "next").own(t)
+				if got := restarted.PreviousAuthority(); got != 0 {
+					t.Errorf("the restarted owner counts an authority of %v that has passed", got)
+				}
+			})
+		})
+	}
+}
--- a/hvledger/elect.go
+++ b/hvledger/elect.go
@@ -95,13 +95,14 @@
 	return c.Epoch == 0 || c.Released || c.Name == e.self.Name || e.processEnded(c)
 }
 
-// authorityOf returns how long an owner may still grant leases that has appended nothing for
-// a time.
-func (e *Elector) authorityOf(c Claim, silence time.Duration) time.Duration {
-	if e.ownerHasEnded(c) {
-		return 0
+// previousAuthority returns how long the last owner, which has appended nothing for a time,
+// or one before it may still grant leases.
+func (e *Elector) previousAuthority(c Claim, silence time.Duration) time.Duration {
+	authority := e.replica.EarlierAuthority()
+	if !e.ownerHasEnded(c) {
+		authority = max(authority, AuthorityTimeout-silence)
 	}
-	return max(AuthorityTimeout-silence, 0)
+	return authority
 }
 
 // rank returns the position of this gate among the candidates, so that they do
@@ -155,12 +156,15 @@
 		last, _ := e.replica.Claim()
 		c := e.self
 		c.Epoch = last.Epoch + 1
+		// The claim is stored only if the previous owner has appended nothing meanwhile.
+		silence := e.replica.SinceOwnerRecord()
+		authority := e.previousAuthority(last, silence)
+		authorityEnd := e.replica.clock.Now().Add(authority)
+		c.EarlierAuthority = (authority + time.Millisecond - 1).Milliseconds()
 		rec, err := claimRecord(c)
 		if err != nil {
 			return nil
 		}
-		// The claim is stored only if the previous owner has appended nothing meanwhile.
-		silence := e.replica.SinceOwnerRecord()
 		sentAt, first := bootNow(), firstSequence(c)
 		_, err = e.store.Append(ctx, e.topic, []hv.KeyedRecord{rec}, hv.Fence{Producer: ownerProducer, Epoch: c.Epoch, Sequence: first, ExpectedEnd: e.replica.Next()})
 		if err != nil && hv.KindOf(err) == hv.Unavailable {
@@ -172,12 +176,12 @@
 			if e.tailer.Sync(ctx) != nil {
 				return nil
 			}
-			if got, _ := e.replica.Claim(); got != c {
+			if got, _ := e.replica.Claim(); !got.SameOwnership(c) {
 				continue
 			}
 		}
-		w := &Writer{store: e.store, topic: e.topic, claim: c, sequence: first, lastAppend: sentAt, previousAuthority: e.authorityOf(last, silence)}
-		_ = level.Info(e.logger).Log("msg", "this gate claimed the cell", "epoch", c.Epoch, "before", last.Name, "silence", silence)
+		w := &Writer{store: e.store, topic: e.topic, claim: c, sequence: first, lastAppend: sentAt, clock: e.replica.clock, previousAuthority: authority, previousAuthorityEnd: authorityEnd}
+		_ = level.Info(e.logger).Log("msg", "this gate claimed the cell", "epoch", c.Epoch, "before", last.Name, "silence", silence, "authority", authority)
 		return w
 	}
 	return nil
--- a/hvledger/record.go
+++ b/hvledger/record.go
@@ -44,6 +44,15 @@
 	Process string `json:"process"`
 	// Released is true once the owner has released the cell.
 	Released bool `json:"released,omitempty"`
+	// EarlierAuthority is how many milliseconds after the claim owners before this one may
+	// still grant leases. Records of the claim leave it out once the time has passed.
+	EarlierAuthority int64 `json:"earlier,omitempty"`
+}
+
+// SameOwnership reports whether two claims differ in no more than EarlierAuthority.
+func (c Claim) SameOwnership(d Claim) bool {
+	c.EarlierAuthority = d.EarlierAuthority
+	return c == d
 }
 
 const (
--- a/hvledger/replica.go
+++ b/hvledger/replica.go
@@ -59,6 +59,8 @@
 	nodes       map[string]Node
 	claim       Claim
 	claimOffset int64
+	// claimedAt is when the first record of the claim arrived.
+	claimedAt time.Time
 	// lastOwnerRecord is when the last record of the owner arrived or, after failed
 	// reads, when a read succeeded again.
 	lastOwnerRecord time.Time
@@ -184,9 +186,9 @@
 		return
 	}
 	r.mu.Lock()
-	changed := c != r.claim
+	changed := !c.SameOwnership(r.claim)
 	if c.Epoch > r.claim.Epoch {
-		r.claimOffset = rec.Offset
+		r.claimOffset, r.claimedAt = rec.Offset, r.clock.Now()
 	}
 	if c.Epoch >= r.claim.Epoch {
 		r.claim = c
@@ -316,6 +318,14 @@
 	return r.claim, r.claimOffset
 }
 
+// EarlierAuthority returns how long owners before the last one may still grant leases.
+func (r *Replica) EarlierAuthority() time.Duration {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	total := time.Duration(r.claim.EarlierAuthority) * time.Millisecond
+	return max(total-r.clock.Now().Sub(r.claimedAt), 0)
+}
+
 // Learned returns the stored learned state of the last owner, still encoded, or
 // nil.
 func (r *Replica) Learned() []byte {
--- a/hvledger/writer.go
+++ b/hvledger/writer.go
@@ -34,6 +34,11 @@
 
 	// previousAuthority is how long after the claim an earlier owner may still grant leases.
 	previousAuthority time.Duration
+	// previousAuthorityEnd is when it has passed by the clock.
+	previousAuthorityEnd time.Time
+	clock                hv.Clock
+	// authorityCleared is true once an append stores a claim without EarlierAuthority.
+	authorityCleared bool
 
 	mu sync.Mutex
 	// lastAppend is the send time of the last successful append, or of its first attempt
@@ -58,14 +63,15 @@
 			return nil, err
 		}
 	}
-	if len(recs)+len(optional) > 0 && !slices.ContainsFunc(recs, showsOwner) {
-		heartbeat, err := claimRecord(w.claim)
+	if len(recs)+len(optional) > 0 && (!slices.ContainsFunc(recs, showsOwner) || w.clearsAuthority()) {
+		heartbeat, err := claimRecord(w.currentClaim())
 		if err != nil {
 			return nil, err
 		}
 		if len(recs) == 0 {
 			optional = append([]hv.KeyedRecord{heartbeat}, optional...)
 		} else {
+			w.authorityCleared = w.clearsAuthority()
 			recs = append([]hv.KeyedRecord{heartbeat}, recs...)
 		}
 	}
@@ -118,7 +124,7 @@
 
 // Heartbeat appends the claim again to show that the owner is alive.
 func (w *Writer) Heartbeat(ctx context.Context) error {
-	rec, err := claimRecord(w.claim)
+	rec, err := claimRecord(w.currentClaim())
 	if err != nil {
 		return err
 	}
@@ -127,7 +133,7 @@
 
 // Release appends a claim that is marked as released.
 func (w *Writer) Release(ctx context.Context) error {
-	c := w.claim
+	c := w.currentClaim()
 	c.Released = true
 	rec, err := claimRecord(c)
 	if err != nil {
@@ -136,6 +142,22 @@
 	return w.Append(ctx, []hv.KeyedRecord{rec})
 }
 
+// currentClaim returns the claim without an authority of earlier owners that has passed: a
+// gate that starts later cannot tell when it began.
+func (w *Writer) currentClaim() Claim {
+	c := w.claim
+	if w.clock.Now().After(w.previousAuthorityEnd) {
+		c.EarlierAuthority = 0
+	}
+	return c
+}
+
+// clearsAuthority reports whether the topic is still to be told that the authority of
+// earlier owners has passed.
+func (w *Writer) clearsAuthority() bool {
+	return !w.authorityCleared && w.currentClaim() != w.claim
+}
+
 // Claim returns the claim whose epoch the writer appends under.
 func (w *Writer) Claim() Claim { return w.claim }
 
