Let replaced owners go on in the random histories of the cell

TestRandomFaults dropped an owner as soon as it was replaced, so that no history had one that is cut off, reaches a node that the new owner doesn't, and grants leases and starts tasks there until its authority ends. Now it does, and a new owner may end soon and be replaced, too.

--- a/hvcell/random_test.go
+++ b/hvcell/random_test.go
@@ -50,7 +50,7 @@
 // start out of order, jobs that never end, and long-running tasks that stay without a run.
 // The faults are lost and late orders, lists that arrive after newer ones, lost connections, crashes, expired leases, an unavailable store, changes of the owner
 // and evacuated zones, in which no start may be ordered. The model of the executor checks
-// each start. In half of the histories runs are also moved, and those of speculative
+// each start. Owners that were replaced go on while they have authority. In half of the histories runs are also moved, and those of speculative
 // steps copied: only these may have two runs at once.
 func TestRandomFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -172,7 +172,21 @@
 					m.store()
 				}
 			},
-			"owner": func(*rapid.T) { m.replaceOwner() },
+			"owner": func(t *rapid.T) {
+				m.replaceEnded(rapid.Bool().Draw(t, "ended"))
+			},
+			"earlier": func(t *rapid.T) {
+				if m.earlierAuthority() == 0 {
+					t.Skip("no earlier owner has authority")
+				}
+				m.actAsEarlier(rapid.SampledFrom(m.earlier).Draw(t, "owner"), m.host(t))
+			},
+			"split": func(t *rapid.T) {
+				if m.storeDown {
+					t.Skip("no exchange with the store")
+				}
+				m.split(t)
+			},
 			"exchange": func(*rapid.T) {
 				if !m.storeDown {
 					m.dropEndedCalls()
@@ -219,6 +233,69 @@
 	m.cell.Report(m.now, e.name, older)
 }
 
+// actAsEarlier lets an owner that was replaced while it was cut off from the store go on
+// with a node that has obeyed no newer one.
+func (m *faultMachine) actAsEarlier(o earlierOwner, e *executor) {
+	if e.nodeEpoch > o.epoch {
+		return
+	}
+	delete(m.delayed, e.name)
+	m.actAs(o, func() {
+		if h := m.cell.hosts[e.name]; e.nodeEpoch != o.epoch || h == nil || !h.connected {
+			m.attach(e.name)
+		} else {
+			m.report(e)
+		}
+		m.cell.Tick(m.now)
+		m.cell.Plan(m.now)
+		m.deliver(e.name)
+	})
+}
+
+// split replaces the owner while it and one node are cut off from the others. It may be
+// that the new owner ends soon and is replaced too.
+func (m *faultMachine) split(t *rapid.T) {
+	cutOff := m.host(t)
+	m.dropEndedCalls()
+	m.exchange()
+	m.replaceOwner()
+	m.attachOthers(cutOff)
+	replaced := m.earlier[len(m.earlier)-1]
+	ended := rapid.Bool().Draw(t, "ended")
+	for i := range rapid.SampledFrom([]int{2, 16}).Draw(t, "rounds") {
+		if i == 1 && ended {
+			m.replaceEnded(true)
+			m.attachOthers(cutOff)
+		}
+		m.advance(time.Duration(rapid.IntRange(700, 1500).Draw(t, "ms")) * time.Millisecond)
+		if m.now.Before(replaced.until) {
+			m.actAsEarlier(replaced, cutOff)
+		}
+		m.dropEndedCalls()
+		m.exchange()
+	}
+}
+
+// attachOthers attaches all nodes but one.
+func (m *faultMachine) attachOthers(e *executor) {
+	for _, name := range slices.Sorted(maps.Keys(m.hosts)) {
+		if name != e.name {
+			delete(m.delayed, name)
+			m.attach(name)
+		}
+	}
+}
+
+// replaceEnded replaces the owner, which has ended or else may go on.
+func (m *faultMachine) replaceEnded(ended bool) {
+	authority := m.authority
+	if ended {
+		m.authority = 0
+	}
+	m.replaceOwner()
+	m.authority = authority
+}
+
 // contend fills the hosts with work of one queue and lets a more urgent task wait until it
 // may preempt.
 func (m *faultMachine) contend() {
@@ -284,7 +361,7 @@
 
 // recoverAll ends all faults and checks that every job ends.
 func (m *faultMachine) recoverAll(t *rapid.T) {
-	m.delayed = nil
+	m.delayed, m.earlier = nil, nil
 	m.evacuate()
 	m.setCapacity(8000)
 	for _, e := range m.hosts {
--- a/hvcell/simcluster_test.go
+++ b/hvcell/simcluster_test.go
@@ -34,6 +34,8 @@
 	policy Policy
 	// authority is how long after a claim the previous owner may have granted leases.
 	authority time.Duration
+	// earlier holds the owners before the current one, which go on while they have authority.
+	earlier []earlierOwner
 	// noCatalog is true if new owners have not read the catalog yet.
 	noCatalog bool
 	// noCapacityChecks is true if executors start tasks beyond their capacity.
@@ -54,6 +56,13 @@
 	done, ended map[string]bool
 }
 
+// earlierOwner is an owner that was replaced while it was cut off.
+type earlierOwner struct {
+	cell  *Cell
+	epoch int64
+	until time.Time
+}
+
 // executor is a model of an executor that checks each start.
 type executor struct {
 	cluster     *simCluster
@@ -70,6 +79,8 @@
 	// startedAt is when the incarnation began; its clock counts from then.
 	startedAt time.Time
 	minEpoch  int64
+	// nodeEpoch is the epoch of the owner that the node beside the executor obeys.
+	nodeEpoch int64
 	// alive is false after a crash until the executor restarts.
 	alive bool
 	// speed is the progress of each run in percent per second and percents that of the
@@ -124,9 +135,13 @@
 
 // replaceOwner replaces the owner with a new one that has only read the store.
 func (w *simCluster) replaceOwner() {
+	earlierAuthority := w.earlierAuthority()
+	if w.cell != nil {
+		w.earlier = append(w.earlier, earlierOwner{w.cell, w.epoch, w.now.Add(w.authority)})
+	}
 	w.epoch++
 	w.cell = New(Options{
-		Epoch: w.epoch, ClaimOffset: int64(len(w.jobs)), ClaimedAt: w.now, LeaseDuration: 5 * time.Second, PreviousAuthority: w.authority,
+		Epoch: w.epoch, ClaimOffset: int64(len(w.jobs)), ClaimedAt: w.now, LeaseDuration: 5 * time.Second, PreviousAuthority: max(w.authority, earlierAuthority),
 		Retention: time.Minute, Policy: w.policy, Logger: log.NewNopLogger(),
 		Health: hvhealth.New(hvhealth.Options{HostCount: func() int { return len(w.hosts) }}),
 	})
@@ -143,6 +158,25 @@
 	}
 }
 
+// earlierAuthority returns how long the owners before the current one have authority.
+func (w *simCluster) earlierAuthority() time.Duration {
+	w.earlier = slices.DeleteFunc(w.earlier, func(o earlierOwner) bool { return !w.now.Before(o.until) })
+	left := time.Duration(0)
+	for _, o := range w.earlier {
+		left = max(left, o.until.Sub(w.now))
+	}
+	return left
+}
+
+// actAs lets an earlier owner act in place of the current one.
+func (w *simCluster) actAs(o earlierOwner, act func()) {
+	cell, epoch, evacuated := w.cell, w.epoch, w.evacuated
+	// It cannot know the zones that were evacuated since.
+	w.cell, w.epoch, w.evacuated = o.cell, o.epoch, nil
+	act()
+	w.cell, w.epoch, w.evacuated = cell, epoch, evacuated
+}
+
 func (w *simCluster) submit(j hvjob.Job) hvjob.Job {
 	j.ID = fmt.Sprintf("%016x", len(w.jobs)+1)
 	j.Submitted = w.now.UnixMilli()
@@ -318,7 +352,7 @@
 	if e.alive {
 		e.minEpoch = w.epoch
 	}
-	e.batch = 0
+	e.batch, e.nodeEpoch = 0, w.epoch
 	e.applyGrant(w.cell.NodeAttached(w.now, name, e.report(true)))
 }
 
