End the grants of an owner before it releases the cell

An owner that is told to stop ends its loops and releases the cell; the connections to the nodes end on their own, and a report that arrived until then still got a lease. The next owner takes a released cell for one without authority, so such a lease could outlast its wait by as long as the release takes: a risk of a task that runs twice (TWICE), found by reading while the authority of earlier owners was traced.

TestReleasedOwnerGrantsNothing got a lease of 5 s before.

--- a/hvowner/authority_test.go
+++ b/hvowner/authority_test.go
@@ -1,6 +1,7 @@
 package hvowner
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -33,3 +34,19 @@
 		t.Errorf("grant %+v, error %v; want no lease without authority", g, err)
 	}
 }
+
+// Guards against an owner that has released the cell and still grants leases to a report
+// that arrives before its connections are closed: the next owner counts no authority of it.
+func TestReleasedOwnerGrantsNothing(t *testing.T) {
+	store := platform.NewStore(platformtest.Serve(t, platformtest.NewStore()))
+	w := platformtest.Claim(t.Context(), t, store, platform.CellTopic, hvledger.Claim{Name: "gate", Process: "p"})
+	o := New(Options{Writer: w, Retention: time.Minute, Clock: hv.SystemClock{}, Metrics: hvmetric.New(4), Logger: log.NewNopLogger()})
+	o.NodeChanged(hvledger.Node{Name: "side", Addr: "127.0.0.1:1"}, false)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	o.Run(ctx)
+	report := hvorder.Report{Node: "side", Incarnation: "1", Clock: 1000, Full: true}
+	if g, err := o.links["side"].report(t.Context(), nil, report); err != nil || g.LeaseEnd != 0 {
+		t.Errorf("grant %+v, error %v; want no lease after the release", g, err)
+	}
+}
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -74,6 +74,8 @@
 	queuedPuts hvshed.Queue[*put]
 	// runCtx is the context of the links; it is nil until Run is called.
 	runCtx context.Context
+	// ended is true once the owner grants no more leases.
+	ended bool
 
 	// learnedStoredAt is when the learned state was last stored; only flush uses it.
 	learnedStoredAt time.Time
@@ -190,12 +192,21 @@
 		loops.Go(func() { loop(runCtx) })
 	}
 	loops.Wait()
+	o.endAuthority()
 	if ctx.Err() != nil {
 		o.release()
 	}
 	_ = level.Info(o.options.Logger).Log("msg", "this gate no longer owns the cell", "epoch", o.options.Writer.Claim().Epoch, "cause", context.Cause(runCtx))
 }
 
+// endAuthority ends the grants. The links end on their own, possibly later.
+func (o *Owner) endAuthority() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ended = true
+	o.checkAuthority()
+}
+
 // releaseTimeout limits the last append of an owner that stops.
 const releaseTimeout = time.Second
 
@@ -231,7 +242,7 @@
 // is held.
 func (o *Owner) checkAuthority() {
 	silence := o.options.Writer.SinceLastAppend()
-	o.cell.Suspend(silence > hvledger.AuthorityTimeout)
+	o.cell.Suspend(o.ended || silence > hvledger.AuthorityTimeout)
 	o.cell.Confirm(o.options.Clock.Now().Add(-silence))
 }
 
