Ask a replaced owner whether it has stepped down

Tasks that no host lists wait until the owner before could grant no lease, 6 s after its last record, and for a lease more, also if it went on long before and has stepped down since.

The new owner now asks the gate of the owner before every 0.2 s. The response has the last epoch in which that process owned the cell and grants no more; a process that is gone counts as before. From then on a lease is left to wait for, or what owners before that one may still grant.

Waiting only for hosts that can still hold a run was ruled out: the owner that stands still may renew the leases of each registered host when it goes on, and nothing in the store says which it reaches.

TestEndOfPreviousOwnerShortensWait has 2 of 3 tasks running without the change of the cell, TestReplacedOwnerIsKnownToHaveEnded hears of no end without that of the gate.

--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -30,9 +30,9 @@
 	ClaimedAt time.Time
 	// LeaseDuration is the duration of the lease that each report of a host is granted.
 	LeaseDuration time.Duration
-	// PreviousAuthority is how long after the claim the previous owner may still
-	// have granted leases.
-	PreviousAuthority time.Duration
+	// PreviousAuthority is how long after the claim an earlier owner may still have
+	// granted leases, and EarlierAuthority how long one before the previous may.
+	PreviousAuthority, EarlierAuthority time.Duration
 	// EarlyStart is how long before its due time a scheduled round may start.
 	EarlyStart time.Duration
 	// Retention is how long the state of an ended job stays readable.
@@ -64,6 +64,8 @@
 	lastSaveMark time.Time
 	// recovered is true once inherited tasks may start.
 	recovered bool
+	// previousAuthorityEnd is until when earlier owners may have granted leases.
+	previousAuthorityEnd time.Time
 	// suspended is true while another gate may have become the owner.
 	suspended bool
 	// confirmedAt is a time at which this gate was the owner for certain.
@@ -129,7 +131,7 @@
 
 // New returns a Cell without jobs and hosts.
 func New(o Options) *Cell {
-	return &Cell{options: o, jobs: map[string]*job{}, hosts: map[string]*host{}, givenUp: map[string]bool{}, suspectJobs: map[string]*job{}, estimate: newEstimator(), interference: hvinterference.NewChangeModel(effectPrior, tailVariance), sharing: sharing{accounts: map[accountKey]*account{}, sizes: map[string]*hvfair.Sizes{}}}
+	return &Cell{options: o, previousAuthorityEnd: o.ClaimedAt.Add(o.PreviousAuthority), jobs: map[string]*job{}, hosts: map[string]*host{}, givenUp: map[string]bool{}, suspectJobs: map[string]*job{}, estimate: newEstimator(), interference: hvinterference.NewChangeModel(effectPrior, tailVariance), sharing: sharing{accounts: map[accountKey]*account{}, sizes: map[string]*hvfair.Sizes{}}}
 }
 
 // SetCatalog replaces the catalog of queues, unless the current one is newer. Runs go
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -27,7 +27,7 @@
 		c.hosts[name] = h
 		h.leaseExpiry = now
 		if !c.recovered {
-			h.leaseExpiry = c.options.ClaimedAt.Add(c.options.PreviousAuthority + c.maxLeaseDuration())
+			h.leaseExpiry = c.previousAuthorityEnd.Add(c.maxLeaseDuration())
 		}
 	}
 	if info != nil && !h.announced {
@@ -448,6 +448,26 @@
 	}
 }
 
+// EndPreviousAuthority records that the previous owner grants no more leases. Leases on hosts
+// that this owner cannot reach then end earlier than they would under its whole authority.
+func (c *Cell) EndPreviousAuthority(now time.Time) {
+	end := now
+	if earlier := c.options.ClaimedAt.Add(c.options.EarlierAuthority); earlier.After(end) {
+		end = earlier
+	}
+	if c.recovered || !end.Before(c.previousAuthorityEnd) {
+		return
+	}
+	_ = level.Info(c.options.Logger).Log("msg", "previous owner has ended; its authority no longer counts", "epoch", c.options.Epoch, "left", c.previousAuthorityEnd.Sub(now), "earlier", end.Sub(now))
+	c.previousAuthorityEnd = end
+	expiry := end.Add(c.maxLeaseDuration())
+	for _, h := range c.hosts {
+		if h.leaseExpiry.After(expiry) {
+			h.leaseExpiry = expiry
+		}
+	}
+}
+
 // checkRecovered lets all inherited tasks start once every host has listed its runs or
 // all leases of the previous owner on it have expired.
 func (c *Cell) checkRecovered(now time.Time) {
--- a/hvcell/inherited_test.go
+++ b/hvcell/inherited_test.go
@@ -64,3 +64,24 @@
 		t.Fatalf("%d tasks run on host-2 after the leases on the host that is gone have expired, want 3", n)
 	}
 }
+
+// Guards against a long-running task that stays without a run for longer than a lease after
+// an owner that stood still goes on: its host is gone, and the new owner waited until the
+// owner before could grant no lease even if it never went on.
+func TestEndOfPreviousOwnerShortensWait(t *testing.T) {
+	w := newInheritedCluster(t)
+	w.hosts["host-2"].capacityCPU = 24000
+	w.advance(2 * time.Second)
+	w.hosts["host-0"].alive = false
+	w.hosts["host-0"].running = map[string]int{}
+	w.endPrevious()
+	w.exchange()
+	if w.runs() != 2 {
+		t.Fatal("an inherited task starts while a lease may still be valid")
+	}
+	w.advance(w.cell.maxLeaseDuration() + 100*time.Millisecond)
+	w.exchange()
+	if w.runs() != 3 {
+		t.Fatalf("%d of 3 tasks run a lease after the end of the previous owner", w.runs())
+	}
+}
--- a/hvcell/random_test.go
+++ b/hvcell/random_test.go
@@ -181,6 +181,7 @@
 				}
 				m.actAsEarlier(rapid.SampledFrom(m.earlier).Draw(t, "owner"), m.host(t))
 			},
+			"end": func(*rapid.T) { m.endPrevious() },
 			"split": func(t *rapid.T) {
 				if m.storeDown {
 					t.Skip("no exchange with the store")
@@ -253,7 +254,7 @@
 }
 
 // split replaces the owner while it and one node are cut off from the others. It may be
-// that the new owner ends soon and is replaced too.
+// that it ends, and that the new owner ends soon and is replaced too.
 func (m *faultMachine) split(t *rapid.T) {
 	cutOff := m.host(t)
 	m.dropEndedCalls()
@@ -262,13 +263,17 @@
 	m.attachOthers(cutOff)
 	replaced := m.earlier[len(m.earlier)-1]
 	ended := rapid.Bool().Draw(t, "ended")
+	endsAt := rapid.SampledFrom([]int{-1, 0, 3, 6}).Draw(t, "ends at")
 	for i := range rapid.SampledFrom([]int{2, 16}).Draw(t, "rounds") {
 		if i == 1 && ended {
 			m.replaceEnded(true)
 			m.attachOthers(cutOff)
 		}
+		if i == endsAt {
+			m.endPrevious()
+		}
 		m.advance(time.Duration(rapid.IntRange(700, 1500).Draw(t, "ms")) * time.Millisecond)
-		if m.now.Before(replaced.until) {
+		if slices.Contains(m.earlier, replaced) && m.now.Before(replaced.until) {
 			m.actAsEarlier(replaced, cutOff)
 		}
 		m.dropEndedCalls()
--- a/hvcell/simcluster_test.go
+++ b/hvcell/simcluster_test.go
@@ -141,7 +141,7 @@
 	}
 	w.epoch++
 	w.cell = New(Options{
-		Epoch: w.epoch, ClaimOffset: int64(len(w.jobs)), ClaimedAt: w.now, LeaseDuration: 5 * time.Second, PreviousAuthority: max(w.authority, earlierAuthority),
+		Epoch: w.epoch, ClaimOffset: int64(len(w.jobs)), ClaimedAt: w.now, LeaseDuration: 5 * time.Second, PreviousAuthority: max(w.authority, earlierAuthority), EarlierAuthority: earlierAuthority,
 		Retention: time.Minute, Policy: w.policy, Logger: log.NewNopLogger(),
 		Health: hvhealth.New(hvhealth.Options{HostCount: func() int { return len(w.hosts) }}),
 	})
@@ -168,6 +168,12 @@
 	return left
 }
 
+// endPrevious ends the previous owner and tells the current one.
+func (w *simCluster) endPrevious() {
+	w.earlier = slices.DeleteFunc(w.earlier, func(o earlierOwner) bool { return o.epoch == w.epoch-1 })
+	w.cell.EndPreviousAuthority(w.now)
+}
+
 // actAs lets an earlier owner act in place of the current one.
 func (w *simCluster) actAs(o earlierOwner, act func()) {
 	cell, epoch, evacuated := w.cell, w.epoch, w.evacuated
--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -79,6 +79,8 @@
 	notReady atomic.Bool
 	// passing serializes passOperatorState.
 	passing sync.Mutex
+	// endedEpoch is the last epoch in which this gate owned the cell and no longer does.
+	endedEpoch atomic.Int64
 	// handingOver serializes handOver and the changes that are passed to the owner.
 	handingOver sync.Mutex
 
@@ -104,7 +106,7 @@
 
 // Mux returns the handlers of the methods that other gates call.
 func (g *Gate) Mux() hvwire.Mux {
-	m := relayMux(g.relay, g.options.Process)
+	m := relayMux(g.relay, func() processInfo { return processInfo{ID: g.options.Process, Ended: g.endedEpoch.Load()} })
 	hvwire.Handle(m, methodPut, g.servePut)
 	hvwire.Handle(m, hvorder.MethodSpec, g.serveSpec)
 	return m
@@ -183,6 +185,7 @@
 }
 
 func (g *Gate) runOwner(ctx context.Context, w *hvledger.Writer) {
+	defer g.endedEpoch.Store(w.Claim().Epoch)
 	if err := g.tailer.Sync(ctx); err != nil {
 		_ = level.Warn(g.options.Logger).Log("msg", "topic could not be read after the claim of the cell", "err", err)
 	}
@@ -192,11 +195,16 @@
 		return
 	}
 	owner := hvowner.New(hvowner.Options{
-		Writer: w, ClaimOffset: claimOffset, Learned: g.replica.Learned(), StoreFailed: g.relay.Failed, StoreResponse: g.admission.response, Adviser: g.options.Adviser, EarlyStart: g.options.EarlyStart, Retention: g.options.Retention,
+		Writer: w, PreviousEnded: func() bool { return g.peers.ownerEnded(w.Previous()) }, ClaimOffset: claimOffset, Learned: g.replica.Learned(), StoreFailed: g.relay.Failed, StoreResponse: g.admission.response, Adviser: g.options.Adviser, EarlyStart: g.options.EarlyStart, Retention: g.options.Retention,
 		Policy: g.options.Policy, Clock: g.options.Clock, Metrics: g.options.Metrics, Logger: g.options.Logger,
 	})
 	g.handOver(owner)
+	watchCtx, cancel := context.WithTimeout(ctx, w.PreviousAuthority())
+	var watch sync.WaitGroup
+	watch.Go(func() { g.peers.awaitEnd(watchCtx, w.Previous()) })
 	owner.Run(ctx)
+	cancel()
+	watch.Wait()
 	g.mu.Lock()
 	g.owner = nil
 	g.mu.Unlock()
--- a/hventry/peers.go
+++ b/hventry/peers.go
@@ -28,14 +28,20 @@
 	peerCallTimeout = 1300 * time.Millisecond
 	// watchInterval is the time between checks of the owner's process.
 	watchInterval = 200 * time.Millisecond
-	// methodProcess returns the process ID of a gate, Options.Process.
+	// methodProcess returns the process ID of a gate, Options.Process, and whether it has
+	// owned the cell.
 	methodProcess = "who"
 )
 
 type processInfo struct {
 	ID string `json:"id"`
+	// Ended is the last epoch in which the process owned the cell and no longer does.
+	Ended int64 `json:"ended,omitempty"`
 }
 
+// owns reports whether the process may still grant leases under a claim.
+func (i processInfo) owns(c hvledger.Claim) bool { return i.ID == c.Process && i.Ended < c.Epoch }
+
 // peers manages the connections to the other gates.
 type peers struct {
 	self   string
@@ -46,7 +52,7 @@
 	pool *hvwire.Pool
 
 	mu sync.Mutex
-	// endedOwner is the claim of the last owner whose process was found to have ended.
+	// endedOwner is the claim of the last owner that was found to have ended.
 	endedOwner hvledger.Claim
 }
 
@@ -95,10 +101,10 @@
 
 // relayMux returns the handlers that make calls to the store for other gates, and
 // the handler of methodProcess.
-func relayMux(r *hvledger.Relay, processID string) hvwire.Mux {
+func relayMux(r *hvledger.Relay, process func() processInfo) hvwire.Mux {
 	m := hvwire.Mux{}
 	hvwire.Handle(m, methodProcess, func(context.Context, *hvwire.Conn, struct{}) (processInfo, error) {
-		return processInfo{ID: processID}, nil
+		return process(), nil
 	})
 	hvwire.Handle(m, hvorder.MethodAppend, func(ctx context.Context, _ *hvwire.Conn, req hvorder.Append) (resp hvorder.AppendResult, err error) {
 		err = r.Direct(ctx, func(ctx context.Context, s hv.KeyedStore) error {
@@ -135,33 +141,52 @@
 	}
 }
 
-// watchOwner checks the process at the owner's address. If it is the owner's, it
-// returns when the connection ends; if it is another process, or none listens, it
-// records the end of the owner's process.
+// watchOwner checks an owner. If it goes on, watchOwner returns when the connection to its
+// process ends.
 func (p *peers) watchOwner(ctx context.Context, c hvledger.Claim) {
+	if !p.ownerGoesOn(ctx, c) {
+		return
+	}
+	conn, err := p.pool.Conn(ctx, c.Addr)
+	if err != nil {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-conn.Done():
+	}
+}
+
+// awaitEnd checks an owner that was replaced until it is known to have ended.
+func (p *peers) awaitEnd(ctx context.Context, c hvledger.Claim) {
+	for ctx.Err() == nil && !p.ownerEnded(c) {
+		p.ownerGoesOn(ctx, c)
+		hvtick.Sleep(ctx, watchInterval)
+	}
+}
+
+// ownerGoesOn asks the process at the owner's address and reports whether it is the owner.
+// If it is another process, no longer owns the cell, or none listens, it records the end of
+// the owner.
+func (p *peers) ownerGoesOn(ctx context.Context, c hvledger.Claim) bool {
 	info, err := hvwire.CallPeer[processInfo](ctx, p.pool, c.Addr, methodProcess, peerCallTimeout, struct{}{})
-	switch {
-	case err == nil && info.ID == c.Process:
-		conn, err := p.pool.Conn(ctx, c.Addr)
-		if err != nil {
-			return
-		}
-		select {
-		case <-ctx.Done():
-		case <-conn.Done():
-		}
-	case err == nil || errors.Is(err, syscall.ECONNREFUSED):
-		p.mu.Lock()
-		known := p.endedOwner == c
-		p.endedOwner = c
-		p.mu.Unlock()
-		if !known {
-			_ = level.Info(p.logger).Log("msg", "process of the cell owner has ended", "owner", c.Name, "epoch", c.Epoch, "err", err)
-		}
+	if err == nil && info.owns(c) {
+		return true
+	}
+	if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
+	}
+	p.mu.Lock()
+	known := p.endedOwner == c
+	p.endedOwner = c
+	p.mu.Unlock()
+	if !known {
+		_ = level.Info(p.logger).Log("msg", "owner of the cell has ended", "owner", c.Name, "epoch", c.Epoch, "err", err)
 	}
+	return false
 }
 
-// ownerEnded reports whether an owner's process is known to have ended.
+// ownerEnded reports whether an owner is known to have ended.
 func (p *peers) ownerEnded(c hvledger.Claim) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/hvledger/elect.go
+++ b/hvledger/elect.go
@@ -95,14 +95,13 @@
 	return c.Epoch == 0 || c.Released || c.Name == e.self.Name || e.processEnded(c)
 }
 
-// previousAuthority returns how long the last owner, which has appended nothing for a time,
-// or one before it may still grant leases.
-func (e *Elector) previousAuthority(c Claim, silence time.Duration) time.Duration {
-	authority := e.replica.EarlierAuthority()
-	if !e.ownerHasEnded(c) {
-		authority = max(authority, AuthorityTimeout-silence)
+// authorityOf returns how long an owner may still grant leases that has appended nothing for
+// a time.
+func (e *Elector) authorityOf(c Claim, silence time.Duration) time.Duration {
+	if e.ownerHasEnded(c) {
+		return 0
 	}
-	return authority
+	return max(AuthorityTimeout-silence, 0)
 }
 
 // rank returns the position of this gate among the candidates, so that they do
@@ -158,7 +157,8 @@
 		c.Epoch = last.Epoch + 1
 		// The claim is stored only if the previous owner has appended nothing meanwhile.
 		silence := e.replica.SinceOwnerRecord()
-		authority := e.previousAuthority(last, silence)
+		earlier := e.replica.EarlierAuthority()
+		authority := max(e.authorityOf(last, silence), earlier)
 		authorityEnd := e.replica.clock.Now().Add(authority)
 		c.EarlierAuthority = (authority + time.Millisecond - 1).Milliseconds()
 		rec, err := claimRecord(c)
@@ -180,7 +180,10 @@
 				continue
 			}
 		}
-		w := &Writer{store: e.store, topic: e.topic, claim: c, sequence: first, lastAppend: sentAt, clock: e.replica.clock, previousAuthority: authority, previousAuthorityEnd: authorityEnd}
+		w := &Writer{
+			store: e.store, topic: e.topic, claim: c, sequence: first, lastAppend: sentAt, clock: e.replica.clock,
+			previous: last, previousAuthority: authority, previousAuthorityEnd: authorityEnd, earlierAuthority: earlier,
+		}
 		_ = level.Info(e.logger).Log("msg", "this gate claimed the cell", "epoch", c.Epoch, "before", last.Name, "silence", silence, "authority", authority)
 		return w
 	}
--- a/hvledger/writer.go
+++ b/hvledger/writer.go
@@ -32,11 +32,15 @@
 	// zero.
 	pendingSince time.Time
 
+	// previous is the claim of the previous owner.
+	previous Claim
 	// previousAuthority is how long after the claim an earlier owner may still grant leases.
 	previousAuthority time.Duration
 	// previousAuthorityEnd is when it has passed by the clock.
 	previousAuthorityEnd time.Time
-	clock                hv.Clock
+	// earlierAuthority is the part of it that owners before the previous one have.
+	earlierAuthority time.Duration
+	clock            hv.Clock
 	// authorityCleared is true once an append stores a claim without EarlierAuthority.
 	authorityCleared bool
 
@@ -165,6 +169,13 @@
 // leases. It is 0 if that is known to have ended.
 func (w *Writer) PreviousAuthority() time.Duration { return w.previousAuthority }
 
+// EarlierAuthority returns how long after the claim owners before the previous one may
+// still grant leases.
+func (w *Writer) EarlierAuthority() time.Duration { return w.earlierAuthority }
+
+// Previous returns the claim of the previous owner.
+func (w *Writer) Previous() Claim { return w.previous }
+
 // SinceLastAppend returns the time since the last successful append was sent. It
 // includes time in which the machine was suspended.
 func (w *Writer) SinceLastAppend() time.Duration {
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -47,6 +47,9 @@
 	// Learned is the stored learned state of the previous owner, still encoded, or
 	// nil.
 	Learned []byte
+	// PreviousEnded reports whether the previous owner is known to grant no more leases; it
+	// may be nil.
+	PreviousEnded func() bool
 	// StoreFailed reports whether the store does not respond; it may be nil.
 	StoreFailed func() bool
 	// StoreResponse returns the expected duration of an append; it may be nil.
@@ -91,7 +94,7 @@
 	owner := &Owner{options: o, links: map[string]*link{}, wakePlan: make(chan struct{}, 1), wakeFlush: make(chan struct{}, 1), wakeAdvise: make(chan struct{}, 1)}
 	health := hvhealth.New(hvhealth.Options{HostCount: owner.hostCount})
 	owner.cell = hvcell.New(hvcell.Options{
-		Epoch: o.Writer.Claim().Epoch, ClaimOffset: o.ClaimOffset, ClaimedAt: o.Clock.Now(), LeaseDuration: leaseDuration, PreviousAuthority: o.Writer.PreviousAuthority(),
+		Epoch: o.Writer.Claim().Epoch, ClaimOffset: o.ClaimOffset, ClaimedAt: o.Clock.Now(), LeaseDuration: leaseDuration, PreviousAuthority: o.Writer.PreviousAuthority(), EarlierAuthority: o.Writer.EarlierAuthority(),
 		EarlyStart: o.EarlyStart, Retention: o.Retention, Policy: o.Policy, Health: health, OnJobEnd: owner.observeJobEnd, Logger: o.Logger,
 	})
 	owner.restoreLearned(o.Learned)
@@ -269,6 +272,9 @@
 		o.rejectPuts()
 		o.mu.Lock()
 		o.checkAuthority()
+		if o.options.PreviousEnded != nil && o.options.PreviousEnded() {
+			o.cell.EndPreviousAuthority(o.options.Clock.Now())
+		}
 		o.cell.Tick(o.options.Clock.Now())
 		o.updateMetrics()
 		o.mu.Unlock()
