Name the executor's incarnation again once it responds

Calls to an executor that are carried out late may reach its next incarnation, and extend the leases there, or start runs, beyond what the owner counts (TWICE, by the protocol). Calls name the incarnation that they are for, so that another one rejects them. That was dropped for good, though, if a call to the executor before was refused just after the new one had been announced, as only a changed announcement set it again; then no call of that incarnation's life named it.

A node now names the incarnation as soon as the one that was announced lists its runs. TestCallsNameIncarnationAfterRefusal found calls without it before.

An executor that restarts under the same identifier still accepts late calls of its earlier life.

--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -352,6 +352,10 @@
 		n.pendingStarts = map[hvorder.Run]bool{}
 		n.reportedSaved = map[hvorder.Run]string{}
 	}
+	if n.host != nil && n.host.Incarnation == h.Incarnation {
+		// A call to the executor before may have been refused after this one was announced.
+		n.deps.Executor.SetExpectedInstance(n.executorID)
+	}
 	now := n.deps.Clock.Now()
 	n.executorState, n.stateVersion, n.stateKnown, n.incarnationConfirmed, n.executorGone = h, version, true, true, false
 	n.refusals = 0
--- a/hvnode/node_test.go
+++ b/hvnode/node_test.go
@@ -32,9 +32,15 @@
 	// each of them, if it is set.
 	renewErr error
 	renewing func()
+	// expectedInstance is what calls name.
+	expectedInstance string
 }
 
-func (e *fakeExecutor) SetExpectedInstance(string) {}
+func (e *fakeExecutor) SetExpectedInstance(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.expectedInstance = id
+}
 
 func (e *fakeExecutor) Start(_ context.Context, s hv.StartRun) error {
 	e.mu.Lock()
--- a/hvnode/renew_test.go
+++ b/hvnode/renew_test.go
@@ -32,3 +32,23 @@
 		t.Fatal("the new executor counts as ended after one refused connection")
 	}
 }
+
+// Guards against calls that name no incarnation for the rest of an executor's life, because
+// one to the executor before was refused after it had been announced: the incarnation after
+// it would carry out those that are late, with leases beyond what the owner counts.
+func TestCallsNameIncarnationAfterRefusal(t *testing.T) {
+	e := &fakeExecutor{}
+	n := newNode(t, e)
+	n.handleRenewError(errorOfKind(hv.NotFound))
+	if e.expectedInstance != "" {
+		t.Fatalf("calls name %q after a refused connection", e.expectedInstance)
+	}
+	n.applyState(hv.ExecutorState{Incarnation: "2", ClockMS: 100}, n.currentVersion())
+	if e.expectedInstance != "" {
+		t.Fatalf("calls name %q while an executor responds that is not announced", e.expectedInstance)
+	}
+	n.applyState(hv.ExecutorState{Incarnation: "1", ClockMS: 100}, n.currentVersion())
+	if e.expectedInstance != "i-1" {
+		t.Fatalf("calls name %q while the announced executor responds", e.expectedInstance)
+	}
+}
