--- a/hvcell/reconcile.go
+++ b/hvcell/reconcile.go
@@ -115,6 +115,26 @@
 	}
 }
 
+// EndPreviousAuthority records that the previous owner grants no more leases. Leases on hosts
+// that this owner cannot reach then end earlier than they would under its whole authority.
+func (c *Cell) EndPreviousAuthority(now time.Time) {
+	end := now
+	if earlier := c.options.ClaimedAt.Add(c.options.EarlierAuthority); earlier.After(end) {
+		end = earlier
+	}
+	if c.recovered || !end.Before(c.previousAuthorityEnd) {
+		return
+	}
+	_ = level.Info(c.options.Logger).Log("msg", "previous owner has ended; its authority no longer counts", "epoch", c.options.Epoch, "left", c.previousAuthorityEnd.Sub(now), "earlier", end.Sub(now))
+	c.previousAuthorityEnd = end
+	expiry := end.Add(c.maxLeaseDuration())
+	for _, h := range c.hosts {
+		if h.leaseExpiry.After(expiry) {
+			h.leaseExpiry = expiry
+		}
+	}
+}
+
 // checkRecovered lets all inherited tasks start once every host has listed its runs or
 // all leases of the previous owner on it have expired.
 func (c *Cell) checkRecovered(now time.Time) {
--- a/hvcell/simcluster_test.go
+++ b/hvcell/simcluster_test.go
@@ -31,6 +31,8 @@
 	policy Policy
 	// authority is how long after a claim the previous owner may have granted leases.
 	authority time.Duration
+	// earlier holds the owners before the current one, which go on while they have authority.
+	earlier []earlierOwner
 	// noCatalog is true if new owners have not read the catalog yet.
 	noCatalog bool
 	// noCapacityChecks is true if executors start tasks beyond their capacity.
@@ -82,11 +84,22 @@
 	return w
 }
 
+// earlierOwner is an owner that was replaced while it was cut off.
+type earlierOwner struct {
+	cell  *Cell
+	epoch int64
+	until time.Time
+}
+
 // replaceOwner replaces the owner with a new one that has only read the store.
 func (w *simCluster) replaceOwner() {
+	earlierAuthority := w.earlierAuthority()
+	if w.cell != nil {
+		w.earlier = append(w.earlier, earlierOwner{w.cell, w.epoch, w.now.Add(w.authority)})
+	}
 	w.epoch++
 	w.cell = New(Options{
-		Epoch: w.epoch, ClaimOffset: int64(len(w.jobs)), ClaimedAt: w.now, LeaseDuration: 5 * time.Second, PreviousAuthority: w.authority,
+		Epoch: w.epoch, ClaimOffset: int64(len(w.jobs)), ClaimedAt: w.now, LeaseDuration: 5 * time.Second, PreviousAuthority: max(w.authority, earlierAuthority), EarlierAuthority: earlierAuthority,
 		Retention: time.Minute, Policy: w.policy, Logger: log.NewNopLogger(),
 		Health: hvhealth.New(hvhealth.Options{HostCount: func() int { return len(w.hosts) }}),
 	})
@@ -103,6 +116,31 @@
 	}
 }
 
+// earlierAuthority returns how long the owners before the current one have authority.
+func (w *simCluster) earlierAuthority() time.Duration {
+	w.earlier = slices.DeleteFunc(w.earlier, func(o earlierOwner) bool { return !w.now.Before(o.until) })
+	left := time.Duration(0)
+	for _, o := range w.earlier {
+		left = max(left, o.until.Sub(w.now))
+	}
+	return left
+}
+
+// endPrevious ends the previous owner and tells the current one.
+func (w *simCluster) endPrevious() {
+	w.earlier = slices.DeleteFunc(w.earlier, func(o earlierOwner) bool { return o.epoch == w.epoch-1 })
+	w.cell.EndPreviousAuthority(w.now)
+}
+
+// actAs lets an earlier owner act in place of the current one.
+func (w *simCluster) actAs(o earlierOwner, act func()) {
+	cell, epoch, evacuated := w.cell, w.epoch, w.evacuated
+	// It cannot know the zones that were evacuated since.
+	w.cell, w.epoch, w.evacuated = o.cell, o.epoch, nil
+	act()
+	w.cell, w.epoch, w.evacuated = cell, epoch, evacuated
+}
+
 func (w *simCluster) submit(j hvjob.Job) hvjob.Job {
 	j.ID = fmt.Sprintf("%016x", len(w.jobs)+1)
 	j.Submitted = w.now.UnixMilli()
@@ -146,7 +184,7 @@
 	if e.alive {
 		e.minEpoch = w.epoch
 	}
-	e.batch = 0
+	e.batch, e.nodeEpoch = 0, w.epoch
 	e.applyGrant(w.cell.NodeAttached(w.now, name, e.report(true)))
 }
 
--- a/hvcell/simexecutor_test.go
+++ b/hvcell/simexecutor_test.go
@@ -29,6 +29,8 @@
 	// startedAt is when the incarnation began; its clock counts from then.
 	startedAt time.Time
 	minEpoch  int64
+	// nodeEpoch is the epoch of the owner that the node beside the executor obeys.
+	nodeEpoch int64
 	// alive is false after a crash until the executor restarts.
 	alive bool
 	// speed is the progress of each run in percent per second and percents that of the
--- a/hventry/peers.go
+++ b/hventry/peers.go
@@ -36,14 +36,20 @@
 	// failedPeerPause is how long a peer comes after all others once a call to the store
 	// through it has failed. Outages of the store for some gates last 5 to 6 s.
 	failedPeerPause = 10 * time.Second
-	// methodProcess returns the process ID of a gate, Options.Process.
+	// methodProcess returns the process ID of a gate, Options.Process, and whether it has
+	// owned the cell.
 	methodProcess = "who"
 )
 
 type processInfo struct {
 	ID string `json:"id"`
+	// Ended is the last epoch in which the process owned the cell and no longer does.
+	Ended int64 `json:"ended,omitempty"`
 }
 
+// owns reports whether the process may still grant leases under a claim.
+func (i processInfo) owns(c hvledger.Claim) bool { return i.ID == c.Process && i.Ended < c.Epoch }
+
 // peers manages the connections to the other gates.
 type peers struct {
 	self   string
@@ -55,7 +61,7 @@
 	pool *hvwire.Pool
 
 	mu sync.Mutex
-	// endedOwner is the claim of the last owner whose process was found to have ended.
+	// endedOwner is the claim of the last owner that was found to have ended.
 	endedOwner hvledger.Claim
 	// failedAt is, by address, when a call to the store through a peer failed, unless one
 	// has succeeded since.
@@ -138,10 +144,10 @@
 
 // relayMux returns the handlers that make calls to the store for other gates, and
 // the handler of methodProcess.
-func relayMux(r *hvledger.Relay, processID string) hvwire.Mux {
+func relayMux(r *hvledger.Relay, process func() processInfo) hvwire.Mux {
 	m := hvwire.Mux{}
 	hvwire.Handle(m, methodProcess, func(context.Context, *hvwire.Conn, struct{}) (processInfo, error) {
-		return processInfo{ID: processID}, nil
+		return process(), nil
 	})
 	hvwire.Handle(m, hvorder.MethodAppend, func(ctx context.Context, _ *hvwire.Conn, req hvorder.Append) (resp hvorder.AppendResult, err error) {
 		err = r.Direct(ctx, func(ctx context.Context, s hv.KeyedStore) error {
@@ -173,57 +179,75 @@
 func (p *peers) watchOwners(ctx context.Context, claim func() hvledger.Claim, silence func() time.Duration) {
 	for ctx.Err() == nil {
 		if c := claim(); c.Epoch > 0 && c.Name != p.self {
-			p.watchOwner(ctx, c, func() bool { return claim() == c && silence() < lookAgainAfter })
+			p.watchOwner(ctx, c, func() bool { return claim().SameOwnership(c) && silence() < lookAgainAfter })
 		}
 		hvtick.Sleep(ctx, watchInterval)
 	}
 }
 
-// watchOwner checks the process at the owner's address. If it is the owner's, it
-// returns when the connection ends or the owner no longer appends as the present one; if it
-// is another process, or none listens, it records the end of the owner's process.
+// watchOwner checks an owner. If it goes on, watchOwner returns when the connection to its
+// process ends or it no longer appends as the present owner.
 func (p *peers) watchOwner(ctx context.Context, c hvledger.Claim, appends func() bool) {
-	id, err := processAt(ctx, c.Addr)
-	switch {
-	case err == nil && id == c.Process:
-		conn, err := p.pool.Conn(ctx, c.Addr)
-		if err != nil {
+	if !p.ownerGoesOn(ctx, c) {
+		return
+	}
+	conn, err := p.pool.Conn(ctx, c.Addr)
+	if err != nil {
+		return
+	}
+	for ctx.Err() == nil {
+		if hvtick.Wait(ctx, conn.Done(), watchInterval) || !appends() {
 			return
 		}
-		for ctx.Err() == nil {
-			if hvtick.Wait(ctx, conn.Done(), watchInterval) || !appends() {
-				return
-			}
-		}
-	case err == nil || errors.Is(err, syscall.ECONNREFUSED):
-		p.mu.Lock()
-		known := p.endedOwner == c
-		p.endedOwner = c
-		p.mu.Unlock()
-		if !known {
-			_ = level.Info(p.logger).Log("msg", "process of the cell owner has ended", "owner", c.Name, "epoch", c.Epoch, "err", err)
-		}
 	}
 }
 
-// processAt returns the ID of the process at an address. It asks on a connection of its own,
+// awaitEnd checks an owner that was replaced until it is known to have ended.
+func (p *peers) awaitEnd(ctx context.Context, c hvledger.Claim) {
+	for ctx.Err() == nil && !p.ownerEnded(c) {
+		p.ownerGoesOn(ctx, c)
+		hvtick.Sleep(ctx, watchInterval)
+	}
+}
+
+// ownerGoesOn asks the process at the owner's address and reports whether it is the owner.
+// If it is another process, no longer owns the cell, or none listens, it records the end of
+// the owner.
+func (p *peers) ownerGoesOn(ctx context.Context, c hvledger.Claim) bool {
+	info, err := processAt(ctx, c.Addr)
+	if err == nil && info.owns(c) {
+		return true
+	}
+	if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
+	}
+	p.mu.Lock()
+	known := p.endedOwner.SameOwnership(c)
+	p.endedOwner = c
+	p.mu.Unlock()
+	if !known {
+		_ = level.Info(p.logger).Log("msg", "owner of the cell has ended", "owner", c.Name, "epoch", c.Epoch, "err", err)
+	}
+	return false
+}
+
+// processAt asks the process at an address who it is. It asks on a connection of its own,
 // because an older one may have gone silent.
-func processAt(ctx context.Context, addr string) (string, error) {
+func processAt(ctx context.Context, addr string) (processInfo, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, peerDialTimeout)
 	defer cancel()
 	conn, err := hvwire.Dial(dialCtx, addr, hvwire.Mux{})
 	if err != nil {
-		return "", err
+		return processInfo{}, err
 	}
 	// The connection has served its purpose, whatever closing it returns.
 	defer func() { _ = conn.Close() }()
 	ctx, cancelCall := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancelCall()
-	info, err := hvwire.Call[processInfo](ctx, conn, methodProcess, struct{}{})
-	return info.ID, err
+	return hvwire.Call[processInfo](ctx, conn, methodProcess, struct{}{})
 }
 
-// ownerEnded reports whether an owner's process is known to have ended.
+// ownerEnded reports whether an owner is known to have ended.
 func (p *peers) ownerEnded(c hvledger.Claim) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/hvledger/elect.go
+++ b/hvledger/elect.go
@@ -20,6 +20,10 @@
 	ownerTimeout = time.Second
 	// HeartbeatInterval is the longest time between two appends of an owner.
 	HeartbeatInterval = 300 * time.Millisecond
+	// AuthorityTimeout is how long an owner continues without a successful append.
+	// Outages of the store last up to about 6 s. A new owner waits until it has passed
+	// since the last record of the previous one if a host does not respond.
+	AuthorityTimeout = 6 * time.Second
 	// rankDelay is the time between the attempts of candidates of adjacent ranks.
 	rankDelay = 200 * time.Millisecond
 	// maxClaimAttempts limits the conditional appends of one attempt. An append
@@ -91,6 +95,15 @@
 	return c.Epoch == 0 || c.Released || c.Name == e.self.Name || e.processEnded(c)
 }
 
+// authorityOf returns how long an owner may still grant leases that has appended nothing for
+// a time.
+func (e *Elector) authorityOf(c Claim, silence time.Duration) time.Duration {
+	if e.ownerHasEnded(c) {
+		return 0
+	}
+	return max(AuthorityTimeout-silence, 0)
+}
+
 // rank returns the position of this gate among the candidates, so that they do
 // not all try at once. Candidates with more capacity come first, because the
 // owner does the most work; equal ones are ordered by a hash.
@@ -142,12 +155,16 @@
 		last, _ := e.replica.Claim()
 		c := e.self
 		c.Epoch = last.Epoch + 1
+		// The claim is stored only if the previous owner has appended nothing meanwhile.
+		silence := e.replica.SinceOwnerRecord()
+		earlier := e.replica.EarlierAuthority()
+		authority := max(e.authorityOf(last, silence), earlier)
+		authorityEnd := e.replica.clock.Now().Add(authority)
+		c.EarlierAuthority = (authority + time.Millisecond - 1).Milliseconds()
 		rec, err := claimRecord(c)
 		if err != nil {
 			return nil
 		}
-		// The claim is stored only if the previous owner has appended nothing meanwhile.
-		silence := e.replica.SinceOwnerRecord()
 		sentAt, first := bootNow(), firstSequence(c)
 		_, err = e.store.Append(ctx, e.topic, []hv.KeyedRecord{rec}, hv.Fence{Producer: ownerProducer, Epoch: c.Epoch, Sequence: first, ExpectedEnd: e.replica.Next()})
 		if err != nil && hv.KindOf(err) == hv.Unavailable {
@@ -159,12 +176,15 @@
 			if e.tailer.Sync(ctx) != nil {
 				return nil
 			}
-			if got, _ := e.replica.Claim(); got != c {
+			if got, _ := e.replica.Claim(); !got.SameOwnership(c) {
 				continue
 			}
 		}
-		w := &Writer{store: e.store, topic: e.topic, claim: c, sequence: first, lastAppend: sentAt, previousOwnerEnded: e.ownerHasEnded(last), previousSilence: silence}
-		_ = level.Info(e.logger).Log("msg", "this gate claimed the cell", "epoch", c.Epoch, "before", last.Name, "silence", silence)
+		w := &Writer{
+			store: e.store, topic: e.topic, claim: c, sequence: first, lastAppend: sentAt, clock: e.replica.clock,
+			previous: last, previousAuthority: authority, previousAuthorityEnd: authorityEnd, earlierAuthority: earlier,
+		}
+		_ = level.Info(e.logger).Log("msg", "this gate claimed the cell", "epoch", c.Epoch, "before", last.Name, "silence", silence, "authority", authority)
 		return w
 	}
 	return nil
--- a/hvledger/writer.go
+++ b/hvledger/writer.go
@@ -32,12 +32,17 @@
 	// zero.
 	pendingSince time.Time
 
-	// previousOwnerEnded is true if the previous owner was known to have ended when
-	// the cell was claimed.
-	previousOwnerEnded bool
-	// previousSilence is the least time from the last append of the previous owner to the
-	// claim.
-	previousSilence time.Duration
+	// previous is the claim of the previous owner.
+	previous Claim
+	// previousAuthority is how long after the claim an earlier owner may still grant leases.
+	previousAuthority time.Duration
+	// previousAuthorityEnd is when it has passed by the clock.
+	previousAuthorityEnd time.Time
+	// earlierAuthority is the part of it that owners before the previous one have.
+	earlierAuthority time.Duration
+	clock            hv.Clock
+	// authorityCleared is true once an append stores a claim without EarlierAuthority.
+	authorityCleared bool
 
 	mu sync.Mutex
 	// lastAppend is the send time of the last successful append, or of its first attempt
@@ -62,14 +67,15 @@
 			return nil, err
 		}
 	}
-	if len(recs)+len(optional) > 0 && !slices.ContainsFunc(recs, showsOwner) {
-		heartbeat, err := claimRecord(w.claim)
+	if len(recs)+len(optional) > 0 && (!slices.ContainsFunc(recs, showsOwner) || w.clearsAuthority()) {
+		heartbeat, err := claimRecord(w.currentClaim())
 		if err != nil {
 			return nil, err
 		}
 		if len(recs) == 0 {
 			optional = append([]hv.KeyedRecord{heartbeat}, optional...)
 		} else {
+			w.authorityCleared = w.clearsAuthority()
 			recs = append([]hv.KeyedRecord{heartbeat}, recs...)
 		}
 	}
@@ -122,7 +128,7 @@
 
 // Heartbeat appends the claim again to show that the owner is alive.
 func (w *Writer) Heartbeat(ctx context.Context) error {
-	rec, err := claimRecord(w.claim)
+	rec, err := claimRecord(w.currentClaim())
 	if err != nil {
 		return err
 	}
@@ -131,7 +137,7 @@
 
 // Release appends a claim that is marked as released.
 func (w *Writer) Release(ctx context.Context) error {
-	c := w.claim
+	c := w.currentClaim()
 	c.Released = true
 	rec, err := claimRecord(c)
 	if err != nil {
@@ -140,16 +146,35 @@
 	return w.Append(ctx, []hv.KeyedRecord{rec})
 }
 
+// currentClaim returns the claim without an authority of earlier owners that has passed: a
+// gate that starts later cannot tell when it began.
+func (w *Writer) currentClaim() Claim {
+	c := w.claim
+	if w.clock.Now().After(w.previousAuthorityEnd) {
+		c.EarlierAuthority = 0
+	}
+	return c
+}
+
+// clearsAuthority reports whether the topic is still to be told that the authority of
+// earlier owners has passed.
+func (w *Writer) clearsAuthority() bool {
+	return !w.authorityCleared && w.currentClaim() != w.claim
+}
+
 // Claim returns the claim whose epoch the writer appends under.
 func (w *Writer) Claim() Claim { return w.claim }
 
-// PreviousOwnerEnded reports whether the previous owner was known to have ended
-// when the cell was claimed, so that it has granted no lease since.
-func (w *Writer) PreviousOwnerEnded() bool { return w.previousOwnerEnded }
+// PreviousAuthority returns how long after the claim an earlier owner may still grant
+// leases. It is 0 if that is known to have ended.
+func (w *Writer) PreviousAuthority() time.Duration { return w.previousAuthority }
+
+// EarlierAuthority returns how long after the claim owners before the previous one may
+// still grant leases.
+func (w *Writer) EarlierAuthority() time.Duration { return w.earlierAuthority }
 
-// PreviousSilence returns how long the previous owner had appended nothing, at least, when
-// the cell was claimed.
-func (w *Writer) PreviousSilence() time.Duration { return w.previousSilence }
+// Previous returns the claim of the previous owner.
+func (w *Writer) Previous() Claim { return w.previous }
 
 // SinceLastAppend returns the time since the last successful append was sent. It
 // includes time in which the machine was suspended.
--- a/hvnode/node_test.go
+++ b/hvnode/node_test.go
@@ -34,9 +34,15 @@
 	renewErr             error
 	renewing, throttling func()
 	renewals             []hv.LeaseRenewal
+	// expectedInstance is what calls name.
+	expectedInstance string
 }
 
-func (e *fakeExecutor) SetExpectedInstance(string) {}
+func (e *fakeExecutor) SetExpectedInstance(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.expectedInstance = id
+}
 
 func (e *fakeExecutor) Start(_ context.Context, s hv.StartRun) error {
 	e.mu.Lock()
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -36,10 +36,6 @@
 	// learnedStoreInterval is the time between appends of the learned state, with
 	// which the next owner continues.
 	learnedStoreInterval = 2 * time.Second
-	// authorityTimeout is how long an owner continues without a successful append.
-	// Outages of the store last up to about 6 s. A new owner waits until it has passed
-	// since the last record of the previous one if a host does not respond.
-	authorityTimeout = 6 * time.Second
 )
 
 // Options configure an Owner.
@@ -51,6 +47,9 @@
 	// Learned is the stored learned state of the previous owner, still encoded, or
 	// nil.
 	Learned []byte
+	// PreviousEnded reports whether the previous owner is known to grant no more leases; it
+	// may be nil.
+	PreviousEnded func() bool
 	// StoreFailed reports whether the store does not respond; it may be nil.
 	StoreFailed func() bool
 	// StoreResponse returns the expected duration of an append; it may be nil.
@@ -78,6 +77,8 @@
 	queuedPuts hvshed.Queue[*put]
 	// runCtx is the context of the links; it is nil until Run is called.
 	runCtx context.Context
+	// ended is true once the owner grants no more leases.
+	ended bool
 
 	// learnedStoredAt is when the learned state was last stored; only flush uses it.
 	learnedStoredAt time.Time
@@ -91,13 +92,9 @@
 // New returns an owner without jobs or nodes.
 func New(o Options) *Owner {
 	owner := &Owner{options: o, links: map[string]*link{}, wakePlan: make(chan struct{}, 1), wakeFlush: make(chan struct{}, 1), wakeAdvise: make(chan struct{}, 1)}
-	previousAuthority := max(authorityTimeout-o.Writer.PreviousSilence(), 0)
-	if o.Writer.PreviousOwnerEnded() {
-		previousAuthority = 0
-	}
 	health := hvhealth.New(hvhealth.Options{HostCount: owner.hostCount})
 	owner.cell = hvcell.New(hvcell.Options{
-		Epoch: o.Writer.Claim().Epoch, ClaimOffset: o.ClaimOffset, ClaimedAt: o.Clock.Now(), LeaseDuration: leaseDuration, PreviousAuthority: previousAuthority,
+		Epoch: o.Writer.Claim().Epoch, ClaimOffset: o.ClaimOffset, ClaimedAt: o.Clock.Now(), LeaseDuration: leaseDuration, PreviousAuthority: o.Writer.PreviousAuthority(), EarlierAuthority: o.Writer.EarlierAuthority(),
 		EarlyStart: o.EarlyStart, Retention: o.Retention, Policy: o.Policy, Health: health, OnJobEnd: owner.observeJobEnd, Logger: o.Logger,
 	})
 	owner.restoreLearned(o.Learned)
@@ -198,12 +195,21 @@
 		loops.Go(func() { loop(runCtx) })
 	}
 	loops.Wait()
+	o.endAuthority()
 	if ctx.Err() != nil {
 		o.release()
 	}
 	_ = level.Info(o.options.Logger).Log("msg", "this gate no longer owns the cell", "epoch", o.options.Writer.Claim().Epoch, "cause", context.Cause(runCtx))
 }
 
+// endAuthority ends the grants. The links end on their own, possibly later.
+func (o *Owner) endAuthority() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ended = true
+	o.checkAuthority()
+}
+
 // releaseTimeout limits the last append of an owner that stops.
 const releaseTimeout = time.Second
 
@@ -239,7 +245,7 @@
 // is held.
 func (o *Owner) checkAuthority() {
 	silence := o.options.Writer.SinceLastAppend()
-	o.cell.Suspend(silence > authorityTimeout)
+	o.cell.Suspend(o.ended || silence > hvledger.AuthorityTimeout)
 	o.cell.Confirm(o.options.Clock.Now().Add(-silence))
 }
 
@@ -266,6 +272,9 @@
 		o.rejectPuts()
 		o.mu.Lock()
 		o.checkAuthority()
+		if o.options.PreviousEnded != nil && o.options.PreviousEnded() {
+			o.cell.EndPreviousAuthority(o.options.Clock.Now())
+		}
 		o.cell.Tick(o.options.Clock.Now())
 		o.updateMetrics()
 		o.mu.Unlock()
