Compute the effects of an image on a host once, not for each task and plan

Cause: nothing says whether estimates have changed.

Change: the model counts its changes in Version. A host keeps the effects of a best-effort image on its services as of a version; they are dropped when the set of images that serve there changes, and are bounded.

TestEstimatesChangeOnlyWithVersion checks the model.

--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -58,7 +58,7 @@
 	ended    []endedJob
 	estimate estimator
 	// interference estimates how best-effort tasks slow serving tasks, by image.
-	interference *hvinterference.ChangeModel
+	interference effectModel
 	seq          int64
 	// lastSaveMark is when jobs with new saved states were last marked as changed.
 	lastSaveMark time.Time
@@ -98,8 +98,6 @@
 	loadMeasured time.Time
 	// hostBuffer is reused by withUnusedCPU.
 	hostBuffer []*host
-	// effectsVersion counts the changes of the estimated effects.
-	effectsVersion int64
 	// backfill holds the reservations of the steps that wait for capacity.
 	backfill backfill
 }
--- a/hvcell/colocation_load.go
+++ b/hvcell/colocation_load.go
@@ -37,20 +37,21 @@
 // pressures returns by how much the best-effort tasks on a host raise the logarithm of
 // the tail latency of each image that serves there, in the order of h.serving.
 func (c *Cell) pressures(h *host) []float64 {
-	if h.pressuresValid && h.pressuresVersion == c.effectsVersion {
+	if h.pressuresValid && h.pressuresVersion == c.interference.Version() {
 		return h.pressures
 	}
 	h.pressures = h.pressures[:0]
-	for _, s := range h.serving {
-		sum := 0.0
-		for _, b := range h.bestEffort {
-			if e := c.interference.Effect(s.image, b.image).Mean; e >= harmlessEffect {
-				sum += e * float64(b.cpu) / hvorder.CoreScale
+	for range h.serving {
+		h.pressures = append(h.pressures, 0)
+	}
+	for _, b := range h.bestEffort {
+		for i, e := range c.estimates(h, b.image) {
+			if e.Mean >= harmlessEffect {
+				h.pressures[i] += e.Mean * float64(b.cpu) / hvorder.CoreScale
 			}
 		}
-		h.pressures = append(h.pressures, sum)
 	}
-	h.pressuresValid, h.pressuresVersion = true, c.effectsVersion
+	h.pressuresValid, h.pressuresVersion = true, c.interference.Version()
 	return h.pressures
 }
 
@@ -59,8 +60,9 @@
 // task interferes with.
 func (c *Cell) tailWith(s *hvjob.Step, h *host) float64 {
 	worst := math.Inf(-1)
+	estimates := c.estimates(h, s.Image)
 	for i, p := range c.pressures(h) {
-		if e := c.effect(h.serving[i].image, s.Image, s.Need.CPU); e > lowImpact {
+		if e := effect(estimates[i], s.Need.CPU); e > lowImpact {
 			worst = max(worst, h.serving[i].tail+p+e)
 		}
 	}
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -382,7 +382,11 @@
 		h.bestEffortCPU += sign * s.Need.CPU
 	}
 	if s.LatencyTarget > 0 {
+		images := len(h.serving)
 		h.serving = addImage(h.serving, s, sign)
+		if len(h.serving) != images {
+			clear(h.estimates)
+		}
 		h.servingCPU += sign * s.Allocation().CPU
 	}
 }
--- a/hvcell/interference.go
+++ b/hvcell/interference.go
@@ -65,9 +65,6 @@
 			loadChanges[image] = float64(load) / hvorder.CoreScale
 		}
 	}
-	if len(r.TailChanges) > 0 {
-		c.effectsVersion++
-	}
 	for _, t := range r.TailChanges {
 		c.interference.Observe(t.Image, loadChanges, float64(t.LogChange)/hvorder.LogScale)
 	}
@@ -81,7 +78,7 @@
 	}
 	out := map[string]int64{}
 	for _, b := range h.bestEffort {
-		if e := c.worstEffect(h.serving, b.image); e >= harmlessEffect {
+		if e := c.worstEffect(h, b.image); e >= harmlessEffect {
 			out[b.image] = int64(e * hvorder.LogScale)
 		}
 	}
@@ -90,10 +87,9 @@
 
 // worstEffect returns the upper bound, by harmlessDeviations, of the effect of one
 // processor of a best-effort image on the most affected serving image.
-func (c *Cell) worstEffect(serving []imageLoad, image string) float64 {
+func (c *Cell) worstEffect(h *host, image string) float64 {
 	worst := 0.0
-	for _, s := range serving {
-		b := c.interference.Effect(s.image, image)
+	for _, b := range c.estimates(h, image) {
 		worst = max(worst, b.Mean+harmlessDeviations*math.Sqrt(b.Variance))
 	}
 	return worst
@@ -117,21 +113,21 @@
 	sum := 0.0
 	switch {
 	case spec.BestEffort && h.servingCPU > 0:
-		for _, s := range h.serving {
-			sum = max(sum, c.effect(s.image, spec.Image, spec.Need.CPU))
+		for _, b := range c.estimates(h, spec.Image) {
+			sum = max(sum, effect(b, spec.Need.CPU))
 		}
 	case spec.LatencyTarget > 0 && h.bestEffortCPU > 0:
 		for _, b := range h.bestEffort {
-			sum += c.effect(spec.Image, b.image, b.cpu)
+			sum += effect(c.interference.Effect(spec.Image, b.image), b.cpu)
 		}
 	}
 	return sum
 }
 
-// effect returns the effect of unthrottled best-effort tasks of one image, which use these
-// processors, on a serving image.
-func (c *Cell) effect(serving, bestEffort string, cpu int64) float64 {
-	return max(c.interference.Effect(serving, bestEffort).Mean, 0) * float64(cpu) / hvorder.CoreScale
+// effect returns the effect of unthrottled best-effort tasks that use these processors, by
+// the estimate for one.
+func effect(b hvinterference.Estimate, cpu int64) float64 {
+	return max(b.Mean, 0) * float64(cpu) / hvorder.CoreScale
 }
 
 // acceptableImpact is the greatest impact with which a best-effort task may run on
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -218,6 +218,8 @@
 	pressures           []float64
 	pressuresValid      bool
 	pressuresVersion    int64
+	// estimates caches the effects of best-effort images on the images in serving.
+	estimates map[string]*hostEstimates
 	// cpuShare is the CPU share in percent that the node leaves to interfering
 	// best-effort tasks.
 	cpuShare int
--- a/hvinterference/changes.go
+++ b/hvinterference/changes.go
@@ -25,6 +25,7 @@
 	services map[string]*normalEquations
 	// restored holds effects from an earlier model, by service and program.
 	restored Effects
+	version  int64
 }
 
 // Effects holds the estimated effects of a model, by service and program.
@@ -43,7 +44,14 @@
 
 // Restore sets the effects of an earlier model as the initial estimates. It must be
 // called before the first sample.
-func (c *ChangeModel) Restore(e Effects) { c.restored = e }
+func (c *ChangeModel) Restore(e Effects) {
+	c.restored = e
+	c.version++
+}
+
+// Version counts the changes of the estimates: while it is the same, Effect returns the
+// same for a pair.
+func (c *ChangeModel) Version() int64 { return c.version }
 
 // Effects returns the estimates of all pairs that were observed or restored.
 func (c *ChangeModel) Effects() Effects {
@@ -108,7 +116,9 @@
 	programs := slices.Sorted(maps.Keys(loadChanges))
 	for _, program := range programs {
 		initial := c.initialEstimate(service, program)
-		n.add(program, initial.Mean, c.noise/initial.Variance)
+		if n.add(program, initial.Mean, c.noise/initial.Variance) {
+			c.version++
+		}
 		y -= initial.Mean * loadChanges[program]
 	}
 	for _, p := range programs {
@@ -125,12 +135,16 @@
 		}
 	}
 	n.unsolvedSamples++
+	if n.unsolvedSamples == solveInterval {
+		c.version++
+	}
 }
 
-// add adds a program to the unknowns; ridge is the weight of its prior mean.
-func (n *normalEquations) add(program string, mean, ridge float64) {
+// add adds a program to the unknowns and reports whether it is new; ridge is the weight
+// of its prior mean.
+func (n *normalEquations) add(program string, mean, ridge float64) bool {
 	if _, ok := n.index[program]; ok || len(n.b) >= MaxNames {
-		return
+		return false
 	}
 	k := len(n.b)
 	n.index[program] = k
@@ -142,6 +156,7 @@
 	n.b = append(n.b, 0)
 	n.priorMeans = append(n.priorMeans, mean)
 	n.unsolvedSamples = solveInterval
+	return true
 }
 
 // Effect returns the estimated effect of one unit of a program's load on the logarithm
--- a/hvinterference/changes_test.go
+++ b/hvinterference/changes_test.go
@@ -77,3 +77,33 @@
 		t.Fatalf("effect after 300 samples without one is %.3f, want 0", got)
 	}
 }
+
+// Guards against estimates that change without their version, so that callers keep old
+// ones, and against a version that changes with each sample.
+func TestEstimatesChangeOnlyWithVersion(t *testing.T) {
+	const samples = 3000
+	r := rand.New(rand.NewPCG(3, 4))
+	c := NewChangeModel(Estimate{Mean: 0.05, Variance: 0.0144}, 0.0625)
+	known, version := map[[2]string]Estimate{}, c.Version()
+	for range samples {
+		loads := map[string]float64{}
+		for range r.IntN(3) {
+			loads[fmt.Sprint("p", r.IntN(8))] = r.NormFloat64()
+		}
+		c.Observe(fmt.Sprint("s", r.IntN(3)), loads, r.NormFloat64())
+		if c.Version() != version {
+			known, version = map[[2]string]Estimate{}, c.Version()
+		}
+		for range r.IntN(4) {
+			pair := [2]string{fmt.Sprint("s", r.IntN(4)), fmt.Sprint("p", r.IntN(9))}
+			got := c.Effect(pair[0], pair[1])
+			if want, ok := known[pair]; ok && got != want {
+				t.Fatalf("effect of %v is %v, was %v in the same version", pair, got, want)
+			}
+			known[pair] = got
+		}
+	}
+	if most := int64(samples/solveInterval + 3*8); version > most {
+		t.Errorf("version changes %d times with %d samples, want at most %d", version, samples, most)
+	}
+}
