Check and copy the text of a message once less

What was seen: messages are the larger part of what the owner does.

Cause: each message of the library encodes and decodes itself, with the checks of encoding/json. json.Marshal compacts the text that it returns once more, and json.Unmarshal checks the text and looks for its end before it passes it on.

Change: the codec calls the methods of the message itself. What is sent is the same; text that is cut or followed by other text is still refused by the message.

TestMalformedMessagesCloseConnection passes before and after.

--- a/hvwire/codec.go
+++ b/hvwire/codec.go
@@ -27,7 +27,7 @@
 
 // WriteObject implements jsonrpc2.ObjectCodec.
 func (frameCodec) WriteObject(w io.Writer, obj any) error {
-	b, err := json.Marshal(obj)
+	b, err := encode(obj)
 	if err != nil {
 		return errors.Wrap(err, "encode message")
 	}
@@ -53,7 +53,25 @@
 	if _, err := io.ReadFull(r, b); err != nil {
 		return errors.Wrap(err, "read message")
 	}
-	return errors.Wrap(json.Unmarshal(b, v), "decode message")
+	return errors.Wrap(decode(b, v), "decode message")
+}
+
+// encode returns the text of an object. The messages of the library encode themselves;
+// json.Marshal would check and copy their text once more.
+func encode(obj any) ([]byte, error) {
+	if m, ok := obj.(json.Marshaler); ok {
+		return m.MarshalJSON()
+	}
+	return json.Marshal(obj)
+}
+
+// decode decodes the text of an object. The messages of the library check their text
+// themselves.
+func decode(b []byte, v any) error {
+	if m, ok := v.(json.Unmarshaler); ok {
+		return m.UnmarshalJSON(b)
+	}
+	return json.Unmarshal(b, v)
 }
 
 // writeTimeout bounds a write, so that a connection whose peer no longer reads is
