--- a/hvnode/attach.go
+++ b/hvnode/attach.go
@@ -62,7 +62,7 @@
 // fullReport returns a report on attachment, which lists everything on the host if
 // that is known. The lock is held.
 func (n *Node) fullReport() hvorder.Report {
-	r := hvorder.Report{Epoch: n.epoch, Node: n.name, Host: n.host, ExecutorGone: n.executorGone && n.startsInFlight == 0, Crashes: n.crash.unreported(), LastEnds: n.lastEnds}
+	r := hvorder.Report{Epoch: n.epoch, Host: n.host, ExecutorGone: n.executorGone && n.startsInFlight == 0, Crashes: n.crash.unreported(), LastEnds: n.lastEnds}
 	n.hostReported = n.host != nil
 	if n.hasFullState() {
 		n.fillReport(&r)
--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -38,7 +38,6 @@
 
 // Node is the agent beside one executor.
 type Node struct {
-	name string
 	deps Deps
 	// interferingShare controls the best-effort work that interferes with serving
 	// tasks or may do so, harmlessShare all other best-effort work.
@@ -127,9 +126,8 @@
 }
 
 // New returns a node that is not attached to an owner.
-func New(name string, deps Deps) *Node {
+func New(deps Deps) *Node {
 	return &Node{
-		name:          name,
 		deps:          deps,
 		specs:         newSpecs(),
 		reportedSaved: map[hvorder.Run]string{},
--- a/hvowner/authority_test.go
+++ b/hvowner/authority_test.go
@@ -23,7 +23,7 @@
 	o := New(Options{Writer: w, Retention: time.Minute, Clock: hv.SystemClock{}, Metrics: hvmetric.New(4), Logger: log.NewNopLogger()})
 	o.NodeChanged(hvledger.Node{Name: "side", Addr: "127.0.0.1:1"}, false)
 	l := o.links["side"]
-	report := hvorder.Report{Node: "side", Incarnation: "1", Clock: 1000, Full: true}
+	report := hvorder.Report{Incarnation: "1", Clock: 1000, Full: true}
 	if g, err := l.report(t.Context(), nil, report); err != nil || g.LeaseEnd == 0 {
 		t.Fatalf("grant %+v, error %v; want a lease while the owner has authority", g, err)
 	}
@@ -45,7 +45,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	o.Run(ctx)
-	report := hvorder.Report{Node: "side", Incarnation: "1", Clock: 1000, Full: true}
+	report := hvorder.Report{Incarnation: "1", Clock: 1000, Full: true}
 	if g, err := o.links["side"].report(t.Context(), nil, report); err != nil || g.LeaseEnd != 0 {
 		t.Errorf("grant %+v, error %v; want no lease after the release", g, err)
 	}
