--- a/hvcell/longrunning_test.go
+++ b/hvcell/longrunning_test.go
@@ -82,7 +82,7 @@
 
 // maxWatchWait is how long a long-running task may have no run while hosts have room for
 // it twice over: as long as a trial of a suspected one waits at most.
-const maxWatchWait = maxLongRunningWait
+const maxWatchWait = 3 * time.Second
 
 // Guards against long-running tasks that stay without a run, although hosts have room for
 // them twice over, because they are suspected of the crashes of other tasks.
--- a/hvcell/random_test.go
+++ b/hvcell/random_test.go
@@ -23,8 +23,8 @@
 }
 
 // maxMissing is how long a long-running task may stay without a run once all faults have
-// ended: longer than suspected tasks wait, and than a run may be missing unnoticed.
-const maxMissing = 10 * time.Second
+// ended. One that has none after 7 s without faults counts as lost.
+const maxMissing = 7 * time.Second
 
 func (m *faultMachine) host(t *rapid.T) *executor {
 	names := slices.Sorted(maps.Keys(m.hosts))
