Keep ports of tests open or reserved until they are listened on

Cause: three tests opened a listener on a port of the system's choice, closed it and had the program listen on that port again. Any other test may be given it in between, as the port is in the ephemeral range.

The gate of cmd/hvgate and the scripts of hvprocess need addresses ahead of the process: they share one function, which gives each test process a block of ports below the ephemeral range and holds the first port of the block open, so that no other process gets it. Before, hvprocess derived its ports from the process identifier, which two processes could share.

--- a/cmd/hvgate/platform_test.go
+++ b/cmd/hvgate/platform_test.go
@@ -10,18 +10,18 @@
 	"github.com/go-kit/log"
 
 	"hibiscusvane.example/hibiscusvane/hvlogger"
+	"hibiscusvane.example/hibiscusvane/hvprocess/hvprocesstest"
 	"hibiscusvane.example/hibiscusvane/platform"
 	"hibiscusvane.example/hibiscusvane/platform/platformtest"
 )
 
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := hvprocesstest.FreeAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return addr
 }
 
 // Guards against gates that are still running at the end of the grace period and are
--- a/hvdaemon/serve.go
+++ b/hvdaemon/serve.go
@@ -77,6 +77,9 @@
 	}
 }
 
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
 // Serve serves requests until Stop is called.
 func (s *Server) Serve() {
 	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
@@ -104,12 +107,20 @@
 	}
 }
 
-// ServeWire accepts hvwire connections of gates and sides until ctx ends.
+// ServeWire binds an address and accepts hvwire connections of gates and sides there until
+// ctx ends.
 func ServeWire(ctx context.Context, addr string, mux hvwire.Mux, logger log.Logger) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
 	}
+	ServeWireListener(ctx, l, mux, logger)
+	return nil
+}
+
+// ServeWireListener accepts hvwire connections of gates and sides from a listener, which it
+// closes when ctx ends.
+func ServeWireListener(ctx context.Context, l net.Listener, mux hvwire.Mux, logger log.Logger) {
 	go func() {
 		<-ctx.Done()
 		_ = l.Close()
@@ -119,14 +130,13 @@
 			nc, err := l.Accept()
 			if err != nil {
 				if ctx.Err() == nil {
-					_ = level.Error(logger).Log("msg", "accepting connections failed", "addr", addr, "err", err)
+					_ = level.Error(logger).Log("msg", "accepting connections failed", "addr", l.Addr(), "err", err)
 				}
 				return
 			}
 			hvwire.NewConn(nc, mux)
 		}
 	}()
-	return nil
 }
 
 // MetricsHandler returns a handler that serves the metrics of a process.
--- a/hvdaemon/serve_test.go
+++ b/hvdaemon/serve_test.go
@@ -14,18 +14,12 @@
 
 func listen(t *testing.T, h http.HandlerFunc) (*hvdaemon.Server, string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := l.Addr().String()
-	_ = l.Close()
-	s, err := hvdaemon.Listen(addr, h, log.NewNopLogger())
+	s, err := hvdaemon.Listen("127.0.0.1:0", h, log.NewNopLogger())
 	if err != nil {
 		t.Fatal(err)
 	}
 	go s.Serve()
-	return s, addr
+	return s, s.Addr()
 }
 
 // Guards against a connection that a balancer opens in advance: the shutdown of net/http
--- a/hvprocess/process_test.go
+++ b/hvprocess/process_test.go
@@ -4,7 +4,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -13,7 +12,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -102,39 +100,12 @@
 
 func processes(ts *testscript.TestScript) *processSet { return ts.Value(processSetKey{}).(*processSet) }
 
-const (
-	// firstPort to firstPort+portCount is below the ephemeral port range. A port
-	// from that range could be taken by an outgoing connection of another script
-	// before the process listens on it.
-	firstPort = 12000
-	portCount = 20000
-	// portsPerProcess is the distance between the first ports of test processes
-	// with consecutive process identifiers.
-	portsPerProcess = 400
-)
-
-// lastPort is a counter that is never reset, so that no two scripts get the same
-// port.
-var lastPort atomic.Int64
-
-func init() { lastPort.Store(int64(os.Getpid()) * portsPerProcess) }
-
 func cmdPorts(ts *testscript.TestScript, _ bool, names []string) {
 	for _, n := range names {
-		ts.Setenv(n, freeAddress(ts))
-	}
-}
-
-func freeAddress(ts *testscript.TestScript) string {
-	for range portCount {
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+lastPort.Add(1)%portCount)
-		if l, err := net.Listen("tcp", addr); err == nil {
-			ts.Check(l.Close())
-			return addr
-		}
+		addr, err := hvprocesstest.FreeAddr()
+		ts.Check(err)
+		ts.Setenv(n, addr)
 	}
-	ts.Fatalf("no free port found")
-	return ""
 }
 
 func cmdExpand(ts *testscript.TestScript, _ bool, files []string) {
