Set the shares of runs that a restarted node finds

What callers see: best-effort work beside a service that an earlier process of the node had throttled, mostly to 0, stands still after the restart of the node although the service has room; its job is late, or the owner abandons the run as stalled.

Cause: the executor keeps the share of a run, and does not list it. A new process of the node took every run to have the full share, so that it made no call when the full share was wanted.

Change: a share counts as known only once this process has set it, or has ordered the start of the run. Until then it is set at the next measurement, and the run does not count as stalled.

TestStalledRunsAreReported now gives its throttled run a profile and a share of the new type; what it checks is unchanged.

--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -92,8 +92,8 @@
 	loads        map[string]int64
 	tailChanges  []hvorder.TailChange
 	loadChanges  map[string]int64
-	// shares holds the last CPU share in percent that was set for each run.
-	shares   map[hvorder.Run]int
+	// shares holds the CPU shares of best-effort runs.
+	shares   map[hvorder.Run]runShare
 	progress map[hvorder.Run]*runProgress
 	// startsInFlight counts the start calls without a response yet and startCalls
 	// all of them. A call may reach an incarnation of the executor that began
@@ -133,7 +133,7 @@
 		reportedSaved: map[hvorder.Run]string{},
 		pendingStarts: map[hvorder.Run]bool{},
 		profiles:      map[hvorder.Run]hvorder.Profile{},
-		shares:        map[hvorder.Run]int{},
+		shares:        map[hvorder.Run]runShare{},
 		progress:      map[hvorder.Run]*runProgress{},
 		wakeReport:    make(chan struct{}, 1),
 		wakeRenew:     make(chan struct{}, 1),
--- a/hvnode/node_test.go
+++ b/hvnode/node_test.go
@@ -34,6 +34,9 @@
 	renewErr             error
 	renewing, throttling func()
 	renewals             []hv.LeaseRenewal
+	// shares holds the changes of shares, and shareErrs the errors of the next ones.
+	shares    []shareCall
+	shareErrs []error
 	// expectedInstance is what calls name.
 	expectedInstance string
 }
@@ -73,11 +76,24 @@
 	return e.state, e.renewErr
 }
 
-func (e *fakeExecutor) Throttle(context.Context, string, int, int, int64) error {
+// shareCall is a call that sets the share of a run.
+type shareCall struct {
+	run     hvorder.Run
+	percent int
+}
+
+func (e *fakeExecutor) Throttle(_ context.Context, task string, run, percent int, _ int64) error {
+	e.mu.Lock()
+	e.shares = append(e.shares, shareCall{hvorder.Run{Task: task, Run: run}, percent})
+	var err error
+	if len(e.shareErrs) > 0 {
+		err, e.shareErrs = e.shareErrs[0], e.shareErrs[1:]
+	}
+	e.mu.Unlock()
 	if e.throttling != nil {
 		e.throttling()
 	}
-	return nil
+	return err
 }
 
 func newNode(t *testing.T, e *fakeExecutor) *Node {
--- a/hvnode/orders.go
+++ b/hvnode/orders.go
@@ -57,6 +57,7 @@
 			continue
 		}
 		n.profiles[s.Run] = s.Profile
+		n.recordStartShare(s.Profile)
 		n.pendingStarts[s.Run] = true
 		job := hvjob.JobOf(s.Task)
 		run := hv.StartRun{Task: s.Task, Run: s.Profile.Run.Run, Spec: o.Specs[job], SavedState: s.SavedState, Ticket: s.Ticket, Epoch: o.Epoch, LeaseEnd: o.LeaseEnd}
--- a/hvnode/share.go
+++ b/hvnode/share.go
@@ -258,49 +258,6 @@
 	return true
 }
 
-// applyShare sets the share of a run at the executor if it has changed.
-func (n *Node) applyShare(ctx context.Context, r hv.RunState, share int, epoch int64) {
-	if !n.recordShare(runOf(r), share) {
-		return
-	}
-	err := n.deps.Executor.Throttle(ctx, r.Task, r.Run, share, epoch)
-	_ = level.Debug(n.deps.Logger).Log("msg", "call to set the CPU share of a run returned", "task", r.Task, "percent", share, "err", err)
-	if err != nil {
-		n.recordShare(runOf(r), unknownShare)
-	}
-}
-
-// applyInitialShare sets the share of a new best-effort run to that of similar
-// runs, because the executor starts runs with the full share.
-func (n *Node) applyInitialShare(ctx context.Context, run hvorder.Run, epoch int64) {
-	n.mu.Lock()
-	p := n.profiles[run]
-	share := fullShare - n.interferingShare.reduction
-	if n.isHarmless(p.Image) {
-		share = fullShare - n.harmlessShare.reduction
-	}
-	n.mu.Unlock()
-	if p.BestEffort {
-		n.applyShare(ctx, hv.RunState{Task: run.Task, Run: run.Run}, share, epoch)
-	}
-}
-
-// unknownShare is recorded as the share of a run after a failed call.
-const unknownShare = -1
-
-// recordShare records the share of a run and reports whether it has changed. Runs
-// start with the full share.
-func (n *Node) recordShare(run hvorder.Run, share int) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	old, ok := n.shares[run]
-	if !ok {
-		old = fullShare
-	}
-	n.shares[run] = share
-	return old != share
-}
-
 // pruneProfiles removes the profiles and shares of runs that have ended, once there
 // are many. The lock is held.
 func (n *Node) pruneProfiles(h hv.ExecutorState) {
--- a/hvnode/share_test.go
+++ b/hvnode/share_test.go
@@ -219,7 +219,8 @@
 	n := New(Deps{Clock: hv.SystemClock{}})
 	now := time.Unix(1000, 0)
 	slow, hung, moving := hvorder.Run{Task: "slow", Run: 1}, hvorder.Run{Task: "hung", Run: 1}, hvorder.Run{Task: "moving", Run: 1}
-	n.shares[slow] = 0
+	n.profiles[slow] = hvorder.Profile{Run: slow, BestEffort: true}
+	n.shares[slow] = runShare{known: true}
 	for i := range 5 {
 		now = now.Add(500 * time.Millisecond)
 		n.recordProgress(now, []hv.RunState{{Task: "slow", Run: 1, Percent: 10}, {Task: "hung", Run: 1, Percent: 20}, {Task: "moving", Run: 1, Percent: 10 + i}})
--- a/hvnode/stall.go
+++ b/hvnode/stall.go
@@ -32,13 +32,6 @@
 	n.progress = current
 }
 
-// isThrottled reports whether this node has lowered the share of a run, which may
-// stop its progress.
-func (n *Node) isThrottled(run hvorder.Run) bool {
-	share, ok := n.shares[run]
-	return ok && share < fullShare
-}
-
 // repeatStalls makes all stalled runs due on a new connection. The lock is held.
 func (n *Node) repeatStalls() {
 	for _, p := range n.progress {
