Repeat the share of a run after a call without a response

What callers see: best-effort work that stands still beside a service with room, or a service that stays slow beside work that should be throttled, although the node has set the share.

Cause: a call without a response may be carried out seconds later, after newer calls. The node repeated the failed call and then took the share of the newest one for set, for good.

Change: after a call without a response the share is set again once a second for 10 s. Runs that another process of the node started are treated alike, as a call of that process may be late.

--- a/hvnode/runshare.go
+++ b/hvnode/runshare.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-kit/log/level"
 
@@ -9,18 +10,37 @@
 	"hibiscusvane.example/hibiscusvane/hvorder"
 )
 
+const (
+	// lateCallTime is how long after a call without a response the executor may still carry
+	// it out, and undo what was set since.
+	lateCallTime = 10 * time.Second
+	// shareRepeatInterval is the time between calls that repeat a share for this long.
+	shareRepeatInterval = time.Second
+)
+
 // runShare is what this node knows of the CPU share of a run.
 type runShare struct {
 	// percent is the share that was last set. It counts only if known is set: a call failed,
 	// or another process of this node started the run and may have set any share.
 	percent int
 	known   bool
+	// setAt is when it was last set, and uncertainAt when a call last got no response.
+	setAt, uncertainAt time.Time
 }
 
 // isFull reports whether the run is known to have the full share.
 func (s runShare) isFull() bool { return s.known && s.percent == fullShare }
 
-// applyShare sets the share of a run at the executor if it has changed.
+// isDue reports whether the share is to be set to a percentage: it is another one, or a late
+// call may have changed it since.
+func (s runShare) isDue(now time.Time, percent int) bool {
+	if !s.known || s.percent != percent {
+		return true
+	}
+	return now.Sub(s.uncertainAt) < lateCallTime && now.Sub(s.setAt) >= shareRepeatInterval
+}
+
+// applyShare sets the share of a run at the executor if that is due.
 func (n *Node) applyShare(ctx context.Context, r hv.RunState, share int, epoch int64) {
 	if !n.recordShare(runOf(r), share) {
 		return
@@ -28,7 +48,7 @@
 	err := n.deps.Executor.Throttle(ctx, r.Task, r.Run, share, epoch)
 	_ = level.Debug(n.deps.Logger).Log("msg", "call to set the CPU share of a run returned", "task", r.Task, "percent", share, "err", err)
 	if err != nil {
-		n.forgetShare(runOf(r))
+		n.recordShareError(runOf(r), err)
 	}
 }
 
@@ -47,20 +67,35 @@
 	}
 }
 
-// recordShare records the share of a run and reports whether it has changed.
+// recordShare records the share of a run and reports whether it is to be set.
 func (n *Node) recordShare(run hvorder.Run, share int) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	next := runShare{percent: share, known: true}
-	changed := n.shares[run] != next
-	n.shares[run] = next
-	return changed
+	now := n.deps.Clock.Now()
+	s, found := n.shares[run]
+	if !s.isDue(now, share) {
+		return false
+	}
+	if !found {
+		// Calls of the process that started the run may be late, too.
+		s.uncertainAt = now
+	}
+	s.percent, s.known, s.setAt = share, true, now
+	n.shares[run] = s
+	return true
 }
 
-func (n *Node) forgetShare(run hvorder.Run) {
+// recordShareError records a call that failed. If it got no response, it may still be
+// carried out.
+func (n *Node) recordShareError(run hvorder.Run, err error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.shares[run] = runShare{}
+	s := n.shares[run]
+	s.known = false
+	if hv.KindOf(err) == hv.Uncertain {
+		s.uncertainAt = n.deps.Clock.Now()
+	}
+	n.shares[run] = s
 }
 
 // recordStartShare records that a run, if its start is carried out, begins with the full
--- a/hvnode/runshare_test.go
+++ b/hvnode/runshare_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvorder"
@@ -35,4 +36,34 @@
 	if calls := n.adjustAfter(t, clock, 2); !slices.Equal(calls, []shareCall{want}) {
 		t.Fatalf("calls for a run that another process has started are %v, want %v", calls, want)
 	}
+	clock.advance(shareRepeatInterval)
+	if calls := n.adjustAfter(t, clock, 2); !slices.Equal(calls, []shareCall{want}) {
+		t.Fatalf("calls are %v while one of the other process may be late, want %v again", calls, want)
+	}
+}
+
+// Guards against a run that keeps the share of a call without a response, which the executor
+// carries out after the ones that were sent later.
+func TestShareIsRepeatedAfterCallWithoutResponse(t *testing.T) {
+	n, clock := serviceNode(t)
+	n.adjustAfter(t, clock, 2)
+	e := n.deps.Executor.(*fakeExecutor)
+	e.shareErrs = []error{errorOfKind(hv.Uncertain)}
+	if calls := n.adjustAfter(t, clock, 20); len(calls) != 1 || calls[0].percent != 0 {
+		t.Fatalf("calls are %v, want one that stops the run", calls)
+	}
+	n.adjustAfter(t, clock, 20)
+	const lateness = 5 * time.Second
+	var last time.Duration
+	for passed := measureInterval; passed <= 30*time.Second; passed += measureInterval {
+		if len(n.adjustAfter(t, clock, 7)) > 0 {
+			last = passed
+		}
+	}
+	if last < lateness {
+		t.Fatalf("share was last set %v after the call without a response, want that for %v", last, lateness)
+	}
+	if last > 20*time.Second {
+		t.Fatalf("share is still repeated %v after the call without a response", last)
+	}
 }
