Send one call for the share of a run at a time

What callers see: best-effort work that starts while the share changes keeps the older share, for good if the share does not change again.

Cause: the goroutine that starts a run and the loop that measures set its share on different connections. The calls may overtake each other, and the node took the one that it sent last for the one carried out last.

Change: while a call for a run is in progress no other one is sent; the next measurement decides again.

TestShareCallsForOneRunDoNotOverlap failed before: a second call with 30% was sent while the first one was in progress.

--- a/hvnode/runshare.go
+++ b/hvnode/runshare.go
@@ -24,6 +24,8 @@
 	// or another process of this node started the run and may have set any share.
 	percent int
 	known   bool
+	// calling is true while a call for the run is in progress.
+	calling bool
 	// setAt is when it was last set, and uncertainAt when a call last got no response.
 	setAt, uncertainAt time.Time
 }
@@ -34,6 +36,11 @@
 // isDue reports whether the share is to be set to a percentage: it is another one, or a late
 // call may have changed it since.
 func (s runShare) isDue(now time.Time, percent int) bool {
+	if s.calling {
+		// Calls on different connections may overtake each other; the next measurement
+		// decides again.
+		return false
+	}
 	if !s.known || s.percent != percent {
 		return true
 	}
@@ -42,14 +49,12 @@
 
 // applyShare sets the share of a run at the executor if that is due.
 func (n *Node) applyShare(ctx context.Context, r hv.RunState, share int, epoch int64) {
-	if !n.recordShare(runOf(r), share) {
+	if !n.beginShareCall(runOf(r), share) {
 		return
 	}
 	err := n.deps.Executor.Throttle(ctx, r.Task, r.Run, share, epoch)
 	_ = level.Debug(n.deps.Logger).Log("msg", "call to set the CPU share of a run returned", "task", r.Task, "percent", share, "err", err)
-	if err != nil {
-		n.recordShareError(runOf(r), err)
-	}
+	n.endShareCall(runOf(r), err)
 }
 
 // applyInitialShare sets the share of a new best-effort run to that of similar
@@ -67,8 +72,8 @@
 	}
 }
 
-// recordShare records the share of a run and reports whether it is to be set.
-func (n *Node) recordShare(run hvorder.Run, share int) bool {
+// beginShareCall records the share of a run and reports whether it is to be set.
+func (n *Node) beginShareCall(run hvorder.Run, share int) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.deps.Clock.Now()
@@ -80,19 +85,21 @@
 		// Calls of the process that started the run may be late, too.
 		s.uncertainAt = now
 	}
-	s.percent, s.known, s.setAt = share, true, now
+	s.percent, s.known, s.setAt, s.calling = share, true, now, true
 	n.shares[run] = s
 	return true
 }
 
-// recordShareError records a call that failed. If it got no response, it may still be
-// carried out.
-func (n *Node) recordShareError(run hvorder.Run, err error) {
+// endShareCall records the end of a call. One without a response may still be carried out.
+func (n *Node) endShareCall(run hvorder.Run, err error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s := n.shares[run]
-	s.known = false
-	if hv.KindOf(err) == hv.Uncertain {
+	s.calling = false
+	if err != nil {
+		s.known = false
+	}
+	if err != nil && hv.KindOf(err) == hv.Uncertain {
 		s.uncertainAt = n.deps.Clock.Now()
 	}
 	n.shares[run] = s
--- a/hvnode/runshare_test.go
+++ b/hvnode/runshare_test.go
@@ -67,3 +67,27 @@
 		t.Fatalf("share is still repeated %v after the call without a response", last)
 	}
 }
+
+// Guards against two calls for one run at once: they overtake each other on different
+// connections, and the run keeps the older share.
+func TestShareCallsForOneRunDoNotOverlap(t *testing.T) {
+	n, clock := serviceNode(t)
+	e := n.deps.Executor.(*fakeExecutor)
+	nested := false
+	e.throttling = func() {
+		if nested {
+			return
+		}
+		nested = true
+		before := len(e.shares)
+		n.interferingShare.reduction = 70
+		n.applyInitialShare(t.Context(), loudRun, 3)
+		if len(e.shares) != before {
+			t.Errorf("share was set to %v while a call for the run was in progress", e.shares[before:])
+		}
+	}
+	n.adjustAfter(t, clock, 20)
+	if !nested {
+		t.Fatal("no share was set")
+	}
+}
