Keep the profiles of runs that are not in the last lists

What callers see: a service whose latency no work beside it is throttled for (HARM), or best-effort work that is never throttled, on a host with many short runs.

Cause: once there are many profiles, a node removed those of runs that a response did not list. A run whose start was confirmed while the response was on its way is not in it, and the profile of a run is sent once.

TestProfileOfRunStartedMeanwhileIsKept failed before: the profile was lost.

--- a/hvnode/runshare_test.go
+++ b/hvnode/runshare_test.go
@@ -91,3 +91,32 @@
 		t.Fatal("no share was set")
 	}
 }
+
+// Guards against a service that is not protected, and best-effort work that is not throttled,
+// because the node forgot what they are: their start was confirmed while a response without
+// them was on its way.
+func TestProfileOfRunStartedMeanwhileIsKept(t *testing.T) {
+	n, _ := serviceNode(t)
+	for i := range 40 {
+		run := hvorder.Run{Task: "ended", Run: i}
+		n.profiles[run] = hvorder.Profile{Run: run}
+	}
+	version := n.currentVersion()
+	n.pendingStarts[loudRun] = true
+	n.beginStartCall(loudRun, n.epoch)
+	n.endStartCall()
+	n.confirmStart(loudRun)
+	n.endStart(loudRun, nil)
+	older := hv.ExecutorState{Incarnation: "1", Running: []hv.RunState{{Task: serviceRun.Task, Run: serviceRun.Run}}}
+	n.applyState(older, version)
+	n.adjustShares(t.Context(), older)
+	if !n.profiles[loudRun].BestEffort {
+		t.Fatal("profile of a run that was started meanwhile is lost")
+	}
+	newer := hv.ExecutorState{Incarnation: "1", ClockMS: 1, Running: []hv.RunState{{Task: serviceRun.Task, Run: serviceRun.Run}, {Task: loudRun.Task, Run: loudRun.Run}}}
+	n.applyState(newer, n.currentVersion())
+	n.adjustShares(t.Context(), newer)
+	if len(n.profiles) != 2 {
+		t.Fatalf("%d profiles are kept, want those of the 2 runs", len(n.profiles))
+	}
+}
--- a/hvnode/share.go
+++ b/hvnode/share.go
@@ -111,7 +111,7 @@
 func (n *Node) adjustShares(ctx context.Context, h hv.ExecutorState) {
 	n.mu.Lock()
 	m := n.measure(h)
-	n.pruneProfiles(h)
+	n.pruneProfiles()
 	interfering, harmless := n.decideShares(m)
 	epoch := n.epoch
 	n.mu.Unlock()
@@ -259,13 +259,15 @@
 }
 
 // pruneProfiles removes the profiles and shares of runs that have ended, once there
-// are many. The lock is held.
-func (n *Node) pruneProfiles(h hv.ExecutorState) {
-	if len(n.profiles) < 2*(len(h.Running)+len(n.pendingStarts))+16 {
+// are many. While a run may be on the host that is not in the last state, nothing is removed:
+// no one sends the profile again. The lock is held.
+func (n *Node) pruneProfiles() {
+	running := n.executorState.Running
+	if !n.hasFullState() || len(n.profiles) < 2*(len(running)+len(n.pendingStarts))+16 {
 		return
 	}
-	current := make(map[hvorder.Run]hvorder.Profile, len(h.Running))
-	for _, r := range h.Running {
+	current := make(map[hvorder.Run]hvorder.Profile, len(running))
+	for _, r := range running {
 		current[runOf(r)] = n.profiles[runOf(r)]
 	}
 	for run := range n.pendingStarts {
