Acknowledge the last ends of an executor once they are stored

What callers see: tasks that were done run again, and their job takes longer, when an executor ends right after them and the owner is replaced shortly after, or is cut off from the store.

Cause: an executor that has ended lists its ends no more, so its node keeps and reports them. The node forgot them with any response to that report, also one of an owner that had not stored them yet or could not.

Change: the node numbers these ends, the owner acknowledges them once the batch that holds their effect is stored, and they are reported again on each connection until then.

TestLastEndsAreAcknowledgedOnceStored covers the owner.

--- a/hvcell/ends.go
+++ b/hvcell/ends.go
@@ -46,10 +46,12 @@
 	}
 }
 
-// handleLastEnds applies the ends of an executor that has ended. A node may report them
-// more than once, so those that only release a run count while the run is known.
-func (c *Cell) handleLastEnds(now time.Time, h *host, ends []hv.RunEnd) {
-	for _, e := range ends {
+// handleLastEnds applies the ends of an executor that has ended. A node reports them again
+// on the next connection until they are stored, so those that only release a run count
+// while the run is known.
+func (c *Cell) handleLastEnds(now time.Time, h *host, r hvorder.Report) {
+	h.processedLastEnd = max(h.processedLastEnd, r.LastEndNumber)
+	for _, e := range r.LastEnds {
 		known := h.runs[hvorder.Run{Task: e.Task, Run: e.Run}] != nil
 		if known || e.Reason == hv.EndDone || e.Reason == hv.EndFailed {
 			c.handleEnd(now, h, e)
--- a/hvcell/ends_test.go
+++ b/hvcell/ends_test.go
@@ -6,6 +6,7 @@
 
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvjob"
+	"hibiscusvane.example/hibiscusvane/hvorder"
 )
 
 // Guards against a failed run that is counted twice because the previous owner, which
@@ -105,3 +106,28 @@
 		t.Fatalf("state is %q with %d runs, want the job complete", s, w.runs())
 	}
 }
+
+// Guards against ends of an executor that has ended and that count as acknowledged before
+// their effect is stored: the node forgets them, and the next owner runs their tasks again.
+func TestLastEndsAreAcknowledgedOnceStored(t *testing.T) {
+	w := newRunningCluster(t, 1, testStep(1, 1000))
+	e := w.hosts["host-0"]
+	r := hvorder.Report{ExecutorGone: true, LastEndNumber: 1}
+	for task, run := range e.running {
+		r.LastEnds = []hv.RunEnd{{Number: 7, Task: task, Run: run, Reason: hv.EndDone}}
+	}
+	if g := w.cell.Report(w.now, e.name, r); g.AckedLastEnd != 0 {
+		t.Fatalf("end %d is acknowledged before it is stored", g.AckedLastEnd)
+	}
+	b, _ := w.cell.Batch(w.now)
+	w.cell.MarkStored(b)
+	if g := w.cell.Report(w.now, e.name, hvorder.Report{ExecutorGone: true}); g.AckedLastEnd != 1 {
+		t.Fatalf("acknowledged up to %d after the store, want 1", g.AckedLastEnd)
+	}
+	b, _ = w.cell.Batch(w.now)
+	w.attach(e.name)
+	w.cell.MarkStored(b)
+	if g := w.cell.Report(w.now, e.name, hvorder.Report{ExecutorGone: true}); g.AckedLastEnd != 0 {
+		t.Fatalf("end %d of another connection is acknowledged", g.AckedLastEnd)
+	}
+}
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -45,8 +45,9 @@
 	h.connected, h.dropped = true, false
 	h.batch = 0
 	h.forgetBatches()
-	// A node that was restarted numbers its crashes anew.
+	// A node that was restarted numbers its crashes and last ends anew.
 	h.processedCrash, h.storedCrash = 0, 0
+	h.processedLastEnd, h.storedLastEnd = 0, 0
 	h.attachments++
 	if r.Host == nil {
 		// The node has not heard its executor since its own start. What is known of
--- a/hvcell/report.go
+++ b/hvcell/report.go
@@ -19,7 +19,7 @@
 	if r.Host != nil {
 		h.setInfo(now, *r.Host)
 	}
-	c.handleLastEnds(now, h, r.LastEnds)
+	c.handleLastEnds(now, h, r)
 	c.handleCrashes(now, h, r.Crashes)
 	if r.ExecutorGone {
 		c.loseRuns(now, h, "executor has ended")
@@ -59,7 +59,7 @@
 	h.recordProgress(now, r.Clock, r.Running)
 	c.recordSavedStates(h, r.Running)
 	g := c.grant(now, h, r)
-	g.AckedCrash = h.storedCrash
+	g.AckedCrash, g.AckedLastEnd = h.storedCrash, h.storedLastEnd
 	g.List = current && !r.Full && h.differsFrom(r)
 	if g.List {
 		_ = level.Info(c.options.Logger).Log("msg", "runs of a host are not those that the owner counts; asking for its lists", "host", name, "counted", len(h.runs), "life", h.incarnation)
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -238,7 +238,10 @@
 	// that of the last one whose effect is stored, on the present connection, which
 	// attachments counts.
 	processedCrash, storedCrash int64
-	attachments                 int
+	// processedLastEnd and storedLastEnd are the same for the ends of executors that have
+	// ended.
+	processedLastEnd, storedLastEnd int64
+	attachments                     int
 	// crashedIncarnation is the incarnation of the last crash that was processed, at
 	// crashedAt.
 	crashedIncarnation string
--- a/hvcell/store.go
+++ b/hvcell/store.go
@@ -19,14 +19,15 @@
 	DroppedNodes []string
 	// ends holds the last end of each host that the batch covers.
 	ends map[*host]hostEnd
-	// crashes holds the last crash of each host that the batch covers.
-	crashes map[*host]crashNumber
+	// connections holds the last crash and end of each host that the batch covers.
+	connections map[*host]connectionNumbers
 }
 
-// crashNumber is the number of a crash on one connection of a node.
-type crashNumber struct {
-	attachment int
-	number     int64
+// connectionNumbers are the numbers of the last crash and of the last end of an ended
+// executor on one connection of a node.
+type connectionNumbers struct {
+	attachment     int
+	crash, lastEnd int64
 }
 
 // hostEnd is the number of an end in the list of one incarnation.
@@ -49,7 +50,7 @@
 // Batch returns the changes since the last batch. It reports false if there is
 // nothing to store and no end to acknowledge.
 func (c *Cell) Batch(now time.Time) (Batch, bool) {
-	b := Batch{ends: map[*host]hostEnd{}, crashes: map[*host]crashNumber{}}
+	b := Batch{ends: map[*host]hostEnd{}, connections: map[*host]connectionNumbers{}}
 	n := min(len(c.changed), maxBatch)
 	for _, j := range c.changed[:n] {
 		j.changed = false
@@ -62,14 +63,14 @@
 			if h.processedEnd > h.storedEnd {
 				b.ends[h] = hostEnd{h.incarnation, h.processedEnd}
 			}
-			if h.processedCrash > h.storedCrash {
-				b.crashes[h] = crashNumber{h.attachments, h.processedCrash}
+			if h.processedCrash > h.storedCrash || h.processedLastEnd > h.storedLastEnd {
+				b.connections[h] = connectionNumbers{h.attachments, h.processedCrash, h.processedLastEnd}
 			}
 		}
 	}
 	b.ExpiredJobs = c.expireJobs(now, n)
 	b.DroppedNodes = c.dropStaleHosts(now)
-	return b, len(b.Progress)+len(b.ExpiredJobs)+len(b.DroppedNodes)+len(b.ends)+len(b.crashes) > 0
+	return b, len(b.Progress)+len(b.ExpiredJobs)+len(b.DroppedNodes)+len(b.ends)+len(b.connections) > 0
 }
 
 // dropDelay is the time after the expiry of its leases at which a disconnected node
@@ -121,9 +122,10 @@
 			h.storedEnd = max(h.storedEnd, s.number)
 		}
 	}
-	for h, s := range b.crashes {
+	for h, s := range b.connections {
 		if h.attachments == s.attachment {
-			h.storedCrash = max(h.storedCrash, s.number)
+			h.storedCrash = max(h.storedCrash, s.crash)
+			h.storedLastEnd = max(h.storedLastEnd, s.lastEnd)
 		}
 	}
 	for _, p := range b.Progress {
--- a/hvnode/attach.go
+++ b/hvnode/attach.go
@@ -33,6 +33,7 @@
 	n.progressReports = progressReports{wanted: req.Progress}
 	n.refused, n.stopped, n.fullReported, n.listWanted = nil, nil, false, false
 	n.crash.attached()
+	n.lastEnds.attached()
 	n.repeatStalls()
 	n.mu.Unlock()
 	_ = level.Info(n.deps.Logger).Log("msg", "owner attached to this node", "epoch", req.Epoch, "owner", req.Owner)
@@ -62,7 +63,8 @@
 // fullReport returns a report on attachment, which lists everything on the host if
 // that is known. The lock is held.
 func (n *Node) fullReport() hvorder.Report {
-	r := hvorder.Report{Epoch: n.epoch, Host: n.host, ExecutorGone: n.executorGone && n.startsInFlight == 0, Crashes: n.crash.unreported(), LastEnds: n.lastEnds}
+	r := hvorder.Report{Epoch: n.epoch, Host: n.host, ExecutorGone: n.executorGone && n.startsInFlight == 0, Crashes: n.crash.unreported()}
+	r.LastEnds, r.LastEndNumber = n.lastEnds.unreported()
 	n.hostReported = n.host != nil
 	if n.hasFullState() {
 		n.fillReport(&r)
--- a/hvnode/crash.go
+++ b/hvnode/crash.go
@@ -193,20 +193,3 @@
 		n.crash.crashes = n.crash.crashes[1:]
 	}
 }
-
-// maxLastEnds limits the ends that are kept of executors that have ended.
-const maxLastEnds = 2000
-
-// keepLastEnds keeps the unacknowledged ends of an executor that has ended. Without them
-// the owner starts tasks again that were done just before. The lock is held.
-func (n *Node) keepLastEnds() {
-	for _, e := range n.executorState.Ended {
-		if e.Number > n.ackedEnd {
-			n.lastEnds = append(n.lastEnds, e)
-		}
-	}
-	if excess := len(n.lastEnds) - maxLastEnds; excess > 0 {
-		_ = level.Error(n.deps.Logger).Log("msg", "too many ends of executors that have ended are not reported; the oldest are dropped", "dropped", excess, "limit", maxLastEnds)
-		n.lastEnds = n.lastEnds[excess:]
-	}
-}
--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -106,10 +106,9 @@
 	// without a response are withdrawn.
 	capacityShrunk bool
 	stopped        []hvorder.Run
-	// lastEnds holds the unacknowledged ends of executors that have ended.
-	lastEnds     []hv.RunEnd
-	hostReported bool
-	crash        crashTracker
+	lastEnds       lastEnds
+	hostReported   bool
+	crash          crashTracker
 	// fullReported is true once the owner has been sent a full report, and listWanted if it
 	// has asked for another one since. digestAt is when it was last sent one or a digest.
 	fullReported, listWanted bool
--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -71,7 +71,7 @@
 	defer n.mu.Unlock()
 	if n.ownerConn == conn {
 		n.crash.acknowledged(grant.AckedCrash)
-		n.lastEnds = n.lastEnds[min(len(r.LastEnds), len(n.lastEnds)):]
+		n.lastEnds.acknowledged(grant.AckedLastEnd)
 		if grant.List {
 			n.listWanted = true
 			hvtick.Wake(n.wakeReport)
@@ -140,7 +140,7 @@
 	r.Stopped, n.stopped = n.stopped, nil
 	r.Began, n.began = n.began, nil
 	r.Crashes = n.crash.unreported()
-	r.LastEnds = n.lastEnds
+	r.LastEnds, r.LastEndNumber = n.lastEnds.unreported()
 	return n.ownerConn, r, true
 }
 
--- a/hvorder/order.go
+++ b/hvorder/order.go
@@ -133,10 +133,12 @@
 	// the last report.
 	Began []string    `json:"began,omitempty"`
 	Ended []hv.RunEnd `json:"ended,omitempty"`
-	// LastEnds lists ends of an executor that has ended and can list them no more, as far
-	// as they are not acknowledged.
-	LastEnds []hv.RunEnd `json:"last,omitempty"`
-	Refused  []Refusal   `json:"refused,omitempty"`
+	// LastEnds lists ends of executors that have ended and can list them no more.
+	// LastEndNumber is the number of the last of them: one process of the node numbers all
+	// of them in a row.
+	LastEnds      []hv.RunEnd `json:"last,omitempty"`
+	LastEndNumber int64       `json:"lastnumber,omitempty"`
+	Refused       []Refusal   `json:"refused,omitempty"`
 	// Stopped lists runs that have ended or can no longer start.
 	Stopped []Run `json:"stopped,omitempty"`
 	// Stalled lists runs that have made no progress for some time.
@@ -221,8 +223,10 @@
 	// hibiscusvane.LeaseRenewal.
 	LeaseEnd int64 `json:"until,omitempty"`
 	AckedEnd int64 `json:"seen,omitempty"`
-	// AckedCrash is the number of the last crash that is stored.
-	AckedCrash int64 `json:"crash,omitempty"`
+	// AckedCrash is the number of the last crash that is stored, and AckedLastEnd that of the
+	// last one of Report.LastEnds.
+	AckedCrash   int64 `json:"crash,omitempty"`
+	AckedLastEnd int64 `json:"last,omitempty"`
 	// List asks for the full lists, as the digest is not that of the runs that the owner
 	// counts.
 	List bool `json:"list,omitempty"`
