Do not learn run times from resumed runs

What callers see: runs are abandoned as stragglers, and goals that count as missed, after many runs of a queue were stopped and resumed.

That option chooses whether slow runs are moved; it says nothing about what a resumed run measures.

Change: resumed runs never count.

TestRunTimesOfResumedRunsDoNotCount failed before: four tasks of 4 s whose second runs took 0.2 s were learned as 0.2 s.

--- a/hvcell/ends.go
+++ b/hvcell/ends.go
@@ -100,7 +100,7 @@
 	c.counts.Done++
 	c.options.Health.Record(now, h.name, h.info.Rack, t.name, true)
 	if r != nil {
-		if !r.resumed || !c.options.Policy.Tail {
+		if !r.resumed {
 			// The run did the whole task.
 			took := now.Sub(r.started)
 			c.estimate.observe(t.step, took)
