Do not learn run times from adopted runs

What callers see: after a change of the owner good runs are abandoned as stragglers, and jobs are ordered by goals and reservations that are off.

Cause: a new owner learns of a run when its host lists it, and measured its run time from then. All runs at the change of the owner were learned with a fraction of their time; 20 of them outweigh everything before.

Change: runs that an earlier owner has started do not count.

TestRunTimesOfAdoptedRunsDoNotCount failed before: four tasks of 4 s were learned as 0.2 s.

--- a/hvcell/ends.go
+++ b/hvcell/ends.go
@@ -100,8 +100,8 @@
 	c.counts.Done++
 	c.options.Health.Record(now, h.name, h.info.Rack, t.name, true)
 	if r != nil {
-		if !r.resumed {
-			// The run did the whole task.
+		if !r.resumed && !r.adopted {
+			// The run did the whole task since this owner ordered it.
 			took := now.Sub(r.started)
 			c.estimate.observe(t.step, took)
 			t.step.runTimes.add(took)
--- a/hvcell/estimate_test.go
+++ b/hvcell/estimate_test.go
@@ -22,6 +22,19 @@
 	w.expectUnlearned(4)
 }
 
+// Guards against the same after a change of the owner: the new one learns of the runs long
+// after they began.
+func TestRunTimesOfAdoptedRunsDoNotCount(t *testing.T) {
+	step := testStep(4, 1000)
+	step.Estimate = 4000
+	w := newRunningCluster(t, 2, step)
+	w.advance(2 * time.Second)
+	w.replaceOwner()
+	w.attachAll()
+	w.advance(200 * time.Millisecond)
+	w.expectUnlearned(4)
+}
+
 // expectUnlearned ends all runs as done, that many, and fails the test if the owner learns
 // their run times.
 func (w *simCluster) expectUnlearned(tasks int) {
