Do not move adopted runs that write no saved states

What callers see: after a change of the owner best-effort tasks beside busy services start from the beginning, however long they had run.

A new owner counted the age of the runs that it adopts from when it learned of them.

Change: adopted runs without saved states stay, as their age is not known.

--- a/hvcell/migration.go
+++ b/hvcell/migration.go
@@ -66,7 +66,7 @@
 	worst := lowImpact
 	for _, r := range h.runs {
 		s := r.task.step.spec
-		if !s.BestEffort || s.Gang || r.phase != phaseActive || !s.Checkpoint && now.Sub(r.started) > restartableAge {
+		if !s.BestEffort || s.Gang || r.phase != phaseActive || !s.Checkpoint && !r.isYoung(now) {
 			continue
 		}
 		impact := c.impact(r.task, h)
@@ -77,6 +77,12 @@
 	return best
 }
 
+// isYoung reports whether little work is lost if the run starts anew. The age of an adopted
+// run is not known.
+func (r *run) isYoung(now time.Time) bool {
+	return !r.adopted && now.Sub(r.started) <= restartableAge
+}
+
 func (c *Cell) hasBetterHost(now time.Time, t *task, from *host, hosts []*host) bool {
 	for _, h := range hosts {
 		if h == from {
