Evict no batch work that has no effect on its service

What callers see: beside a service that is overloaded by its own requests all batch work of the host is evicted, one attempt each 10 s, and the service is as slow as before.

Cause: the guard evicted whenever the slowdown stayed above the threshold at the smallest share. That throttling had changed nothing was not considered.

Change: an attempt is evicted only if throttling has removed a tenth of the slowdown. The share stays low meanwhile.

TestWorkWithoutEffectIsNotEvicted failed before: 3 of 3 attempts were evicted. TestThrottleThenEvictLeastLoss gave the guard a slowdown of 3 whatever the share was, which is the case in which nothing must be evicted; it now models work that doubles the latency, and checks the same.

--- a/hvguard/guard.go
+++ b/hvguard/guard.go
@@ -48,13 +48,16 @@
 	// found to be too high is tried again. The wait doubles after each trial
 	// that failed.
 	maxBackoff = 8
+	// minEffect is the part of the slowdown that throttling to minShare must have removed
+	// before work is evicted. Measurements vary by less.
+	minEffect = 0.1
 )
 
 // Guard implements hibiscusvane.Guard for one host. It throttles all batch work
 // of the host to one processor share: it lowers the share by the square of the
 // ratio of the threshold to the slowdown, and raises it in smaller steps. If
 // the slowdown is still too high at the minimum share, it evicts the attempt
-// that loses the least work. It is not safe for concurrent use.
+// that loses the least work, unless throttling has changed nothing. It is not safe for concurrent use.
 type Guard struct {
 	options    Options
 	thresholds thresholds
@@ -68,7 +71,9 @@
 	ceiling int
 	trial   bool
 	backoff int
-	work    workTracker
+	// unthrottled is the greatest slowdown at which the share was lowered since it was full.
+	unthrottled float64
+	work        workTracker
 }
 
 var _ hv.Guard = (*Guard)(nil)
@@ -113,7 +118,7 @@
 	switch {
 	case g.over >= confirmations && g.share > g.thresholds.minShare:
 		g.lowerShare(now, slowdown)
-	case g.over >= confirmations && slowdown > g.thresholds.evict:
+	case g.over >= confirmations && slowdown > g.thresholds.evict && g.throttlingHelps(slowdown):
 		g.recordStep(now, false)
 		return true
 	case g.under >= confirmations && g.share < fullShare:
@@ -122,7 +127,17 @@
 	return false
 }
 
+// throttlingHelps reports whether the slowdown at the smallest share is less than before.
+// Otherwise the batch work is not its cause, and evicting it would not help either.
+func (g *Guard) throttlingHelps(slowdown float64) bool {
+	return slowdown <= (1-minEffect)*g.unthrottled
+}
+
 func (g *Guard) lowerShare(now time.Time, slowdown float64) {
+	if g.share == fullShare {
+		g.unthrottled = 0
+	}
+	g.unthrottled = max(g.unthrottled, slowdown)
 	if g.trial {
 		g.backoff = min(2*g.backoff, maxBackoff)
 	}
