Wait between renewals while no owner takes the lists

A node whose executor restarted while no owner was attached called it without a pause, until an owner attached and took the lists: for as long as the owner was being replaced, or the node cut off from it. Each call takes processor time of the host and of the executor.

The next renewal did not wait while the full lists were unreported, whether or not there was an owner to report them to, and also when they were known and only the report was pending. It now does not wait only if an attached owner wants the lists and the last response does not hold them.

The test failed before: the first renewal after the restart did not wait. All tests of hvnode pass.

--- a/hvnode/renew.go
+++ b/hvnode/renew.go
@@ -112,7 +112,7 @@
 	if len(n.executorState.Ended) > 0 && lastEnd(n.executorState.Ended, 0) > n.ackedEnd {
 		renewal.WaitMS = 0
 	}
-	if n.startsInFlight == 0 && (!n.fullReported || n.runsDue() && !n.hasFullState()) {
+	if n.startsInFlight == 0 && n.runsDue() && !n.hasFullState() {
 		// The owner waits for a full report. On a busy host a start is called during each
 		// renewal that waits, and the lists in its response may lack that run.
 		renewal.WaitMS = 0
--- a/hvnode/renew_test.go
+++ b/hvnode/renew_test.go
@@ -120,3 +120,26 @@
 		t.Fatalf("calls name %q while the announced executor responds", e.expectedInstance)
 	}
 }
+
+// Guards against a node that calls its executor without a pause after that has restarted,
+// until an owner takes the lists: it waits for one that is being replaced.
+func TestRestartWithoutOwnerIsNotPolled(t *testing.T) {
+	e := &fakeExecutor{}
+	n := newNode(t, e)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	n.applyState(hv.ExecutorState{Incarnation: "2", ClockMS: 1}, n.currentVersion())
+	e.state, e.renewals = hv.ExecutorState{Incarnation: "2"}, nil
+	e.renewing = func() {
+		e.state.ClockMS++
+		if len(e.renewals) == 10 {
+			cancel()
+		}
+	}
+	n.renewLoop(ctx)
+	for i, r := range e.renewals {
+		if r.WaitMS == 0 {
+			t.Fatalf("renewal %d does not wait although no owner is attached", i)
+		}
+	}
+}
