Report ends while starts without a response hold up the lists

An owner that attached again to a node, after its connection had been reset, learned of no ends there while starts were unanswered: the tasks counted as running, their successors waited, and the executor was not told that the ends are stored. With several such starts one is always in flight, so that the executor's lists never are full until it responds.

Before the full lists a node reported ends only if the executor had cut the list of ends off. It now reports those that the executor lists in any case: an owner processes ends before the lists of the same report, so that they mean the same without them.

The test failed before: the report of an attached node with a start in flight had no ends.

--- a/hvnode/ends_test.go
+++ b/hvnode/ends_test.go
@@ -70,3 +70,26 @@
 		t.Errorf("error is %v, want the refusal", err)
 	}
 }
+
+// Guards against ends that an owner learns of late: after it has attached, starts without a
+// response keep the lists from being full for as long as the executor leaves them unanswered.
+func TestEndsAreReportedWhileStartsAreUnanswered(t *testing.T) {
+	n := newNode(t, &fakeExecutor{})
+	n.pendingStarts[testRun] = true
+	if !n.beginStartCall(testRun, 3) {
+		t.Fatal("the start is not wanted")
+	}
+	if _, err := n.attach(t.Context(), &hvwire.Conn{}, hvorder.Attach{Epoch: 3, Owner: "gate"}); err != nil {
+		t.Fatal(err)
+	}
+	end := hv.RunEnd{Number: 1, Task: "0000000000000001.0.0.1", Run: 1, Reason: hv.EndDone}
+	n.applyState(hv.ExecutorState{Incarnation: "1", Ended: []hv.RunEnd{end}}, n.currentVersion())
+	if _, r, _ := n.nextReport(); r.Full || len(r.Ended) != 1 {
+		t.Fatalf("report is %+v, want the listed end and no full lists", r)
+	}
+	n.endStartCall()
+	n.applyState(n.executorState, n.currentVersion())
+	if _, r, _ := n.nextReport(); !r.Full || len(r.Ended) != 1 {
+		t.Fatalf("report is %+v, want full lists once the executor has responded", r)
+	}
+}
--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -116,11 +116,10 @@
 		n.fillReport(&r)
 	case n.stateKnown && !n.fullReported:
 		r.Incarnation, r.Clock = n.executorState.Incarnation, n.executorState.ClockMS
-		if n.executorState.MoreEnded {
-			// The lists become full only once these ends are acknowledged.
-			r.Ended = n.executorState.Ended
-			n.reportedEnd = lastEnd(r.Ended, n.reportedEnd)
-		}
+		// The lists may become full only once these ends are acknowledged, or starts without
+		// a response have one. Ends that were reported on an earlier connection may be lost.
+		r.Ended = n.executorState.Ended
+		n.reportedEnd = lastEnd(r.Ended, n.reportedEnd)
 	case n.stateKnown:
 		r.Incarnation, r.Clock = n.executorState.Incarnation, n.executorState.ClockMS
 		r.Running = n.unreportedRuns()
