Test that the end of an owner keeps the authority of those before it

No test failed when the end of the previous owner also ended the wait for the owner before that, which may be cut off and go on granting leases: a task of a host that the new owner cannot reach would run twice. TestRandomFaults passed without the condition with its default of 100 histories.

The new test plays three owners of which the second ends and the first goes on. With it, it passes.

--- a/hvcell/inherited_test.go
+++ b/hvcell/inherited_test.go
@@ -82,3 +82,28 @@
 		t.Fatalf("%d of 3 tasks run a lease after the end of the previous owner", w.runs())
 	}
 }
+
+// Guards against a task that runs twice, because the end of the owner before also ended the
+// wait for the authority of the one before that, which is cut off and goes on granting leases.
+func TestEndOfPreviousOwnerKeepsEarlierAuthority(t *testing.T) {
+	w := newRunningCluster(t, 3, longRunningStep(3))
+	w.replaceOwner()
+	w.replaceOwner()
+	w.attach("host-1")
+	w.attach("host-2")
+	w.hosts["host-2"].capacityCPU = 24000
+	w.endPrevious()
+	first := w.earlier[0]
+	for w.now.Before(first.until) {
+		// A start of the task of host-0 elsewhere fails the test.
+		w.exchange()
+		w.advance(time.Second)
+		cutOff := w.hosts["host-0"]
+		w.actAs(first, func() { cutOff.applyGrant(w.cell.Report(w.now, cutOff.name, cutOff.report(false))) })
+	}
+	w.advance(w.cell.maxLeaseDuration() + 2*time.Second)
+	w.exchange()
+	if n := len(w.hosts["host-2"].running); w.runs() != 3 || n != 2 {
+		t.Fatalf("%d of 3 tasks run, %d of them on host-2, a lease after the authority of the first owner", w.runs(), n)
+	}
+}
