--- a/hvnode/node_test.go
+++ b/hvnode/node_test.go
@@ -132,75 +132,6 @@
 	}
 }
 
-// startsAtNextIncarnation orders a start when the executor has restarted unnoticed, and
-// returns the number of calls.
-func startsAtNextIncarnation(t *testing.T, n *Node, e *fakeExecutor) int {
-	t.Helper()
-	e.state.Incarnation = "2"
-	if err := n.handleOrders(t.Context(), nil, startOrder(3)); err != nil {
-		t.Fatal(err)
-	}
-	time.Sleep(5 * callRetryInterval)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return len(e.starts)
-}
-
-// Guards against a start without a response that is repeated at the next incarnation of the
-// executor: the lease of the order ends at a time of the clock of the one before, so that
-// all runs of the new one would outlast what the owner counts, and their tasks run twice.
-func TestStartIsNotRepeatedAtNextIncarnation(t *testing.T) {
-	e := &fakeExecutor{errs: []error{errorOfKind(hv.Uncertain)}}
-	if calls := startsAtNextIncarnation(t, newNode(t, e), e); calls != 1 {
-		t.Fatalf("%d start calls, want the one before the executor restarted", calls)
-	}
-}
-
-// Guards against a start that is sent while it is not known whether the executor is still
-// the incarnation of the order.
-func TestStartWaitsForIncarnation(t *testing.T) {
-	e := &fakeExecutor{}
-	n := newNode(t, e)
-	n.handleRenewError(errorOfKind(hv.Uncertain))
-	if calls := startsAtNextIncarnation(t, n, e); calls != 0 {
-		t.Fatalf("%d start calls at another incarnation than that of the order", calls)
-	}
-}
-
-// Guards against a node that stood still while its executor restarted, and that goes on
-// with an order and a lease by the clock of the incarnation before.
-func TestPausedNodeConfirmsIncarnation(t *testing.T) {
-	e := &fakeExecutor{}
-	n := newNode(t, e)
-	clock := &manualClock{now: time.Now()}
-	n.deps.Clock = clock
-	n.leaseEnd = 9000
-	clock.advance(500 * time.Millisecond)
-	if renewal, _, _ := n.nextRenewal(); renewal.LeaseEnd != 9000 {
-		t.Fatalf("renewal is %+v after 0.5 s, want the lease", renewal)
-	}
-	clock.advance(2 * time.Second)
-	if renewal, _, _ := n.nextRenewal(); renewal.LeaseEnd != 0 {
-		t.Errorf("renewal is %+v after a pause, want no lease before the executor has responded", renewal)
-	}
-	if calls := startsAtNextIncarnation(t, n, e); calls != 0 {
-		t.Errorf("%d start calls at another incarnation than that of the order", calls)
-	}
-}
-
-// Guards against a response that waited in the connection while the node stood still, and
-// that is taken for a sign of the executor's present incarnation.
-func TestResponseFromBeforePauseConfirmsNothing(t *testing.T) {
-	n, clock := newClockedNode(t)
-	n.leaseEnd = 9000
-	version := n.currentVersion()
-	clock.advance(5 * time.Second)
-	n.applyState(n.executorState, version)
-	if renewal, _, _ := n.nextRenewal(); renewal.LeaseEnd != 0 {
-		t.Fatalf("renewal is %+v after a response to a request from before the pause, want no lease", renewal)
-	}
-}
-
 // Guards against a job that callers see as queued while a task of it runs, or as running
 // although its start was refused.
 func TestBegunJobsAreReported(t *testing.T) {
@@ -315,17 +246,6 @@
 	}
 }
 
-// Guards against acknowledging ends of a new incarnation of the executor by the
-// numbers of the previous one.
-func TestNewIncarnationResetsAcknowledgements(t *testing.T) {
-	n := newNode(t, &fakeExecutor{})
-	n.ackedEnd, n.leaseEnd = 40, 9000
-	n.applyState(hv.ExecutorState{Incarnation: "2", ClockMS: 1}, n.currentVersion())
-	if h, _, _ := n.nextRenewal(); h.AckedEnd != 0 || h.LeaseEnd != 0 {
-		t.Fatalf("next renewal is %+v, want no acknowledgement and no lease", h)
-	}
-}
-
 // Guards against an older response of the executor that replaces a newer one.
 func TestOlderStateIsIgnored(t *testing.T) {
 	n := newNode(t, &fakeExecutor{})
@@ -354,25 +274,6 @@
 	}
 }
 
-// Guards against acknowledging ends of a new incarnation of the executor by the
-// numbers of the previous one: the renewal after a failed call only reads the
-// state.
-func TestRenewalAfterFailureExtendsNothing(t *testing.T) {
-	n := newNode(t, &fakeExecutor{})
-	n.ackedEnd, n.leaseEnd = 20, 9000
-	if h, _, _ := n.nextRenewal(); h.AckedEnd != 20 || h.LeaseEnd != 9000 {
-		t.Fatalf("renewal is %+v", h)
-	}
-	n.handleRenewError(errorOfKind(hv.Uncertain))
-	if h, _, _ := n.nextRenewal(); h.AckedEnd != 0 || h.LeaseEnd != 0 || h.WaitMS != 0 {
-		t.Fatalf("renewal after a failure is %+v", h)
-	}
-	n.applyState(hv.ExecutorState{Incarnation: "1", ClockMS: 700}, n.currentVersion())
-	if h, _, _ := n.nextRenewal(); h.AckedEnd != 20 {
-		t.Fatalf("renewal after a response of the same incarnation is %+v", h)
-	}
-}
-
 // Guards against a start that is returned to the owner although an earlier call of
 // it may still be carried out: the run must be stopped first.
 func TestUncertainStartIsStoppedBeforeItIsReturned(t *testing.T) {
@@ -423,72 +324,3 @@
 		}
 	}
 }
-
-// Guards against a start without a response that the node goes on trying after the
-// owner has withdrawn it, and against one that is carried out late.
-func TestWithdrawnStartIsStopped(t *testing.T) {
-	e := &fakeExecutor{}
-	for range 1000 {
-		e.errs = append(e.errs, errorOfKind(hv.Uncertain))
-	}
-	n := newNode(t, e)
-	if err := n.handleOrders(t.Context(), nil, startOrder(3)); err != nil {
-		t.Fatal(err)
-	}
-	if err := n.handleOrders(t.Context(), nil, hvorder.Orders{Epoch: 3, Incarnation: "1", Withdraw: true}); err != nil {
-		t.Fatal(err)
-	}
-	n.waitStarted(t)
-	stopped := func() bool {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		return len(e.stops) == 1 && e.stops[0] == testRun
-	}
-	for deadline := time.Now().Add(2 * time.Second); !stopped(); time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatal("the withdrawn run was not stopped within 2 s")
-		}
-	}
-	e.mu.Lock()
-	calls := len(e.starts)
-	e.mu.Unlock()
-	time.Sleep(3 * callRetryInterval)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if len(e.starts) > calls+1 {
-		t.Fatalf("%d start calls after the withdrawal", len(e.starts)-calls)
-	}
-}
-
-// Guards against a start that is repeated until the executor responds and exceeds a
-// capacity that has shrunk meanwhile, on a host that does not check it itself.
-func TestPendingStartsAreWithdrawnWhenCapacityShrinks(t *testing.T) {
-	for name, c := range map[string]struct {
-		capacity hvjob.Resources
-		stopped  bool
-	}{
-		"less processors": {hvjob.Resources{CPU: 900, Memory: 100, GPU: 1}, true},
-		"less memory":     {hvjob.Resources{CPU: 1000, Memory: 99, GPU: 1}, true},
-		"no accelerator":  {hvjob.Resources{CPU: 1000, Memory: 100}, true},
-		"more":            {hvjob.Resources{CPU: 2000, Memory: 100, GPU: 1}, false},
-	} {
-		t.Run(name, func(t *testing.T) {
-			e := &fakeExecutor{}
-			for range 1000 {
-				e.errs = append(e.errs, errorOfKind(hv.Uncertain))
-			}
-			n := newNode(t, e)
-			n.Announce("i-1", hvorder.Host{Incarnation: "1", Capacity: hvjob.Resources{CPU: 1000, Memory: 100, GPU: 1}})
-			if err := n.handleOrders(t.Context(), nil, startOrder(3)); err != nil {
-				t.Fatal(err)
-			}
-			n.Announce("i-1", hvorder.Host{Incarnation: "1", Capacity: c.capacity})
-			n.withdrawAfterShrink(t.Context())
-			n.mu.Lock()
-			defer n.mu.Unlock()
-			if pending := n.pendingStarts[testRun]; pending == c.stopped {
-				t.Fatalf("start is still repeated: %v, want it withdrawn: %v", pending, c.stopped)
-			}
-		})
-	}
-}
