Withdraw starts without a response when the executor drains

A start that an executor left unanswered was repeated until it responded, also long after it had announced that it drains: a task began where it is about to be ended. Orders that arrive after the announcement are refused, but those that came before and were waiting for a response, or for the incarnation to be confirmed, went on.

An announcement that the executor drains now withdraws the starts without a response, as that of a smaller capacity does. The stop blocks a call that is carried out late, and the owner places the tasks elsewhere.

The new test failed before: the start was still repeated. The cases of the test for smaller capacities are as before and share their set-up with it.

--- a/hvnode/announce.go
+++ b/hvnode/announce.go
@@ -11,8 +11,8 @@
 func (n *Node) Announce(id string, h hvorder.Host) {
 	n.mu.Lock()
 	old := n.host
-	if old != nil && !old.Capacity.Fits(h.Capacity) {
-		n.capacityShrunk = true
+	if old != nil && (!old.Capacity.Fits(h.Capacity) || h.Draining && !old.Draining) {
+		n.withdrawDue = true
 		hvtick.Wake(n.wakeWithdraw)
 	}
 	n.host, n.executorID = &h, id
--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -102,10 +102,10 @@
 	startCalls     int64
 	refused        []hvorder.Refusal
 	began          []string
-	// capacityShrunk is true from the announcement of a smaller capacity until the starts
-	// without a response are withdrawn.
-	capacityShrunk bool
-	stopped        []hvorder.Run
+	// withdrawDue is true from the announcement of a smaller capacity, or that the executor
+	// drains, until the starts without a response are withdrawn.
+	withdrawDue bool
+	stopped     []hvorder.Run
 	// lastEnds holds the unacknowledged ends of executors that have ended.
 	lastEnds     []hv.RunEnd
 	hostReported bool
--- a/hvnode/orders.go
+++ b/hvnode/orders.go
@@ -86,21 +86,22 @@
 	}
 }
 
-// withdrawLoop cancels starts without a response when the capacity of the host shrinks.
+// withdrawLoop cancels starts without a response when the capacity of the host shrinks or
+// it begins to drain.
 func (n *Node) withdrawLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		hvtick.Wait(ctx, n.wakeWithdraw, registerInterval)
-		n.withdrawAfterShrink(ctx)
+		n.withdrawIfDue(ctx)
 	}
 }
 
-// withdrawAfterShrink cancels the starts without a response if the capacity of the host
-// has shrunk since they were ordered. The owner places their tasks again.
-func (n *Node) withdrawAfterShrink(ctx context.Context) {
+// withdrawIfDue cancels the starts without a response if the host takes them no more since
+// they were ordered. The owner places their tasks again.
+func (n *Node) withdrawIfDue(ctx context.Context) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.capacityShrunk {
-		n.capacityShrunk = false
+	if n.withdrawDue {
+		n.withdrawDue = false
 		n.withdrawStarts(ctx, n.epoch)
 	}
 }
--- a/hvnode/withdraw_test.go
+++ b/hvnode/withdraw_test.go
@@ -45,6 +45,26 @@
 	}
 }
 
+// isStartKept reports whether a start that the executor leaves unanswered is still repeated
+// after an announcement.
+func isStartKept(t *testing.T, h hvorder.Host) bool {
+	t.Helper()
+	e := &fakeExecutor{}
+	for range 1000 {
+		e.errs = append(e.errs, errorOfKind(hv.Uncertain))
+	}
+	n := newNode(t, e)
+	n.Announce("i-1", hvorder.Host{Incarnation: "1", Capacity: hvjob.Resources{CPU: 1000, Memory: 100, GPU: 1}})
+	if err := n.handleOrders(t.Context(), nil, startOrder(3)); err != nil {
+		t.Fatal(err)
+	}
+	n.Announce("i-1", h)
+	n.withdrawIfDue(t.Context())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.pendingStarts[testRun]
+}
+
 // Guards against a start that is repeated until the executor responds and exceeds a
 // capacity that has shrunk meanwhile, on a host that does not check it itself.
 func TestPendingStartsAreWithdrawnWhenCapacityShrinks(t *testing.T) {
@@ -58,22 +78,17 @@
 		"more":            {hvjob.Resources{CPU: 2000, Memory: 100, GPU: 1}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			e := &fakeExecutor{}
-			for range 1000 {
-				e.errs = append(e.errs, errorOfKind(hv.Uncertain))
-			}
-			n := newNode(t, e)
-			n.Announce("i-1", hvorder.Host{Incarnation: "1", Capacity: hvjob.Resources{CPU: 1000, Memory: 100, GPU: 1}})
-			if err := n.handleOrders(t.Context(), nil, startOrder(3)); err != nil {
-				t.Fatal(err)
-			}
-			n.Announce("i-1", hvorder.Host{Incarnation: "1", Capacity: c.capacity})
-			n.withdrawAfterShrink(t.Context())
-			n.mu.Lock()
-			defer n.mu.Unlock()
-			if pending := n.pendingStarts[testRun]; pending == c.stopped {
-				t.Fatalf("start is still repeated: %v, want it withdrawn: %v", pending, c.stopped)
+			if kept := isStartKept(t, hvorder.Host{Incarnation: "1", Capacity: c.capacity}); kept == c.stopped {
+				t.Fatalf("start is still repeated: %v, want it withdrawn: %v", kept, c.stopped)
 			}
 		})
 	}
 }
+
+// Guards against a start that is repeated until the executor responds and begins long after
+// that has announced that it drains.
+func TestPendingStartsAreWithdrawnWhenExecutorDrains(t *testing.T) {
+	if isStartKept(t, hvorder.Host{Incarnation: "1", Capacity: hvjob.Resources{CPU: 1000, Memory: 100, GPU: 1}, Draining: true}) {
+		t.Fatal("start is still repeated at an executor that drains, want it withdrawn")
+	}
+}
