Stop the gang of a run that its node has withdrawn

The members of a gang waited for one that would never come, held their hosts for 3 s and ended alone, if a node had withdrawn the start of that one: its executor had left the start unanswered and announced less capacity or that it drains, or the owner had stopped a run that no list named.

A refused start and an unsent one in an evacuated zone stopped the other members; a run that the node reports as stopped before it started was only released. All three now go the same way.

The new test failed before: the other member got no stop. The set-up of the test of refused members is shared, its checks are the same.

--- a/hvcell/evacuation.go
+++ b/hvcell/evacuation.go
@@ -32,20 +32,23 @@
 	h.orders.Starts, h.orders.Specs, h.orders.SpecRefs = nil, nil, nil
 	h.orders.Withdraw = true
 	for _, s := range starts {
-		r := h.runs[s.Run]
-		if r == nil {
-			continue
-		}
-		c.releaseRun(r)
-		if r.task.step.spec.Gang {
-			c.stopGang(r)
+		if r := h.runs[s.Run]; r != nil {
+			c.releaseUnstarted(r)
 		}
 	}
 	_ = level.Info(c.options.Logger).Log("msg", "zone of a host is evacuated; starts on it are withdrawn", "host", h.name, "zone", h.info.Zone, "unsent", len(starts), "runs", len(h.runs))
 }
 
-// stopGang stops the other members of the gang of a run that was withdrawn or refused:
-// they would wait for it in vain.
+// releaseUnstarted releases a run that has not started and never will. The other members of
+// its gang would wait for it in vain.
+func (c *Cell) releaseUnstarted(r *run) {
+	c.releaseRun(r)
+	if r.task.step.spec.Gang {
+		c.stopGang(r)
+	}
+}
+
+// stopGang stops the other members of the gang of a run.
 func (c *Cell) stopGang(missing *run) {
 	for _, t := range missing.task.step.tasks {
 		for _, r := range slices.Clone(t.runs) {
--- a/hvcell/hosts_test.go
+++ b/hvcell/hosts_test.go
@@ -250,21 +250,27 @@
 	}
 }
 
-// Guards against the other members of a gang that wait for one whose start was refused
-// until they end alone, and hold their resources meanwhile.
-func TestRefusedMemberStopsItsGang(t *testing.T) {
+// newIncompleteGang returns a cluster with a gang of two of which the member on host-1 has
+// started, and the run of the other, whose start host-0 has not received.
+func newIncompleteGang(t *testing.T) (*simCluster, hvorder.Run) {
+	t.Helper()
 	w := newSimCluster(t, 2)
 	w.attachAll()
 	step := testStep(2, 5000)
 	step.Gang = true
 	w.submit(urgentJob(step))
 	w.cell.Plan(w.now)
-	refused, ok := w.cell.Orders("host-0")
-	if !ok || len(refused.Starts) != 1 {
-		t.Fatalf("orders are %+v, want the start of one member", refused)
+	o, ok := w.cell.Orders("host-0")
+	if !ok || len(o.Starts) != 1 {
+		t.Fatalf("orders are %+v, want the start of one member", o)
 	}
 	w.deliver("host-1")
-	w.cell.Report(w.now, "host-0", hvorder.Report{Refused: []hvorder.Refusal{{Run: refused.Starts[0].Run, Kind: hv.Full}}})
+	return w, o.Starts[0].Run
+}
+
+// checkGangRestarts fails the test unless the started member is stopped and both start again.
+func (w *simCluster) checkGangRestarts(t *testing.T) {
+	t.Helper()
 	if o := w.deliver("host-1"); len(o.Stops) != 1 {
 		t.Fatalf("stops of the other member are %v, want one", o.Stops)
 	}
@@ -272,10 +278,26 @@
 	w.exchange()
 	w.exchange()
 	if n := w.runs(); n != 2 {
-		t.Fatalf("%d members run after the refusal, want both", n)
+		t.Fatalf("%d members run after that, want both", n)
 	}
 }
 
+// Guards against the other members of a gang that wait for one whose start was refused
+// until they end alone, and hold their resources meanwhile.
+func TestRefusedMemberStopsItsGang(t *testing.T) {
+	w, missing := newIncompleteGang(t)
+	w.cell.Report(w.now, "host-0", hvorder.Report{Refused: []hvorder.Refusal{{Run: missing, Kind: hv.Full}}})
+	w.checkGangRestarts(t)
+}
+
+// Guards against the other members of a gang that wait for one whose node has withdrawn its
+// start, and stopped the run in case that the executor carries it out late.
+func TestWithdrawnMemberStopsItsGang(t *testing.T) {
+	w, missing := newIncompleteGang(t)
+	w.cell.Report(w.now, "host-0", hvorder.Report{Stopped: []hvorder.Run{missing}})
+	w.checkGangRestarts(t)
+}
+
 // Guards against an owner that is cut off with some of its hosts and starts the tasks of
 // all others again: a new owner may have taken note of their ends.
 func TestTasksOfLostHostWaitForConfirmedOwnership(t *testing.T) {
--- a/hvcell/report.go
+++ b/hvcell/report.go
@@ -38,7 +38,7 @@
 	for _, s := range r.Stopped {
 		delete(h.unneeded, s)
 		if run := h.runs[s]; run != nil {
-			c.releaseRun(run)
+			c.releaseUnstarted(run)
 		}
 	}
 	for _, f := range r.Refused {
@@ -135,8 +135,5 @@
 		r.task.avoidHost(h)
 	}
 	_ = level.Info(c.options.Logger).Log("msg", "start of a run was refused", "task", f.Task, "run", f.Run.Run, "host", h.name, "kind", f.Kind, "life", h.incarnation)
-	c.releaseRun(r)
-	if r.task.step.spec.Gang {
-		c.stopGang(r)
-	}
+	c.releaseUnstarted(r)
 }
