--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -102,13 +102,13 @@
 	startCalls     int64
 	refused        []hvorder.Refusal
 	began          []string
-	// capacityShrunk is true from the announcement of a smaller capacity until the starts
-	// without a response are withdrawn.
-	capacityShrunk bool
-	stopped        []hvorder.Run
-	lastEnds       lastEnds
-	hostReported   bool
-	crash          crashTracker
+	// withdrawDue is true from the announcement of a smaller capacity, or that the executor
+	// drains, until the starts without a response are withdrawn.
+	withdrawDue  bool
+	stopped      []hvorder.Run
+	lastEnds     lastEnds
+	hostReported bool
+	crash        crashTracker
 	// fullReported is true once the owner has been sent a full report, and listWanted if it
 	// has asked for another one since. digestAt is when it was last sent one or a digest.
 	fullReported, listWanted bool
