Remove the registrations of gates that are gone

Callers and operators saw the cell without an owner for longer than necessary after a change of owner, once gates had been replaced: a gate that is removed for good stayed registered for ever. Each such registration that ranks before a candidate delayed its claim by 0.2 s, a gate tried peers that no longer exist when it could not reach the store, and the admission control left them a share of the appends of the owner, so that refused callers were told to return later than necessary.

Cause: gates register once, at their start, and nothing compares the registrations with the gates that exist. Nodes of executors are dropped by the owner once they have been disconnected for long; gates do not connect to the owner.

The owner now asks every registered gate every 2 s who it is, and removes the registration of one that does not respond five times in a row. A gate compares its registration with the topic every 2 s and registers again if it is missing, so that a gate which the owner alone cannot reach only registers again.

--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -34,8 +34,6 @@
 	maxReplicaAge = 3 * time.Second
 	// submitRetryInterval is the time between the attempts to store a record.
 	submitRetryInterval = 60 * time.Millisecond
-	// registerRetryInterval is the time between attempts to register.
-	registerRetryInterval = 400 * time.Millisecond
 	// syncTimeout limits the read that checks whether another gate has just accepted
 	// a job.
 	syncTimeout = 800 * time.Millisecond
@@ -131,6 +129,7 @@
 	loops.Go(func() { g.tailer.Run(ctx) })
 	loops.Go(func() { operatorTailer.Run(ctx) })
 	loops.Go(func() { g.register(ctx) })
+	loops.Go(func() { g.checkGates(ctx) })
 	loops.Go(func() { g.probeStore(ctx) })
 	loops.Go(func() {
 		g.peers.watchOwners(ctx, func() hvledger.Claim {
@@ -152,19 +151,6 @@
 	})
 }
 
-// register stores the registration of this gate and retries until it succeeds.
-func (g *Gate) register(ctx context.Context) {
-	self := hvledger.Node{Name: g.options.Name, Zone: g.options.Zone, Addr: g.options.Addr, Gate: true, Capacity: g.options.Capacity}
-	for ctx.Err() == nil {
-		err := hvledger.Register(ctx, g.relay, g.options.CellTopic, self)
-		if err == nil {
-			return
-		}
-		_ = level.Warn(g.options.Logger).Log("msg", "registration of this gate failed; retrying", "err", err)
-		hvtick.Sleep(ctx, registerRetryInterval)
-	}
-}
-
 // runElections takes part in elections, and runs the owner after each election that
 // this gate wins. It takes part only once the operators' records are loaded: an owner
 // that does not know the evacuated zones would start tasks there.
--- a/hvledger/record.go
+++ b/hvledger/record.go
@@ -98,6 +98,12 @@
 	return err
 }
 
+// Unregister removes the registration of a node.
+func Unregister(ctx context.Context, store hv.KeyedStore, topic, name string) error {
+	_, err := store.Append(ctx, topic, []hv.KeyedRecord{NodeTombstone(name)}, hv.Fence{ExpectedEnd: -1})
+	return err
+}
+
 // NodeTombstone returns the record that deletes the registration of a node.
 func NodeTombstone(name string) hv.KeyedRecord { return hv.KeyedRecord{Key: nodePrefix + name} }
 
