End the leases of a lost owner sooner

The machine of the owner never responded again, so nobody could tell that it had ended.

Cause: an owner grants leases for 6 s after its last record, each of the full 5 s, so that a new owner has to wait for 11.45 s after that record. The last 5 s serve no purpose: an owner that appends again gives all hosts new leases within about 2 s.

Ruled out by reading: that the store or the nodes know of the last renewal. A node that cannot be reached may be cut off together with the owner, which goes on granting leases for its whole authority; nobody else learns of it.

Leases now end at the latest 2.5 s after the authority of the owner that grants them, so that a lease of an owner that has been silent for longer than 3.5 s is shorter. A new owner waits for 8.95 s after the last record. Claims state the overhang; owners of earlier builds, whose claims do not, count with the 5 s that they grant.

--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -33,6 +33,9 @@
 	// PreviousAuthority is how long after the claim an earlier owner may still have
 	// granted leases, and EarlierAuthority how long one before the previous may.
 	PreviousAuthority, EarlierAuthority time.Duration
+	// LeaseOverhang is how long leases last at most beyond the authority of the owner that
+	// granted them.
+	LeaseOverhang time.Duration
 	// EarlyStart is how long before its due time a scheduled round may start.
 	EarlyStart time.Duration
 	// Retention is how long the state of an ended job stays readable.
@@ -64,8 +67,11 @@
 	lastSaveMark time.Time
 	// recovered is true once inherited tasks may start.
 	recovered bool
-	// previousAuthorityEnd is until when earlier owners may have granted leases.
-	previousAuthorityEnd time.Time
+	// previousAuthorityEnd is until when earlier owners may have granted leases, and
+	// previousLeasesEnd when all of these have expired for certain.
+	previousAuthorityEnd, previousLeasesEnd time.Time
+	// leaseLimit is when all leases that this owner grants end, or zero.
+	leaseLimit time.Time
 	// suspended is true while another gate may have become the owner.
 	suspended bool
 	// confirmedAt is a time at which this gate was the owner for certain.
@@ -129,7 +135,7 @@
 
 // New returns a Cell without jobs and hosts.
 func New(o Options) *Cell {
-	return &Cell{options: o, previousAuthorityEnd: o.ClaimedAt.Add(o.PreviousAuthority), jobs: map[string]*job{}, hosts: map[string]*host{}, givenUp: map[string]bool{}, suspectJobs: map[string]*job{}, estimate: newEstimator(), interference: hvinterference.NewChangeModel(effectPrior, tailVariance), sharing: sharing{accounts: map[accountKey]*account{}, sizes: map[string]*hvfair.Sizes{}}}
+	return &Cell{options: o, previousAuthorityEnd: o.ClaimedAt.Add(o.PreviousAuthority), previousLeasesEnd: o.previousLeasesEnd(), jobs: map[string]*job{}, hosts: map[string]*host{}, givenUp: map[string]bool{}, suspectJobs: map[string]*job{}, estimate: newEstimator(), interference: hvinterference.NewChangeModel(effectPrior, tailVariance), sharing: sharing{accounts: map[accountKey]*account{}, sizes: map[string]*hvfair.Sizes{}}}
 }
 
 // SetCatalog replaces the catalog of queues, unless the current one is newer. Runs go
--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -17,7 +17,7 @@
 		c.hosts[name] = h
 		h.leaseExpiry = now
 		if !c.recovered {
-			h.leaseExpiry = c.previousAuthorityEnd.Add(c.maxLeaseDuration())
+			h.leaseExpiry = c.previousLeasesEnd
 		}
 	}
 	if info != nil && !h.announced {
--- a/hvcell/inherited_test.go
+++ b/hvcell/inherited_test.go
@@ -76,9 +76,49 @@
 	if w.runs() != 2 {
 		t.Fatal("an inherited task starts while a lease may still be valid")
 	}
-	w.advance(w.cell.maxLeaseDuration() + 100*time.Millisecond)
+	w.advance(w.cell.options.maxLeaseDuration() + 100*time.Millisecond)
 	w.exchange()
 	if w.runs() != 3 {
 		t.Fatalf("%d of 3 tasks run a lease after the end of the previous owner", w.runs())
 	}
 }
+
+// Guards against a long-running task that stays without a run for over 11 s, which counts as
+// lost, after its host and an owner were lost for good at the same time: the new owner
+// counted a lease of the full duration after the authority of the owner before.
+func TestLeasesOfLostOwnerCountOnlyTheirOverhang(t *testing.T) {
+	w := newRunningCluster(t, 3, longRunningStep(3))
+	w.authority = 5 * time.Second
+	w.replaceOwner()
+	w.hosts["host-0"].alive = false
+	w.hosts["host-0"].running = map[string]int{}
+	w.hosts["host-2"].capacityCPU = 24000
+	w.attach("host-1")
+	w.attach("host-2")
+	claimedAt := w.now
+	for w.exchange(); w.runs() < 3; w.exchange() {
+		if w.now.Sub(claimedAt) > 8*time.Second {
+			t.Fatalf("%d of 3 tasks run %v after the claim", w.runs(), w.now.Sub(claimedAt))
+		}
+		w.advance(100 * time.Millisecond)
+	}
+	if took := w.now.Sub(claimedAt); took < w.authority+leaseOverhang {
+		t.Fatalf("an inherited task starts %v after the claim, while a lease may still be valid", took)
+	}
+}
+
+// Guards against a task that runs twice: a lease beyond what a new owner counts, granted by
+// an owner that is cut off.
+func TestLeasesEndAtLimit(t *testing.T) {
+	w := newSimCluster(t, 1)
+	w.attachAll()
+	e := w.hosts["host-0"]
+	w.cell.LimitLeases(w.now.Add(6 * time.Second))
+	for range 6 {
+		w.advance(time.Second)
+		e.applyGrant(w.cell.Report(w.now, e.name, e.report(false)))
+	}
+	if got, want := e.leaseEnd, w.cell.leaseLimit; !got.Equal(want) {
+		t.Errorf("the lease ends %v after the limit, want at the limit", got.Sub(want))
+	}
+}
--- a/hvcell/lease.go
+++ b/hvcell/lease.go
@@ -16,8 +16,41 @@
 
 // maxLeaseDuration returns the time after a grant at which all runs under its lease
 // have ended.
-func (c *Cell) maxLeaseDuration() time.Duration {
-	return c.options.LeaseDuration + time.Duration(float64(c.options.LeaseDuration)*clockDrift) + leaseExpirySlack
+func (o Options) maxLeaseDuration() time.Duration {
+	return o.LeaseDuration + o.leaseEndSlack()
+}
+
+// leaseEndSlack returns how long after the end of a lease all runs under it have ended.
+func (o Options) leaseEndSlack() time.Duration {
+	return time.Duration(float64(o.LeaseDuration)*clockDrift) + leaseExpirySlack
+}
+
+// maxLeaseOverhang returns how long after the end of the authority of an owner all runs
+// under its leases have ended.
+func (o Options) maxLeaseOverhang() time.Duration {
+	return min(o.LeaseOverhang, o.LeaseDuration) + o.leaseEndSlack()
+}
+
+// previousLeasesEnd returns when all runs under leases of earlier owners have ended.
+func (o Options) previousLeasesEnd() time.Time {
+	left := o.PreviousAuthority + o.maxLeaseOverhang()
+	if o.PreviousAuthority <= o.EarlierAuthority {
+		// The previous owner may have granted a lease of the full duration until now.
+		left = max(left, o.maxLeaseDuration())
+	}
+	return o.ClaimedAt.Add(left)
+}
+
+// LimitLeases sets the time at which all leases end that this owner grants, so that a new
+// owner knows when they have expired although it cannot reach their hosts.
+func (c *Cell) LimitLeases(end time.Time) { c.leaseLimit = end }
+
+// leaseDuration returns the duration of a lease that is granted now.
+func (c *Cell) leaseDuration(now time.Time) time.Duration {
+	if c.leaseLimit.IsZero() {
+		return c.options.LeaseDuration
+	}
+	return max(min(c.options.LeaseDuration, c.leaseLimit.Sub(now)), 0)
 }
 
 // grant renews the lease of all runs on the host.
@@ -29,13 +62,13 @@
 	if c.suspended {
 		return hvorder.Grant{AckedEnd: h.storedEnd}
 	}
-	h.leaseEnd = max(h.leaseEnd, r.Clock+c.options.LeaseDuration.Milliseconds())
+	h.leaseEnd = max(h.leaseEnd, r.Clock+c.leaseDuration(now).Milliseconds())
 	if r.Clock > h.clock || h.respondedAt.IsZero() {
 		// A lease ends at a time of the executor's clock, so that a report without a new
 		// response of the executor extends nothing.
 		h.clock, h.respondedAt = r.Clock, now
 		h.silent = false
-		if expiry := now.Add(c.maxLeaseDuration()); expiry.After(h.leaseExpiry) || h.reconciled {
+		if expiry := now.Add(c.options.maxLeaseDuration()); expiry.After(h.leaseExpiry) || h.reconciled {
 			h.leaseExpiry = expiry
 		}
 	} else {
--- a/hvcell/reconcile.go
+++ b/hvcell/reconcile.go
@@ -127,7 +127,14 @@
 	}
 	_ = level.Info(c.options.Logger).Log("msg", "previous owner has ended; its authority no longer counts", "epoch", c.options.Epoch, "left", c.previousAuthorityEnd.Sub(now), "earlier", end.Sub(now))
 	c.previousAuthorityEnd = end
-	expiry := end.Add(c.maxLeaseDuration())
+	expiry := now.Add(c.options.maxLeaseDuration())
+	if earlier := end.Add(c.options.maxLeaseOverhang()); earlier.After(expiry) {
+		expiry = earlier
+	}
+	if !expiry.Before(c.previousLeasesEnd) {
+		return
+	}
+	c.previousLeasesEnd = expiry
 	for _, h := range c.hosts {
 		if h.leaseExpiry.After(expiry) {
 			h.leaseExpiry = expiry
--- a/hvcell/simcluster_test.go
+++ b/hvcell/simcluster_test.go
@@ -84,6 +84,9 @@
 	return w
 }
 
+// leaseOverhang is how long leases last beyond the authority of their owner.
+const leaseOverhang = 2500 * time.Millisecond
+
 // earlierOwner is an owner that was replaced while it was cut off.
 type earlierOwner struct {
 	cell  *Cell
@@ -95,11 +98,13 @@
 func (w *simCluster) replaceOwner() {
 	earlierAuthority := w.earlierAuthority()
 	if w.cell != nil {
+		// It may have appended until now.
+		w.cell.LimitLeases(w.now.Add(w.authority + leaseOverhang))
 		w.earlier = append(w.earlier, earlierOwner{w.cell, w.epoch, w.now.Add(w.authority)})
 	}
 	w.epoch++
 	w.cell = New(Options{
-		Epoch: w.epoch, ClaimOffset: int64(len(w.jobs)), ClaimedAt: w.now, LeaseDuration: 5 * time.Second, PreviousAuthority: max(w.authority, earlierAuthority), EarlierAuthority: earlierAuthority,
+		Epoch: w.epoch, ClaimOffset: int64(len(w.jobs)), ClaimedAt: w.now, LeaseDuration: 5 * time.Second, PreviousAuthority: max(w.authority, earlierAuthority), EarlierAuthority: earlierAuthority, LeaseOverhang: leaseOverhang,
 		Retention: time.Minute, Policy: w.policy, Logger: log.NewNopLogger(),
 		Health: hvhealth.New(hvhealth.Options{HostCount: func() int { return len(w.hosts) }}),
 	})
--- a/hvledger/authority_test.go
+++ b/hvledger/authority_test.go
@@ -143,3 +143,22 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice during an upgrade: leases of owners of earlier builds
+// last longer beyond their authority, which their claims do not state.
+func TestLeasesOfEarlierBuildsCountForLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platform.NewStoreWithTransport(platformtest.Transport{Handler: platformtest.NewStore()})
+		claim := hv.KeyedRecord{Key: "owner", Value: []byte(`{"epoch":1,"name":"cut-off","addr":"127.0.0.1:1","process":"p","earlier":3000}`)}
+		if _, err := store.Append(t.Context(), topic, []hv.KeyedRecord{claim}, hv.Fence{ExpectedEnd: -1}); err != nil {
+			t.Fatal(err)
+		}
+		appendedAt := time.Now()
+		w := newGate(store, "next").own(t)
+		const additional = 5*time.Second - hvledger.LeaseOverhang
+		checkAuthority(t, w, appendedAt.Add(additional), 100*time.Millisecond)
+		if got, want := w.EarlierAuthority(), 3*time.Second+additional-time.Since(appendedAt); got < want || got > want+100*time.Millisecond {
+			t.Errorf("the new owner counts %v of the authority of earlier owners, want %v", got, want)
+		}
+	})
+}
--- a/hvledger/elect.go
+++ b/hvledger/elect.go
@@ -22,8 +22,14 @@
 	HeartbeatInterval = 300 * time.Millisecond
 	// AuthorityTimeout is how long an owner continues without a successful append.
 	// Outages of the store last up to about 6 s. A new owner waits until it has passed
-	// since the last record of the previous one if a host does not respond.
+	// since the last record of the previous one, and LeaseOverhang, if a host does not
+	// respond.
 	AuthorityTimeout = 6 * time.Second
+	// LeaseOverhang is how long the leases that an owner grants last beyond its authority.
+	// Once it appends again it takes up to about 2 s until all hosts have new leases.
+	LeaseOverhang = 2500 * time.Millisecond
+	// earlierLeaseOverhang is that of owners of builds that do not state it in their claims.
+	earlierLeaseOverhang = 5 * time.Second
 	// rankDelay is the time between the attempts of candidates of adjacent ranks.
 	rankDelay = 200 * time.Millisecond
 	// maxClaimAttempts limits the conditional appends of one attempt. An append
@@ -46,6 +52,7 @@
 // NewElector returns an elector for a gate; self holds its name, address and
 // process identifier.
 func NewElector(replica *Replica, tailer *Tailer, store hv.KeyedStore, topic string, self Claim, processEnded func(Claim) bool, logger log.Logger) *Elector {
+	self.LeaseOverhang = LeaseOverhang.Milliseconds()
 	return &Elector{replica: replica, tailer: tailer, store: store, topic: topic, self: self, processEnded: processEnded, logger: logger}
 }
 
@@ -101,7 +108,17 @@
 	if e.ownerHasEnded(c) {
 		return 0
 	}
-	return max(AuthorityTimeout-silence, 0)
+	return max(AuthorityTimeout+additionalOverhang(c)-silence, 0)
+}
+
+// additionalOverhang returns by how much the leases of an owner, and those that it counts
+// for owners before it, may last longer than LeaseOverhang. They count as if these owners
+// had authority for longer.
+func additionalOverhang(c Claim) time.Duration {
+	if c.LeaseOverhang > 0 {
+		return 0
+	}
+	return earlierLeaseOverhang - LeaseOverhang
 }
 
 // rank returns the position of this gate among the candidates, so that they do
@@ -158,6 +175,9 @@
 		// The claim is stored only if the previous owner has appended nothing meanwhile.
 		silence := e.replica.SinceOwnerRecord()
 		earlier := e.replica.EarlierAuthority()
+		if earlier > 0 {
+			earlier += additionalOverhang(last)
+		}
 		authority := max(e.authorityOf(last, silence), earlier)
 		authorityEnd := e.replica.clock.Now().Add(authority)
 		c.EarlierAuthority = (authority + time.Millisecond - 1).Milliseconds()
--- a/hvledger/record.go
+++ b/hvledger/record.go
@@ -47,6 +47,9 @@
 	// EarlierAuthority is how many milliseconds after the claim owners before this one may
 	// still grant leases. Records of the claim leave it out once the time has passed.
 	EarlierAuthority int64 `json:"earlier,omitempty"`
+	// LeaseOverhang is how many milliseconds the leases of the owner last beyond its
+	// authority. Owners of earlier builds do not state it.
+	LeaseOverhang int64 `json:"overhang,omitempty"`
 }
 
 // SameOwnership reports whether two claims differ in no more than EarlierAuthority.
--- /dev/null
+++ b/hvowner/metrics.go
@@ -0,0 +1,36 @@
+package hvowner
+
+// updateMetrics sets the gauges of the cell. The lock is held.
+func (o *Owner) updateMetrics() {
+	c := o.cell.Counts()
+	m := o.options.Metrics
+	m.Set("hv_cell_jobs", c.Jobs)
+	m.Set("hv_cell_hosts", c.Hosts)
+	m.Set("hv_cell_waiting", c.Waiting)
+	m.Set("hv_cell_running", c.Running)
+	m.Set("hv_cell_starts", c.Starts)
+	m.Set("hv_cell_done", c.Done)
+	m.Set("hv_cell_failed", c.Failed)
+	m.Set("hv_cell_lost", c.Lost)
+	m.Set("hv_cell_refused", c.Refused)
+	m.Set("hv_cell_crashes", c.Crashes)
+	m.Set("hv_cell_given_up", c.GivenUp)
+	m.Set("hv_preempted", c.Preempted)
+	m.Set("hv_preemption_holds_expired", c.HoldsExpired)
+	m.Set("hv_late_turns", c.LateTurns)
+	l := o.cell.Colocation()
+	m.Set("hv_cell_hosts_serving", l.Serving)
+	m.Set("hv_cell_hosts_mixed", l.Mixed)
+	m.Set("hv_cell_hosts_limited", l.Limited)
+	b := o.cell.BestEffortLoad()
+	m.Set("hv_cell_best_effort_needed", b.Needed)
+	m.Set("hv_cell_best_effort_granted", b.Granted)
+	m.Set("hv_cell_best_effort_unused", b.Unused)
+	m.Set("hv_cell_hosts_throttled", b.Throttled)
+	m.Set("hv_copies", c.Copies)
+	m.Set("hv_copies_first", c.CopiesFirst)
+	m.Set("hv_moves", c.Moves)
+	m.Set("hv_reservations", c.Reservations)
+	m.Set("hv_reservation_delays", c.ReservationDelays)
+	m.Set("hv_backfilled", c.Backfilled)
+}
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -94,7 +94,7 @@
 	owner := &Owner{options: o, links: map[string]*link{}, wakePlan: make(chan struct{}, 1), wakeFlush: make(chan struct{}, 1), wakeAdvise: make(chan struct{}, 1)}
 	health := hvhealth.New(hvhealth.Options{HostCount: owner.hostCount})
 	owner.cell = hvcell.New(hvcell.Options{
-		Epoch: o.Writer.Claim().Epoch, ClaimOffset: o.ClaimOffset, ClaimedAt: o.Clock.Now(), LeaseDuration: leaseDuration, PreviousAuthority: o.Writer.PreviousAuthority(), EarlierAuthority: o.Writer.EarlierAuthority(),
+		Epoch: o.Writer.Claim().Epoch, ClaimOffset: o.ClaimOffset, ClaimedAt: o.Clock.Now(), LeaseDuration: leaseDuration, PreviousAuthority: o.Writer.PreviousAuthority(), EarlierAuthority: o.Writer.EarlierAuthority(), LeaseOverhang: hvledger.LeaseOverhang,
 		EarlyStart: o.EarlyStart, Retention: o.Retention, Policy: o.Policy, Health: health, OnJobEnd: owner.observeJobEnd, Logger: o.Logger,
 	})
 	owner.restoreLearned(o.Learned)
@@ -244,9 +244,11 @@
 // not only by the ticker: a process that was paused may handle a report first. The lock
 // is held.
 func (o *Owner) checkAuthority() {
+	now := o.options.Clock.Now()
 	silence := o.options.Writer.SinceLastAppend()
 	o.cell.Suspend(o.ended || silence > hvledger.AuthorityTimeout)
-	o.cell.Confirm(o.options.Clock.Now().Add(-silence))
+	o.cell.Confirm(now.Add(-silence))
+	o.cell.LimitLeases(now.Add(hvledger.AuthorityTimeout + hvledger.LeaseOverhang - silence))
 }
 
 func (o *Owner) plan() {
@@ -282,41 +284,6 @@
 	})
 }
 
-// updateMetrics sets the gauges of the cell. The lock is held.
-func (o *Owner) updateMetrics() {
-	c := o.cell.Counts()
-	m := o.options.Metrics
-	m.Set("hv_cell_jobs", c.Jobs)
-	m.Set("hv_cell_hosts", c.Hosts)
-	m.Set("hv_cell_waiting", c.Waiting)
-	m.Set("hv_cell_running", c.Running)
-	m.Set("hv_cell_starts", c.Starts)
-	m.Set("hv_cell_done", c.Done)
-	m.Set("hv_cell_failed", c.Failed)
-	m.Set("hv_cell_lost", c.Lost)
-	m.Set("hv_cell_refused", c.Refused)
-	m.Set("hv_cell_crashes", c.Crashes)
-	m.Set("hv_cell_given_up", c.GivenUp)
-	m.Set("hv_preempted", c.Preempted)
-	m.Set("hv_preemption_holds_expired", c.HoldsExpired)
-	m.Set("hv_late_turns", c.LateTurns)
-	l := o.cell.Colocation()
-	m.Set("hv_cell_hosts_serving", l.Serving)
-	m.Set("hv_cell_hosts_mixed", l.Mixed)
-	m.Set("hv_cell_hosts_limited", l.Limited)
-	b := o.cell.BestEffortLoad()
-	m.Set("hv_cell_best_effort_needed", b.Needed)
-	m.Set("hv_cell_best_effort_granted", b.Granted)
-	m.Set("hv_cell_best_effort_unused", b.Unused)
-	m.Set("hv_cell_hosts_throttled", b.Throttled)
-	m.Set("hv_copies", c.Copies)
-	m.Set("hv_copies_first", c.CopiesFirst)
-	m.Set("hv_moves", c.Moves)
-	m.Set("hv_reservations", c.Reservations)
-	m.Set("hv_reservation_delays", c.ReservationDelays)
-	m.Set("hv_backfilled", c.Backfilled)
-}
-
 // flushLoop stores progress, and sends heartbeats while there is none.
 func (o *Owner) flushLoop(ctx context.Context) {
 	for ctx.Err() == nil {
