Attach no node while its registration is removed

An executor that started, or a node that came back, just as the owner removed the registration of its node got leases and tasks although the topic no longer listed the node. If the owner was lost then, the next one did not know of the node, did not wait for its leases and started the tasks there a second time. Otherwise the owner closed the connection once it read the removal, and the node came back only when it registered again after up to 6 s: its leases expired, and long-running tasks had no run meanwhile.

Cause: an owner that orders the removal of a registration keeps the connection, or goes on dialing, until it reads its own record, which takes 4 ms and up to 6 s while the store does not respond. Found by reading.

The owner now disconnects a node with the batch that removes its registration, and attaches it again only after the removal has been read, when only a newer registration lists it. If the removal was stored 5 s ago it has been read as part of the newest records, or superseded by a newer registration.

--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -42,7 +42,7 @@
 func (c *Cell) NodeAttached(now time.Time, name string, r hvorder.Report) hvorder.Grant {
 	c.AddHost(now, name, nil)
 	h := c.hosts[name]
-	h.connected, h.dropped = true, false
+	h.connected, h.removal = true, removal{}
 	h.batch = 0
 	h.forgetBatches()
 	// A node that was restarted numbers its crashes anew.
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -197,8 +197,8 @@
 	// was without work; cold caches the comparison for a plan.
 	coldUntil time.Time
 	cold      bool
-	// dropped is true once the removal of the node's registration was ordered.
-	dropped   bool
+	// removal is the removal of the node's registration.
+	removal   removal
 	runs      map[hvorder.Run]*run
 	allocated hvjob.Resources
 	// unneeded holds the runs that this owner stops without knowing what they need, as
--- a/hvcell/store.go
+++ b/hvcell/store.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/go-kit/log/level"
-
 	"hibiscusvane.example/hibiscusvane/hvjob"
 )
 
@@ -72,35 +70,6 @@
 	return b, len(b.Progress)+len(b.ExpiredJobs)+len(b.DroppedNodes)+len(b.ends)+len(b.crashes) > 0
 }
 
-// dropDelay is the time after the expiry of its leases at which a disconnected node
-// is dropped, so that no later owner waits for it. A node that reconnects registers
-// again.
-const dropDelay = 8 * time.Second
-
-// isStale reports whether a host without runs can be removed: its executor has exited,
-// or its node has been disconnected for dropDelay after the lease expired.
-func (h *host) isStale(now time.Time) bool {
-	if len(h.runs) > 0 {
-		return false
-	}
-	if h.info.Exiting {
-		return h.incarnation == "" || now.After(h.leaseExpiry)
-	}
-	return !h.connected && now.Sub(h.leaseExpiry) > dropDelay
-}
-
-func (c *Cell) dropStaleHosts(now time.Time) []string {
-	var out []string
-	for name, h := range c.hosts {
-		if !h.dropped && h.isStale(now) {
-			h.dropped = true
-			out = append(out, name)
-			_ = level.Info(c.options.Logger).Log("msg", "registration of an exited or disconnected node is removed", "host", name, "life", h.incarnation, "silent", now.Sub(h.leaseExpiry))
-		}
-	}
-	return out
-}
-
 // expireJobs returns ended jobs that callers can no longer query, twice the retention
 // period after their end. The batch already holds used jobs.
 func (c *Cell) expireJobs(now time.Time, used int) []string {
@@ -126,6 +95,11 @@
 			h.storedCrash = max(h.storedCrash, s.number)
 		}
 	}
+	for _, name := range b.DroppedNodes {
+		if h := c.hosts[name]; h != nil {
+			h.removal.stored = h.removal.ordered
+		}
+	}
 	for _, p := range b.Progress {
 		if j := c.jobs[p.Job]; j != nil {
 			j.storedCrashVersion = max(j.storedCrashVersion, p.crashVersion)
--- a/hvcell/store_test.go
+++ b/hvcell/store_test.go
@@ -63,3 +63,34 @@
 		t.Fatalf("%d runs elsewhere, want 8", w.runs())
 	}
 }
+
+// Guards against a node that is attached while the removal of its registration is on its way:
+// a new owner would not know of the node and start the tasks beside it a second time.
+func TestNodeIsNotAttachedWhileItIsRemoved(t *testing.T) {
+	w := newSimCluster(t, 1)
+	w.attachAll()
+	w.cell.NodeDetached(w.now, "host-0")
+	w.advance(15 * time.Second)
+	b, _ := w.cell.Batch(w.now)
+	if len(b.DroppedNodes) != 1 || w.cell.MayAttach(w.now, "host-0") {
+		t.Fatalf("%v are dropped, want host-0, which may not be attached", b.DroppedNodes)
+	}
+	w.advance(removalReadLimit + time.Second)
+	if w.cell.MayAttach(w.now, "host-0") {
+		t.Fatal("the node may be attached before the removal is stored")
+	}
+	w.cell.MarkStored(b)
+	if w.cell.MayAttach(w.now, "host-0") {
+		t.Fatal("the node may be attached before the removal is read")
+	}
+	// The removal may be read only as part of the newest records, which do not show it if
+	// the node has registered since.
+	w.advance(removalReadLimit + time.Second)
+	if !w.cell.MayAttach(w.now, "host-0") {
+		t.Fatal("the node may never be attached again")
+	}
+	w.cell.DropHost("host-0")
+	if !w.cell.MayAttach(w.now, "host-0") {
+		t.Fatal("the node may not be attached after the removal was read")
+	}
+}
--- a/hvowner/link.go
+++ b/hvowner/link.go
@@ -69,6 +69,9 @@
 // serve connects and attaches to the node and sends orders until the connection
 // ends.
 func (l *link) serve(ctx context.Context) error {
+	if !l.mayAttach() {
+		return nil
+	}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	conn, err := hvwire.Dial(dialCtx, l.addr, l.mux())
 	cancel()
@@ -115,7 +118,7 @@
 	o := l.owner
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.links[l.name] != l {
+	if o.links[l.name] != l || !o.cell.MayAttach(o.options.Clock.Now(), l.name) {
 		return failure("link", hv.Unavailable, "node %s was removed or has another address", l.name)
 	}
 	l.conn, l.lastReport = conn, o.options.Clock.Now()
@@ -126,6 +129,24 @@
 	return nil
 }
 
+// mayAttach reports whether the node may be attached.
+func (l *link) mayAttach() bool {
+	o := l.owner
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.cell.MayAttach(o.options.Clock.Now(), l.name)
+}
+
+// disconnect closes the connection to a node whose registration is removed; the node
+// registers again once it has had no contact with an owner for a while. The lock is held.
+func (o *Owner) disconnect(name string) {
+	if l := o.links[name]; l != nil && l.conn != nil {
+		conn := l.conn
+		l.detachLocked(conn)
+		_ = conn.Close()
+	}
+}
+
 func (l *link) reportOverdue() bool {
 	o := l.owner
 	o.mu.Lock()
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -303,6 +303,9 @@
 	now := o.options.Clock.Now()
 	o.mu.Lock()
 	batch, ok := o.cell.Batch(now)
+	for _, name := range batch.DroppedNodes {
+		o.disconnect(name)
+	}
 	o.mu.Unlock()
 	recs, err := batchRecords(batch)
 	if err != nil {
