--- a/hvcell/simcluster_test.go
+++ b/hvcell/simcluster_test.go
@@ -64,7 +64,7 @@
 }
 
 func newSimCluster(t rapid.TB, hosts int) *simCluster {
-	w := &simCluster{t: t, now: time.Unix(1_000_000, 0), hosts: map[string]*executor{}, stored: map[string]hvjob.Progress{}, cancelled: map[string]bool{}, done: map[string]bool{}, ended: map[string]bool{}, savedPercents: map[string]int{}, authority: 10 * time.Second}
+	w := &simCluster{t: t, now: time.Unix(1_000_000, 0), hosts: map[string]*executor{}, stored: map[string]hvjob.Progress{}, cancelled: map[string]bool{}, done: map[string]bool{}, ended: map[string]bool{}, savedPercents: map[string]int{}, authority: previousAuthority}
 	for i := range hosts {
 		e := &executor{cluster: w, name: fmt.Sprintf("host-%d", i), capacityCPU: 8000}
 		e.start()
@@ -84,6 +84,9 @@
 	return w
 }
 
+// previousAuthority is how long after a claim the previous owner may grant leases.
+const previousAuthority = 10 * time.Second
+
 // leaseOverhang is how long leases last beyond the authority of their owner.
 const leaseOverhang = 2500 * time.Millisecond
 
