--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -17,7 +17,7 @@
 		c.hosts[name] = h
 		h.leaseExpiry = now
 		if !c.recovered {
-			h.leaseExpiry = c.previousAuthorityEnd.Add(c.maxLeaseDuration())
+			h.leaseExpiry = c.previousLeasesEnd
 		}
 	}
 	if info != nil && !h.announced {
@@ -42,7 +42,7 @@
 func (c *Cell) NodeAttached(now time.Time, name string, r hvorder.Report) hvorder.Grant {
 	c.AddHost(now, name, nil)
 	h := c.hosts[name]
-	h.connected, h.dropped = true, false
+	h.connected, h.removal = true, removal{}
 	h.batch = 0
 	h.forgetBatches()
 	// A node that was restarted numbers its crashes and last ends anew.
--- a/hvcell/simcluster_test.go
+++ b/hvcell/simcluster_test.go
@@ -64,7 +64,7 @@
 }
 
 func newSimCluster(t rapid.TB, hosts int) *simCluster {
-	w := &simCluster{t: t, now: time.Unix(1_000_000, 0), hosts: map[string]*executor{}, stored: map[string]hvjob.Progress{}, cancelled: map[string]bool{}, done: map[string]bool{}, ended: map[string]bool{}, savedPercents: map[string]int{}, authority: 10 * time.Second}
+	w := &simCluster{t: t, now: time.Unix(1_000_000, 0), hosts: map[string]*executor{}, stored: map[string]hvjob.Progress{}, cancelled: map[string]bool{}, done: map[string]bool{}, ended: map[string]bool{}, savedPercents: map[string]int{}, authority: previousAuthority}
 	for i := range hosts {
 		e := &executor{cluster: w, name: fmt.Sprintf("host-%d", i), capacityCPU: 8000}
 		e.start()
@@ -84,6 +84,12 @@
 	return w
 }
 
+// previousAuthority is how long after a claim the previous owner may grant leases.
+const previousAuthority = 10 * time.Second
+
+// leaseOverhang is how long leases last beyond the authority of their owner.
+const leaseOverhang = 2500 * time.Millisecond
+
 // earlierOwner is an owner that was replaced while it was cut off.
 type earlierOwner struct {
 	cell  *Cell
@@ -95,11 +101,13 @@
 func (w *simCluster) replaceOwner() {
 	earlierAuthority := w.earlierAuthority()
 	if w.cell != nil {
+		// It may have appended until now.
+		w.cell.LimitLeases(w.now.Add(w.authority + leaseOverhang))
 		w.earlier = append(w.earlier, earlierOwner{w.cell, w.epoch, w.now.Add(w.authority)})
 	}
 	w.epoch++
 	w.cell = New(Options{
-		Epoch: w.epoch, ClaimOffset: int64(len(w.jobs)), ClaimedAt: w.now, LeaseDuration: 5 * time.Second, PreviousAuthority: max(w.authority, earlierAuthority), EarlierAuthority: earlierAuthority,
+		Epoch: w.epoch, ClaimOffset: int64(len(w.jobs)), ClaimedAt: w.now, LeaseDuration: 5 * time.Second, PreviousAuthority: max(w.authority, earlierAuthority), EarlierAuthority: earlierAuthority, LeaseOverhang: leaseOverhang,
 		Retention: time.Minute, Policy: w.policy, Logger: log.NewNopLogger(),
 		Health: hvhealth.New(hvhealth.Options{HostCount: func() int { return len(w.hosts) }}),
 	})
--- a/hvledger/record.go
+++ b/hvledger/record.go
@@ -47,6 +47,9 @@
 	// EarlierAuthority is how many milliseconds after the claim owners before this one may
 	// still grant leases. Records of the claim leave it out once the time has passed.
 	EarlierAuthority int64 `json:"earlier,omitempty"`
+	// LeaseOverhang is how many milliseconds the leases of the owner last beyond its
+	// authority. Owners of earlier builds do not state it.
+	LeaseOverhang int64 `json:"overhang,omitempty"`
 }
 
 // SameOwnership reports whether two claims differ in no more than EarlierAuthority.
@@ -98,6 +101,12 @@
 	return err
 }
 
+// Unregister removes the registration of a node.
+func Unregister(ctx context.Context, store hv.KeyedStore, topic, name string) error {
+	_, err := store.Append(ctx, topic, []hv.KeyedRecord{NodeTombstone(name)}, hv.Fence{ExpectedEnd: -1})
+	return err
+}
+
 // NodeTombstone returns the record that deletes the registration of a node.
 func NodeTombstone(name string) hv.KeyedRecord { return hv.KeyedRecord{Key: nodePrefix + name} }
 
