Let a failed test of replaced owners end

TestReplacedOwnerIsKnownToHaveEnded waited for good if it failed while the first gate stood still, as the clean-up waits for that gate: the package then ended with its timeout, after 5 minutes, and did not show the failure.

The gate now goes on before the clean-up waits for it. With a bound of 1 ms for the second claim the test failed after 25 s, the limit given, before, and fails after 0.1 s now. Its checks and bounds are the same.

--- a/hventry/previous_test.go
+++ b/hventry/previous_test.go
@@ -100,12 +100,15 @@
 		return nil
 	})
 	paused.running.Lock()
+	// A test that fails must not wait for the gate that stands still.
+	resume := sync.OnceFunc(paused.running.Unlock)
+	t.Cleanup(resume)
 	next := startGate(t, "next", platform.NewStore(addr), logger)
 	waitUntil(t, "second claim", 5*time.Second, next.IsOwner)
 	time.Sleep(3 * watchInterval)
 	if told.Load() {
 		t.Error("the previous owner counts as ended while it stands still")
 	}
-	paused.running.Unlock()
+	resume()
 	waitUntil(t, "end of the previous owner", hvledger.AuthorityTimeout, told.Load)
 }
