Test that crashes noted with a clock ahead leave the background rate

TestStateOfOwnerWithClockAheadIsForgotten passed if a crash an hour ahead counted as recent: its bound of twice the least rate holds for another host of the fleet either way. It now also takes the rate of the host itself, which is 0.047 instead of 0.006 a second if the crash counts.

--- a/hvcrash/clock_test.go
+++ b/hvcrash/clock_test.go
@@ -22,6 +22,11 @@
 			t.Errorf("%v ahead: a host beside it crashes at a rate of %.3f, want about %.3f", ahead, got, minBackground)
 		}
 	}
+	var history History
+	history.Add(now.Add(time.Hour), "first", "rack", 1)
+	if got := history.Background(now, "first", "rack", 1); got != minBackground {
+		t.Errorf("the host crashes at a rate of %.3f, want %.3f without the crash an hour ahead", got, minBackground)
+	}
 	var rates, next Rates
 	rates.Observe(now.Add(time.Hour), "queue", true)
 	next.Restore(rates.State())
