Count requests in progress in the slowdown of a service

What callers see: a service that stands still for longer than 10 s gets more batch work beside it, not less.

Cause: the slowdown is measured from completed requests and is 0 without them. To the guard that is a service far below its target, so that it raised the share of batch work while nothing was measured.

Change: requests in progress that are over the target count with their time so far.

TestServiceThatStandsStillIsSlow fails with a slowdown of 0 if they do not count, as before.

--- a/hvagent/request.go
+++ b/hvagent/request.go
@@ -69,7 +69,9 @@
 	}
 	started := s.clock.Now()
 	s.metric.Observe(metricWaited, req.Caller, req.Class, started.Sub(received))
+	number := s.latency.Begin()
 	resp := s.upstream.forward(withoutCancel(ctx), req, received.Add(req.Remaining.Std()).Sub(started))
+	s.latency.End(number)
 	if resp.Outcome != hv.NotRun {
 		took := s.clock.Now().Sub(started)
 		s.latency.Add(took)
--- a/hvslot/latency.go
+++ b/hvslot/latency.go
@@ -33,10 +33,31 @@
 	mu      sync.Mutex
 	samples [windowSize]sample
 	next    int
+	// started holds when the requests in progress were started, by number.
+	started    map[int64]time.Time
+	lastNumber int64
 }
 
 // NewLatencyWindow returns an empty window.
-func NewLatencyWindow(clock hv.Clock) *LatencyWindow { return &LatencyWindow{clock: clock} }
+func NewLatencyWindow(clock hv.Clock) *LatencyWindow {
+	return &LatencyWindow{clock: clock, started: map[int64]time.Time{}}
+}
+
+// Begin records the start of a request and returns its number for End.
+func (l *LatencyWindow) Begin() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lastNumber++
+	l.started[l.lastNumber] = l.clock.Now()
+	return l.lastNumber
+}
+
+// End records that a request is no longer in progress.
+func (l *LatencyWindow) End(number int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.started, number)
+}
 
 // Add records the latency of one request.
 func (l *LatencyWindow) Add(took time.Duration) {
@@ -47,7 +68,9 @@
 }
 
 // Slowdown returns the 99th percentile of the recent latencies divided by the
-// target, or 0 if there are too few samples or no target.
+// target, or 0 if there are too few samples or no target. Requests in progress that
+// are over the target count with their time so far: a service that stands still
+// completes none.
 func (l *LatencyWindow) Slowdown(target time.Duration) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -58,6 +81,11 @@
 			recent = append(recent, s.took)
 		}
 	}
+	for _, started := range l.started {
+		if took := l.clock.Now().Sub(started); took > target {
+			recent = append(recent, took)
+		}
+	}
 	if len(recent) < minSamples || target <= 0 {
 		return 0
 	}
--- a/hvslot/slots_test.go
+++ b/hvslot/slots_test.go
@@ -282,6 +282,27 @@
 	}
 }
 
+// TestServiceThatStandsStillIsSlow guards against batch work that gets its processors back
+// beside a service that completes no request, as the slowdown is not measured then.
+func TestServiceThatStandsStillIsSlow(t *testing.T) {
+	clock := &fakeClock{now: time.Unix(1e9, 0)}
+	l := NewLatencyWindow(clock)
+	var numbers []int64
+	for range 8 {
+		numbers = append(numbers, l.Begin())
+	}
+	clock.now = clock.now.Add(15 * time.Second)
+	if got := l.Slowdown(time.Second); got != 15 {
+		t.Fatalf("slowdown is %v while all requests take 15 times the target so far", got)
+	}
+	for _, n := range numbers {
+		l.End(n)
+	}
+	if got := l.Slowdown(time.Second); got != 0 {
+		t.Fatalf("slowdown is %v without requests", got)
+	}
+}
+
 // TestSlowdownIgnoresOldSamples guards against a tail latency that stays high
 // because of old samples.
 func TestSlowdownIgnoresOldSamples(t *testing.T) {
