Ignore heartbeats that arrive after the exit of their executor

What callers see: tasks that are started on an executor that has exited, and wait until its node notices; the registration of that host is never removed.

Cause: heartbeats overtake each other on different connections. Late ones are told by their numbers, but the announcement of an exit has none, so that a heartbeat from before it made the executor present again.

Change: heartbeats of an incarnation that has announced its exit are ignored.

TestHeartbeatAfterExitIsIgnored failed before: the host was no longer exiting.

--- a/hvnode/announce.go
+++ b/hvnode/announce.go
@@ -11,6 +11,11 @@
 func (n *Node) Announce(id string, h hvorder.Host) {
 	n.mu.Lock()
 	old := n.host
+	if old != nil && old.Exiting && old.Incarnation == h.Incarnation {
+		// The heartbeat was sent before the executor announced its exit.
+		n.mu.Unlock()
+		return
+	}
 	if old != nil && !old.Capacity.Fits(h.Capacity) {
 		n.capacityShrunk = true
 		hvtick.Wake(n.wakeWithdraw)
