Pause starts on a host that refuses them

What callers see: tasks wait for 0.2 to 0.5 s each, again and again, while another host has room, if the executor of one refuses all starts: it is overloaded or has less capacity than its last heartbeat said.

Cause: a refusal delayed its task and said nothing about the host. The host looked idle and got the next tasks at once, in each plan.

Change: after a refusal for lack of room, or as unavailable, nothing starts on the host for 0.2 s, and for twice as long after each further one, up to 1 s. A run that begins there or another capacity ends that.

TestHostThatRefusesStartsGetsFewTasks failed before: 137 starts without room and 60 starts as unavailable were sent in 3 s, of 60 tasks; now at most 10. TestRandomFaults passes with 3,000 histories.

--- a/hvcell/hosts.go
+++ b/hvcell/hosts.go
@@ -27,6 +27,10 @@
 
 // setInfo records an announcement of the host's executor.
 func (h *host) setInfo(now time.Time, info hvorder.Host) {
+	if info.Capacity != h.info.Capacity {
+		// The refusals may be due to the capacity before.
+		h.refusals, h.refusedUntil = 0, time.Time{}
+	}
 	h.info, h.announced = info, true
 	h.coldUntil = now.Add(time.Duration(info.ColdMillis) * time.Millisecond)
 }
@@ -78,6 +82,7 @@
 // lists are reconciled.
 func (h *host) resetIncarnation(now time.Time, incarnation string) {
 	h.unreachableUntil = time.Time{}
+	h.refusals, h.refusedUntil = 0, time.Time{}
 	if h.crashedIncarnation != "" {
 		h.recoveringUntil = now.Add(recoveryTime)
 	}
--- a/hvcell/report.go
+++ b/hvcell/report.go
@@ -48,6 +48,9 @@
 	h.cpuShare = fullShare + r.ShareOffset
 	h.updateThrottled(now)
 	c.observeInterference(r)
+	if len(r.Began) > 0 {
+		h.refusals = 0
+	}
 	c.markJobsRunning(r)
 	c.markSaved(now, h, r.Running)
 	current := c.isCurrent(now, h, r)
@@ -114,6 +117,20 @@
 // unreachableTime is how long no task starts on a host whose executor was not found.
 const unreachableTime = 500 * time.Millisecond
 
+// maxRefusalPause is the longest time without starts on a host that refuses them.
+const maxRefusalPause = time.Second
+
+// pauseStarts keeps tasks from a host that has refused a start because of its own state, for
+// twice as long each time. Refusals of starts from before a pause do not count again.
+func (h *host) pauseStarts(now time.Time) {
+	if now.Before(h.refusedUntil) {
+		return
+	}
+	pause := min(retryDelay<<min(h.refusals, maxDoublings), maxRefusalPause)
+	h.refusals++
+	h.refusedUntil = now.Add(pause)
+}
+
 // handleRefusal releases a run whose start the executor refused.
 func (c *Cell) handleRefusal(now time.Time, h *host, f hvorder.Refusal) {
 	r := h.runs[f.Run]
@@ -127,6 +144,9 @@
 	} else {
 		r.task.notBefore = now.Add(retryDelay)
 	}
+	if f.Kind == hv.Full || f.Kind == hv.Unavailable {
+		h.pauseStarts(now)
+	}
 	if f.Kind == hv.Expired {
 		// The ticket may have been the reason, so a new one is requested.
 		delete(r.task.step.advice.tickets, h.name)
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -252,6 +252,10 @@
 	trialUntil time.Time
 	// unreachableUntil is until when no task starts because the executor was not found.
 	unreachableUntil time.Time
+	// refusals counts the times in a row that the executor refused starts for reasons of its
+	// own, and nothing starts until refusedUntil.
+	refusals     int
+	refusedUntil time.Time
 	// recoveringUntil is until when starts are limited after a crash; startWindow is the
 	// begin of the present interval and startsInWindow the number of starts in it.
 	recoveringUntil, startWindow time.Time
--- a/hvcell/trial.go
+++ b/hvcell/trial.go
@@ -276,9 +276,10 @@
 	maxRecoveryStarts = 8
 )
 
-// startsAreLimited reports whether no more tasks may start on the host now.
+// startsAreLimited reports whether no more tasks may start on the host now: its executor
+// crashed or has refused starts lately.
 func (h *host) startsAreLimited(now time.Time) bool {
-	return now.Before(h.recoveringUntil) && now.Sub(h.startWindow) < recoveryInterval && h.startsInWindow >= maxRecoveryStarts
+	return now.Before(h.refusedUntil) || now.Before(h.recoveringUntil) && now.Sub(h.startWindow) < recoveryInterval && h.startsInWindow >= maxRecoveryStarts
 }
 
 // countStart counts a start for startsAreLimited.
