Count a run as stalled only by what its node has seen

What callers see: after the node of a host, or its executor, stood still for 2 s all runs there are stopped and start again elsewhere; the host counts as failing for each of them and comes into quarantine.

Cause: a run was stalled if its progress had not changed for 1.5 s of the node's clock. A node that goes on after a pause takes the time in which it saw nothing for time without progress, before it has asked the executor.

Change: the time without progress is summed up between lists, by the executor's clock, and at most 0.9 s for each gap.

--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -93,8 +93,11 @@
 	tailChanges  []hvorder.TailChange
 	loadChanges  map[string]int64
 	// shares holds the CPU shares of best-effort runs.
-	shares   map[hvorder.Run]runShare
-	progress map[hvorder.Run]*runProgress
+	shares map[hvorder.Run]runShare
+	// progress holds the progress of the runs in the last list, and progressClock its time on
+	// the executor's clock.
+	progress      map[hvorder.Run]*runProgress
+	progressClock int64
 	// startsInFlight counts the start calls without a response yet and startCalls
 	// all of them. A call may reach an incarnation of the executor that began
 	// after the start was ordered.
--- a/hvnode/report.go
+++ b/hvnode/report.go
@@ -129,7 +129,7 @@
 	}
 	if n.stateKnown && n.fullReported {
 		// Before the lists the owner may not know the runs.
-		r.Stalled = n.newlyStalled(n.deps.Clock.Now())
+		r.Stalled = n.newlyStalled()
 	}
 	if n.stateKnown {
 		r.ShareOffset = -n.interferingShare.reduction
--- a/hvnode/stall.go
+++ b/hvnode/stall.go
@@ -12,20 +12,30 @@
 // the timeout covers.
 const stallTimeout = 1500 * time.Millisecond
 
-// runProgress records when a run last made progress.
+// maxListGap is the longest time between two lists that counts as time without progress:
+// renewals follow each other and take up to 0.8 s each. After a longer one this process or
+// the executor stood still.
+const maxListGap = 900 * time.Millisecond
+
+// runProgress records for how long a run has made no progress, as seen in the lists.
 type runProgress struct {
 	percent  int
-	since    time.Time
+	unmoved  time.Duration
 	reported bool
 }
 
-// recordProgress records the progress of all runs. The lock is held.
-func (n *Node) recordProgress(now time.Time, runs []hv.RunState) {
+// recordProgress records the progress of all runs at a time of the executor's clock, in
+// milliseconds. The lock is held.
+func (n *Node) recordProgress(clock int64, runs []hv.RunState) {
+	gap := min(max(time.Duration(clock-n.progressClock)*time.Millisecond, 0), maxListGap)
+	n.progressClock = clock
 	current := make(map[hvorder.Run]*runProgress, len(runs))
 	for _, r := range runs {
 		p := n.progress[runOf(r)]
 		if p == nil || r.Percent != p.percent || n.isThrottled(runOf(r)) {
-			p = &runProgress{percent: r.Percent, since: now}
+			p = &runProgress{percent: r.Percent}
+		} else {
+			p.unmoved += gap
 		}
 		current[runOf(r)] = p
 	}
@@ -40,10 +50,10 @@
 }
 
 // newlyStalled returns the stalled runs that have not been reported.
-func (n *Node) newlyStalled(now time.Time) []hvorder.Run {
+func (n *Node) newlyStalled() []hvorder.Run {
 	var out []hvorder.Run
 	for run, p := range n.progress {
-		if !p.reported && p.percent < 100 && now.Sub(p.since) > stallTimeout {
+		if !p.reported && p.percent < 100 && p.unmoved > stallTimeout {
 			p.reported = true
 			out = append(out, run)
 		}
--- a/hvnode/state.go
+++ b/hvnode/state.go
@@ -74,7 +74,7 @@
 	n.refusals = 0
 	n.crash.listed(now, h, n.isCurrent(version) && !h.MoreEnded)
 	n.confirmListed(h)
-	n.recordProgress(now, h.Running)
+	n.recordProgress(h.ClockMS, h.Running)
 }
 
 // confirmListed ends the pending starts of runs that the executor lists. A start that is
