Judge stragglers by the age at the last response of their host

What callers see: after an owner or the link to a host stood still for some seconds, good runs are stopped or count as stopped, their tasks avoid the host, and the host counts as failing.

Cause: a run was a straggler by its age now. Its end comes with a report, so that the age says nothing while no report comes.

Change: the age counts up to the last response of the executor.

TestRunsOnSilentHostAreNoStragglers failed before: all runs on a host that was silent for 4 s were stopped. TestRandomFaults passes with 3,000 histories.

--- a/hvcell/straggler.go
+++ b/hvcell/straggler.go
@@ -23,14 +23,16 @@
 func (c *Cell) checkStragglers(now time.Time) {
 	for _, h := range c.hosts {
 		for _, r := range h.runs {
-			if r.phase == phaseActive && c.isStraggler(now, r) {
+			if r.phase == phaseActive && c.isStraggler(r) {
 				c.abandonRun(now, r)
 			}
 		}
 	}
 }
 
-func (c *Cell) isStraggler(now time.Time, r *run) bool {
+// isStraggler judges by the age of a run when its host last responded: it may have ended
+// since.
+func (c *Cell) isStraggler(r *run) bool {
 	s := r.task.step
 	if s.spec.LongRunning || s.spec.BestEffort || s.spec.Gang {
 		// Best-effort tasks may be throttled, and the members of a gang wait for each
@@ -46,7 +48,7 @@
 		factor = stragglerFactor
 	}
 	allowed := (factor*expected + stragglerSlack) << min(r.task.abandonedRuns, maxDoublings)
-	return now.Sub(r.started) > allowed
+	return r.host.respondedAt.Sub(r.started) > allowed
 }
 
 // abandonRun stops a run; its task starts again once the host reports the end.
