Do not take a standstill of the gate for one of the store

What callers see: requests are refused with "store-down" and a Retry-After of a second or more, although the store responds, right after their gate stood still or got no processor for more than 0.7 s.

Cause: the store counts as away after a time without any response. A gate that stood still had no chance to hear one.

Change: a gate notes every 0.25 s that it runs, and leaves longer gaps out of the time without a response. A store that is silent afterwards still counts as away after 0.7 s.

--- a/hventry/admission.go
+++ b/hventry/admission.go
@@ -23,6 +23,8 @@
 	// downProbeInterval is the time between reads while the store responds to nobody.
 	// They find out that it is back; no request of a caller is sent for that.
 	downProbeInterval = 250 * time.Millisecond
+	// maxTickGap is the time between two ticks from which this process stood still.
+	maxTickGap = 2 * downProbeInterval
 	// refusalPause is how long no request must be refused for the log to say so: at a
 	// slow store refusals alternate with admissions.
 	refusalPause = time.Second
@@ -40,6 +42,8 @@
 	// appends are the appends of this process, and puts the records that it has sent
 	// to the owner.
 	appends, puts hvshed.Calls
+	// lastTick is when this process was last known to run.
+	lastTick time.Time
 	// ownerLoad is the last report of an owner in another process, received at
 	// ownerLoadAt.
 	ownerLoad   hvshed.Load
@@ -69,6 +73,22 @@
 	a.appends.End(began, a.clock.Now(), responded)
 }
 
+// tick records that this process runs. It is called every downProbeInterval.
+func (a *admission) tick() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.skipStandstill(a.clock.Now())
+}
+
+// skipStandstill leaves the time in which this process stood still out of that in which the
+// store was silent. The lock is held.
+func (a *admission) skipStandstill(now time.Time) {
+	if gap := now.Sub(a.lastTick); !a.lastTick.IsZero() && gap > maxTickGap {
+		a.appends.Skip(now, gap)
+	}
+	a.lastTick = now
+}
+
 // dataArrived records that the store responds. It is also called for each part of a
 // page, because a page takes seconds over a slow link.
 func (a *admission) dataArrived() {
@@ -155,7 +175,9 @@
 func (a *admission) down() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.appends.Down(a.clock.Now())
+	now := a.clock.Now()
+	a.skipStandstill(now)
+	return a.appends.Down(now)
 }
 
 // state returns what is known at the arrival of a request that goes the way of load.
@@ -163,6 +185,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
+	a.skipStandstill(now)
 	s := hvshed.State{Down: a.appends.Down(now), Load: load}
 	s.Outage = max(a.appends.SlowFor(now), a.puts.SlowFor(now))
 	if s.Down {
--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -145,6 +145,7 @@
 // probeStore checks whether the store is back while it responds to nobody.
 func (g *Gate) probeStore(ctx context.Context) {
 	hvtick.Every(ctx, downProbeInterval, func() {
+		g.admission.tick()
 		if g.admission.down() {
 			// The result is recorded by the relay and by the admission control.
 			go func() { _ = g.relay.Probe(ctx, g.options.CellTopic, g.replica.Next()) }()
--- a/hvshed/calls.go
+++ b/hvshed/calls.go
@@ -91,6 +91,16 @@
 // store, such as a read that waits for records.
 func (c *Calls) Responded(now time.Time) { c.lastResponse = now }
 
+// Skip leaves a time out of the time without a response: nothing could be heard in it.
+func (c *Calls) Skip(now time.Time, d time.Duration) {
+	if c.lastResponse.IsZero() {
+		return
+	}
+	if c.lastResponse = c.lastResponse.Add(d); c.lastResponse.After(now) {
+		c.lastResponse = now
+	}
+}
+
 // Response returns the moving quantile of the response times.
 func (c *Calls) Response(now time.Time) time.Duration {
 	var took []time.Duration
