Move no runs off a host of which nothing is heard

What callers see: while the link to a host or the owner is slow, best-effort runs there are stopped one after another although the host may have stopped throttling them.

Cause: a run moved every 0.3 s on the last CPU share that the host had reported, until it counted as silent after 3 s.

Change: the share counts for a second after the last response.

TestRunsStayOnSilentHost failed before: three more runs were stopped after a second of silence. TestRandomFaults passes with 3,000 histories.

--- a/hvcell/migration.go
+++ b/hvcell/migration.go
@@ -20,6 +20,9 @@
 	// migrationInterval is the least time between two migrations off one host, so
 	// that the effect of one is measured before the next.
 	migrationInterval = 300 * time.Millisecond
+	// maxShareAge is the time after the last response of a host up to which its CPU share
+	// counts; nodes report at least every 0.7 s.
+	maxShareAge = time.Second
 	// restartableAge is the age up to which a run without checkpoints is migrated.
 	restartableAge = 700 * time.Millisecond
 	// lowImpact is the impact up to which a best-effort task counts as not
@@ -48,7 +51,7 @@
 func (c *Cell) migrateThrottled(now time.Time) {
 	hosts := c.usable(now)
 	for _, h := range hosts {
-		if h.throttledSince.IsZero() || now.Sub(h.throttledSince) < migrationDelay || now.Sub(h.lastMigration) < migrationInterval {
+		if h.throttledSince.IsZero() || now.Sub(h.throttledSince) < migrationDelay || now.Sub(h.lastMigration) < migrationInterval || now.Sub(h.respondedAt) > maxShareAge {
 			continue
 		}
 		if r := c.migrationCandidate(now, h, hosts); r != nil {
