--- a/hvcell/refusal_test.go
+++ b/hvcell/refusal_test.go
@@ -16,9 +16,7 @@
 	for _, s := range o.Starts {
 		r.Refused = append(r.Refused, hvorder.Refusal{Run: s.Run, Kind: kind})
 	}
-	for _, s := range o.Stops {
-		r.Stopped = append(r.Stopped, s)
-	}
+	r.Stopped = append(r.Stopped, o.Stops...)
 	e.applyGrant(w.cell.Report(w.now, name, r))
 	return len(o.Starts)
 }
