Test what confirms an incarnation after pauses and suspensions

Two parts of the check had no test: the tests of hvnode passed when a response to a request from before a pause confirmed the incarnation that a start waits for, and when the time of day no longer counted beside the steady clock, which stands still while the machine is suspended. In both cases a start or a lease may reach the next incarnation by the clock of the one before.

The new tests fail without the respective part: "a response to a request from before the pause confirms the incarnation", and "the incarnation counts as known after a suspension of 5 s".

--- a/hvnode/incarnation_test.go
+++ b/hvnode/incarnation_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"time"
+	"unsafe"
 
 	hv "hibiscusvane.example/hibiscusvane"
 )
@@ -105,3 +106,51 @@
 		t.Fatalf("renewal after a response of the same incarnation is %+v", h)
 	}
 }
+
+// Guards against a start at the next incarnation of an executor, because the response that
+// was to confirm the present one had waited in the connection while the node stood still.
+func TestConfirmationFromBeforePauseDoesNotCount(t *testing.T) {
+	n, clock := newClockedNode(t)
+	e := n.deps.Executor.(*fakeExecutor)
+	n.pendingStarts[testRun] = true
+	e.renewals = nil
+	e.renewing = func() {
+		if len(e.renewals) == 1 {
+			clock.advance(5 * time.Second)
+			return
+		}
+		e.state.Incarnation = "2"
+	}
+	if n.confirmIncarnation(t.Context(), testRun, n.epoch, "1") {
+		t.Fatal("a response to a request from before the pause confirms the incarnation")
+	}
+}
+
+// suspendedFor returns a time after the machine was suspended: the time of day has gone on,
+// while the steady clock, in the second word of a time, has not.
+func suspendedFor(t time.Time, d time.Duration) time.Time {
+	later := t.Add(d)
+	*steadyClock(&later) = *steadyClock(&t)
+	return later
+}
+
+func steadyClock(t *time.Time) *int64 { return (*int64)(unsafe.Add(unsafe.Pointer(t), 8)) }
+
+// Guards against a node that takes its executor for the same incarnation after its machine
+// was suspended, because the steady clock does not count that time.
+func TestSuspendedNodeConfirmsIncarnation(t *testing.T) {
+	n, clock := newClockedNode(t)
+	clock.now = time.Now()
+	n.applyState(n.executorState, n.currentVersion())
+	if !n.knowsIncarnation() {
+		t.Fatal("the incarnation is not known right after a response")
+	}
+	before := clock.now
+	clock.now = suspendedFor(before, 5*time.Second)
+	if clock.now.Sub(before) != 0 || clock.now.Round(0).Sub(before.Round(0)) != 5*time.Second {
+		t.Fatalf("the clocks have gone on by %v and %v, want 0 and 5s", clock.now.Sub(before), clock.now.Round(0).Sub(before.Round(0)))
+	}
+	if n.knowsIncarnation() {
+		t.Fatal("the incarnation counts as known after a suspension of 5 s")
+	}
+}
