--- a/hvnode/orders.go
+++ b/hvnode/orders.go
@@ -26,17 +26,9 @@
 // returns.
 func (n *Node) handleOrders(ctx context.Context, conn *hvwire.Conn, o hvorder.Orders) error {
 	n.mu.Lock()
-	if o.Epoch != n.epoch {
-		n.mu.Unlock()
-		return failure("orders", hv.Conflict, "orders have epoch %d, node has epoch %d", o.Epoch, n.epoch)
-	}
-	if conn != n.ownerConn {
-		n.mu.Unlock()
-		return failure("orders", hv.Unavailable, "orders were sent on a connection that is not attached")
-	}
-	if o.Incarnation != n.executorState.Incarnation {
-		n.mu.Unlock()
-		return failure("orders", hv.NotFound, "orders are for incarnation %s, executor has incarnation %s", o.Incarnation, n.executorState.Incarnation)
+	defer n.mu.Unlock()
+	if err := n.checkOrders(conn, o); err != nil {
+		return err
 	}
 	n.batch = max(n.batch, o.Batch)
 	n.leaseEnd = max(n.leaseEnd, o.LeaseEnd)
@@ -50,12 +42,44 @@
 	if o.Withdraw {
 		n.withdrawStarts(ctx, o.Epoch)
 	}
-	draining := n.host != nil && n.host.Draining
+	if n.host != nil && n.host.Draining {
+		n.refuseStarts(o.Starts)
+	} else {
+		n.beginStarts(ctx, o)
+	}
+	for _, run := range o.Stops {
+		delete(n.pendingStarts, run)
+		go n.stop(ctx, run, o.Epoch)
+	}
+	return nil
+}
+
+// checkOrders returns an error if orders are not of the attached owner, or not for the
+// present incarnation of the executor. The lock is held.
+func (n *Node) checkOrders(conn *hvwire.Conn, o hvorder.Orders) error {
+	if o.Epoch != n.epoch {
+		return failure("orders", hv.Conflict, "orders have epoch %d, node has epoch %d", o.Epoch, n.epoch)
+	}
+	if conn != n.ownerConn {
+		return failure("orders", hv.Unavailable, "orders were sent on a connection that is not attached")
+	}
+	if o.Incarnation != n.executorState.Incarnation {
+		return failure("orders", hv.NotFound, "orders are for incarnation %s, executor has incarnation %s", o.Incarnation, n.executorState.Incarnation)
+	}
+	return nil
+}
+
+// refuseStarts refuses starts at an executor that drains. The lock is held.
+func (n *Node) refuseStarts(starts []hvorder.Start) {
+	for _, s := range starts {
+		n.refused = append(n.refused, hvorder.Refusal{Run: s.Run, Kind: hv.Unavailable})
+	}
+	hvtick.Wake(n.wakeReport)
+}
+
+// beginStarts begins to carry out the starts of a batch. The lock is held.
+func (n *Node) beginStarts(ctx context.Context, o hvorder.Orders) {
 	for _, s := range o.Starts {
-		if draining {
-			n.refused = append(n.refused, hvorder.Refusal{Run: s.Run, Kind: hv.Unavailable})
-			continue
-		}
 		n.profiles[s.Run] = s.Profile
 		n.pendingStarts[s.Run] = true
 		job := hvjob.JobOf(s.Task)
@@ -66,15 +90,6 @@
 		}
 		go n.start(ctx, run, o.Incarnation)
 	}
-	for _, run := range o.Stops {
-		delete(n.pendingStarts, run)
-		go n.stop(ctx, run, o.Epoch)
-	}
-	n.mu.Unlock()
-	if draining {
-		hvtick.Wake(n.wakeReport)
-	}
-	return nil
 }
 
 // withdrawStarts cancels the starts that the executor has not responded to. The stop
