--- a/hvnode/report_test.go
+++ b/hvnode/report_test.go
@@ -271,8 +271,8 @@
 	}
 }
 
-// Guards against reports that repeat what the owner knows from the attachment: on a calm
-// day with 160 hosts the name of the node was a tenth of the bytes of all reports.
+// Guards against reports that repeat what the owner knows from the attachment, such as the
+// name of the node.
 func TestReportWithoutChangesRepeatsNothing(t *testing.T) {
 	n, clock := newClockedNode(t)
 	if _, err := n.attach(t.Context(), &hvwire.Conn{}, hvorder.Attach{Epoch: 3, Owner: "gate"}); err != nil {
