Log which resource a waiting task lacks

Callers see urgent jobs that wait, and the log says "room" for all hosts: processors, memory and reservations for long-running tasks could not be told apart.

The line of a step that waits now counts hosts by "cpu", "memory", "gpu" and "kept", and has the need of a task, what is free on all hosts and the most that is free on one. The line of its starts says how long it waited.

--- a/hvcell/pick.go
+++ b/hvcell/pick.go
@@ -125,8 +125,8 @@
 	if h.startsAreLimited(now) {
 		return "recovering"
 	}
-	if !s.spec.Allocation().Fits(s.available(h)) {
-		return "room"
+	if name := s.capacityObstacle(h); name != "" {
+		return name
 	}
 	if name := c.heldObstacle(t, h); name != "" {
 		return name
@@ -137,6 +137,24 @@
 	return c.constraintObstacle(now, s, h)
 }
 
+// capacityObstacle returns the name of the resource that a host lacks for a task of a step,
+// "kept" if only what is reserved for long-running tasks is free, or an empty string.
+func (s *step) capacityObstacle(h *host) string {
+	need := s.spec.Allocation()
+	if need.Fits(s.available(h)) {
+		return ""
+	}
+	switch free := h.free(); {
+	case need.CPU > free.CPU:
+		return "cpu"
+	case need.Memory > free.Memory:
+		return "memory"
+	case need.GPU > free.GPU:
+		return "gpu"
+	}
+	return "kept"
+}
+
 // constraintObstacle returns the name of an obstacle other than capacity that rules
 // out a host for a step, or an empty string.
 func (c *Cell) constraintObstacle(now time.Time, s *step, h *host) string {
--- a/hvcell/pick_test.go
+++ b/hvcell/pick_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvjob"
 )
 
 // Guards against more tasks of a step on one host than the caller allows.
@@ -57,3 +58,23 @@
 		t.Fatalf("%d runs after one has failed, want 4", w.runs())
 	}
 }
+
+// Guards against a log that does not tell why a task finds no room: processors and memory
+// run out for different reasons.
+func TestCapacityObstacleNamesWhatIsMissing(t *testing.T) {
+	w := newRunningCluster(t, 1, testStep(4, 1000))
+	h := w.cell.hosts["host-0"]
+	h.reserved.CPU = 2000
+	for want, need := range map[string]hvjob.Resources{
+		"":       {CPU: 2000, Memory: 1},
+		"kept":   {CPU: 3000, Memory: 1},
+		"cpu":    {CPU: 5000, Memory: 1},
+		"memory": {CPU: 1000, Memory: 1 << 20},
+		"gpu":    {CPU: 1000, Memory: 1, GPU: 1},
+	} {
+		s := &step{spec: &hvjob.Step{Need: need}}
+		if got := s.capacityObstacle(h); got != want {
+			t.Errorf("%+v is ruled out by %q, want %q", need, got, want)
+		}
+	}
+}
--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -204,7 +204,11 @@
 // hosts that are reserved for other work.
 func (c *Cell) logPlaced(now time.Time, s *step, placed int, backfilled int64) {
 	r := s.round
-	_ = level.Info(c.options.Logger).Log("msg", "starts of tasks were ordered", "job", r.job.ID, "round", r.number, "step", s.index, "tasks", placed, "backfilled", backfilled, "waiting", s.waiting, "use", c.usefulness(now, r), "left_ms", r.goal-now.UnixMilli())
+	waited := time.Duration(0)
+	if s.waitLogged {
+		waited = now.Sub(s.waitingSince)
+	}
+	_ = level.Info(c.options.Logger).Log("msg", "starts of tasks were ordered", "job", r.job.ID, "round", r.number, "step", s.index, "tasks", placed, "backfilled", backfilled, "waiting", s.waiting, "waited", waited, "use", c.usefulness(now, r), "left_ms", r.goal-now.UnixMilli())
 	s.waitLogged = false
 }
 
@@ -217,14 +221,17 @@
 	}
 	s.waitLogged, s.waitingSince = true, now
 	obstacles := map[string]int{}
+	free, most := int64(0), int64(0)
 	for _, h := range hosts {
+		cpu := max(h.free().CPU, 0)
+		free, most = free+cpu, max(most, cpu)
 		obstacle := c.obstacle(now, t, h, c.impact(t, h))
 		if obstacle == "" {
 			obstacle = "disturbs"
 		}
 		obstacles[obstacle]++
 	}
-	_ = level.Info(c.options.Logger).Log("msg", "tasks of a step wait because no host can start them", "job", s.round.job.ID, "step", s.index, "waiting", s.waiting, "hosts", len(hosts), "why", fmt.Sprint(obstacles), "use", c.usefulness(now, s.round))
+	_ = level.Info(c.options.Logger).Log("msg", "tasks of a step wait because no host can start them", "job", s.round.job.ID, "step", s.index, "waiting", s.waiting, "hosts", len(hosts), "why", fmt.Sprint(obstacles), "need", s.spec.Need.CPU, "free", free, "most_free", most, "queue", s.round.job.Queue, "use", c.usefulness(now, s.round))
 }
 
 // placeGang starts either all tasks of a gang or none. A tightly coupled gang is
