--- a/hvcell/policy.go
+++ b/hvcell/policy.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Policy switches parts of scheduling, and holds the times that they calculate with. The
-// zero value switches all of them off.
+// Policy switches the parts of scheduling that a deployment may ask for, and holds the
+// times that they calculate with. The zero value switches all of them off.
 type Policy struct {
 	// Backfill reserves capacity for steps that wait and lets smaller work use it until
 	// then.
