Wait for the owner of a slow store instead of going around it

What callers saw: while the store was slow for 5 s, urgent jobs got 503 and 504 for the whole time and beyond at deployments with 14 gates, although the store carried out one append after another.

Cause: the gates took an owner that waits for the store for one that is paused or cut off, and what they did about it made it wait longer. Class of fault: a controller that acts again before it can see what its last action did.

Ruled out: the estimate of the wait (the requests were refused by what the gates had made of it) and the queue of the owner (one append holds 200 records).

Change: after 1.2 s a gate asks the owner whether it waits for a slow store, and goes on waiting if it does. A gate measures the store with a read before it appends itself.

--- a/hventry/admission.go
+++ b/hventry/admission.go
@@ -39,9 +39,11 @@
 	returns *hvshed.Returns
 
 	mu sync.Mutex
-	// appends are the appends of this process, and puts the records that it has sent
-	// to the owner.
-	appends, puts hvshed.Calls
+	// appends are the appends of this process, puts the records that it has sent to the
+	// owner, and reads its reads that did not wait for records.
+	appends, puts, reads hvshed.Calls
+	// lastRead is when such a read last ended.
+	lastRead time.Time
 	// lastTick is when this process was last known to run.
 	lastTick time.Time
 	// ownerLoad is the last report of an owner in another process, received at
@@ -97,6 +99,27 @@
 	a.appends.Responded(a.clock.Now())
 }
 
+func (a *admission) readBegins() time.Time { return a.clock.Now() }
+
+// readEnds records the end of a read that waited for records for up to the given time. The
+// duration of others depends on when records arrived.
+func (a *admission) readEnds(began time.Time, wait time.Duration, responded bool) {
+	if wait > 0 {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lastRead = a.clock.Now()
+	a.reads.End(began, a.lastRead, responded)
+}
+
+// sinceRead returns the time since the store was last measured by a read.
+func (a *admission) sinceRead() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.clock.Now().Sub(a.lastRead)
+}
+
 func (a *admission) putBegins() time.Time {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -119,6 +142,13 @@
 	}
 }
 
+// ownerReported keeps a report of the owner.
+func (a *admission) ownerReported(report hvshed.Load) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ownerLoad, a.ownerLoadAt = report, a.clock.Now()
+}
+
 // response returns the expected duration of an append of this process.
 func (a *admission) response() time.Duration {
 	a.mu.Lock()
@@ -161,14 +191,14 @@
 	return l
 }
 
-// storeIsSlow reports whether this process or the owner gets its appends carried out
-// slowly. An append of this gate beside those of the owner would then delay both.
+// storeIsSlow reports whether the store responds slowly to this process or to the owner. An
+// append of this gate beside those of the owner would then delay both.
 func (a *admission) storeIsSlow() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
 	slowOwner := now.Sub(a.ownerLoadAt) <= maxLoadAge && a.ownerLoad.Response() >= hvshed.SlowResponse
-	return slowOwner || a.appends.Response(now) >= hvshed.SlowResponse
+	return slowOwner || max(a.appends.Response(now), a.reads.Response(now)) >= hvshed.SlowResponse
 }
 
 // down reports whether the store responds to nobody.
--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -104,12 +104,20 @@
 
 // Mux returns the handlers of the methods that other gates call.
 func (g *Gate) Mux() hvwire.Mux {
-	m := relayMux(g.relay, func() processInfo { return processInfo{ID: g.options.Process, Ended: g.endedEpoch.Load()} })
+	m := relayMux(g.relay, g.processInfo)
 	hvwire.Handle(m, methodPut, g.servePut)
 	hvwire.Handle(m, hvorder.MethodSpec, g.serveSpec)
 	return m
 }
 
+func (g *Gate) processInfo() processInfo {
+	i := processInfo{ID: g.options.Process, Ended: g.endedEpoch.Load()}
+	if o := g.currentOwner(); o != nil {
+		i.Load = g.admission.ownLoad(o.Queued())
+	}
+	return i
+}
+
 // readInterval returns the time between reads of the topic while reads return
 // records.
 func (g *Gate) readInterval() time.Duration {
--- a/hventry/measured.go
+++ b/hventry/measured.go
@@ -24,10 +24,12 @@
 
 // Read implements hibiscusvane.KeyedStore.
 func (s *measuredStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (hv.KeyedPage, error) {
+	began := s.admission.readBegins()
 	page, err := s.KeyedStore.Read(hv.WithProgress(ctx, s.admission.dataArrived), topic, from, wait)
 	if responded(err) {
 		s.admission.dataArrived()
 	}
+	s.admission.readEnds(began, wait, responded(err))
 	return page, err
 }
 
--- a/hventry/peers.go
+++ b/hventry/peers.go
@@ -17,6 +17,7 @@
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvledger"
 	"hibiscusvane.example/hibiscusvane/hvorder"
+	"hibiscusvane.example/hibiscusvane/hvshed"
 	"hibiscusvane.example/hibiscusvane/hvtick"
 	"hibiscusvane.example/hibiscusvane/hvwire"
 )
@@ -45,6 +46,8 @@
 	ID string `json:"id"`
 	// Ended is the last epoch in which the process owned the cell and no longer does.
 	Ended int64 `json:"ended,omitempty"`
+	// Load is that of the appends of a process that owns the cell.
+	Load hvshed.Load `json:"load,omitzero"`
 }
 
 // owns reports whether the process may still grant leases under a claim.
