Let gates claim the cell in turns at a slow store

What callers saw: after the owner stopped while the store was slow, no gate owned the cell for seconds, and every job got 503 or 504.

Cause: the delays between the candidates counted from the owner's last record. At a slow store that is old when the gates notice that the owner has ended, so that several claimed at once, each 0.15 s after its last attempt, and their claims filled the store's queue. A delay of 0.2 s is also shorter than a claim takes to be seen there.

Change: after the end of an owner the delays count from when a gate notices it; at a slow store they are 1 s, and the pause after a failed claim doubles up to 0.6 s.

--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -169,7 +169,7 @@
 	}
 	o := g.options
 	self := hvledger.Claim{Name: o.Name, Addr: o.Addr, Process: o.Process}
-	e := hvledger.NewElector(g.replica, g.tailer, g.relay, o.CellTopic, self, g.peers.ownerEnded, o.Logger)
+	e := hvledger.NewElector(g.replica, g.tailer, g.relay, o.CellTopic, self, g.peers.ownerEnded, g.admission.storeIsSlow, o.Logger)
 	for ctx.Err() == nil {
 		w := e.Wait(ctx)
 		if w == nil {
--- a/hvledger/elect.go
+++ b/hvledger/elect.go
@@ -30,8 +30,14 @@
 	LeaseOverhang = 2500 * time.Millisecond
 	// earlierLeaseOverhang is that of owners of builds that do not state it in their claims.
 	earlierLeaseOverhang = 5 * time.Second
-	// rankDelay is the time between the attempts of candidates of adjacent ranks.
-	rankDelay = 200 * time.Millisecond
+	// rankDelay is the time between the attempts of candidates of adjacent ranks, and
+	// slowRankDelay that at a slow store: the claim before takes an append and a read to be
+	// seen, of up to 0.4 s each.
+	rankDelay     = 200 * time.Millisecond
+	slowRankDelay = time.Second
+	// maxClaimPause limits the pause after a failed attempt at a slow store, which doubles
+	// from electionPollInterval on.
+	maxClaimPause = 600 * time.Millisecond
 	// maxClaimAttempts limits the conditional appends of one attempt. An append
 	// fails when another gate has appended a submission in between.
 	maxClaimAttempts = 8
@@ -47,25 +53,38 @@
 	logger  log.Logger
 	// processEnded reports whether no process listens at the owner's address.
 	processEnded func(c Claim) bool
+	// storeIsSlow reports whether the store responds slowly.
+	storeIsSlow func() bool
+	// ended is the last claim that was found to have ended, and endedAt when.
+	ended   Claim
+	endedAt time.Time
 }
 
 // NewElector returns an elector for a gate; self holds its name, address and
 // process identifier.
-func NewElector(replica *Replica, tailer *Tailer, store hv.KeyedStore, topic string, self Claim, processEnded func(Claim) bool, logger log.Logger) *Elector {
+func NewElector(replica *Replica, tailer *Tailer, store hv.KeyedStore, topic string, self Claim, processEnded func(Claim) bool, storeIsSlow func() bool, logger log.Logger) *Elector {
 	self.LeaseOverhang = LeaseOverhang.Milliseconds()
-	return &Elector{replica: replica, tailer: tailer, store: store, topic: topic, self: self, processEnded: processEnded, logger: logger}
+	return &Elector{replica: replica, tailer: tailer, store: store, topic: topic, self: self, processEnded: processEnded, storeIsSlow: storeIsSlow, logger: logger}
 }
 
 // Wait blocks until this gate owns the cell and returns its writer, or returns
 // nil when ctx ends.
 func (e *Elector) Wait(ctx context.Context) *Writer {
+	pause := electionPollInterval
 	for ctx.Err() == nil {
-		if e.shouldClaim() {
-			if w := e.claim(ctx); w != nil {
-				return w
-			}
+		if !e.shouldClaim() {
+			pause = electionPollInterval
+			hvtick.Sleep(ctx, pause)
+			continue
+		}
+		if w := e.claim(ctx); w != nil {
+			return w
+		}
+		hvtick.Sleep(ctx, pause)
+		if e.storeIsSlow() {
+			// Attempts of all gates at this pace would fill the queue of the store.
+			pause = min(2*pause, maxClaimPause)
 		}
-		hvtick.Sleep(ctx, electionPollInterval)
 	}
 	return nil
 }
@@ -87,16 +106,34 @@
 		// Return early in the usual case: computing the rank visits all nodes.
 		return false
 	}
-	wait := time.Duration(e.rank(c)) * rankDelay
+	wait := time.Duration(e.rank(c)) * e.rankDelay()
 	switch {
 	case free:
 		return idle >= wait
 	case ended:
-		return idle > wait
+		return e.sinceEnd(c) >= wait
 	}
 	return idle > ownerTimeout+wait
 }
 
+func (e *Elector) rankDelay() time.Duration {
+	if e.storeIsSlow() {
+		return slowRankDelay
+	}
+	return rankDelay
+}
+
+// sinceEnd returns how long ago this gate first noticed that an owner has ended. Its last
+// record may be much older, so that a delay from then on would pass for all candidates at
+// the same time.
+func (e *Elector) sinceEnd(c Claim) time.Duration {
+	now := e.replica.clock.Now()
+	if !e.ended.SameOwnership(c) {
+		e.ended, e.endedAt = c, now
+	}
+	return now.Sub(e.endedAt)
+}
+
 // ownerHasEnded reports whether an owner is known to send no further orders.
 func (e *Elector) ownerHasEnded(c Claim) bool {
 	return c.Epoch == 0 || c.Released || c.Name == e.self.Name || e.processEnded(c)
--- a/hvledger/elect_test.go
+++ b/hvledger/elect_test.go
@@ -7,6 +7,7 @@
 	"math/rand"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -240,3 +241,52 @@
 	}
 	all.checkTopic(platform.NewStoreWithTransport(platformtest.Transport{Handler: s}))
 }
+
+// Guards against gates that all claim the cell at once, because the owner's last record was
+// old when they noticed that it had ended: their claims fill the queue of a slow store.
+func TestCandidatesTakeTurnsAfterLateEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := platformtest.NewStore()
+		var appends atomic.Int64
+		store := platform.NewStoreWithTransport(platformtest.Transport{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/log-append" {
+				appends.Add(1)
+			}
+			fake.ServeHTTP(w, r)
+		})})
+		var ended atomic.Bool
+		yes := func() bool { return true }
+		newGate(store, "old").own(t)
+		var gates []*gate
+		for i := range 8 {
+			g := newCandidate(store, fmt.Sprint("gate-", i), ended.Load, yes)
+			if err := hvledger.Register(t.Context(), store, topic, hvledger.Node{Name: fmt.Sprint("gate-", i), Addr: "a", Gate: true}); err != nil {
+				t.Fatal(err)
+			}
+			gates = append(gates, g)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		claimed := make(chan *hvledger.Writer, len(gates))
+		for _, g := range gates {
+			g.sync(t)
+		}
+		fake.SetFaults(platformtest.Faults{Delay: 300 * time.Millisecond})
+		var loops sync.WaitGroup
+		for _, g := range gates {
+			loops.Go(func() { g.tailer.Run(ctx) })
+			loops.Go(func() { claimed <- g.elector.Wait(ctx) })
+		}
+		time.Sleep(950 * time.Millisecond)
+		before := appends.Load()
+		ended.Store(true)
+		<-claimed
+		cancel()
+		loops.Wait()
+		// Requests that were given up are still carried out.
+		time.Sleep(5 * time.Second)
+		if n := appends.Load() - before; n != 1 {
+			t.Errorf("%d claims were sent until one was stored, want 1", n)
+		}
+	})
+}
--- a/hvledger/ledger_test.go
+++ b/hvledger/ledger_test.go
@@ -64,12 +64,18 @@
 }
 
 func newGate(store hv.KeyedStore, name string) *gate {
+	return newCandidate(store, name, func() bool { return false }, func() bool { return false })
+}
+
+// newCandidate returns a gate that learns from functions whether the owner has ended and
+// whether the store is slow.
+func newCandidate(store hv.KeyedStore, name string, ended, storeIsSlow func() bool) *gate {
 	g := &gate{observer: &jobCounter{jobs: map[string]int{}}, store: store}
 	logger := log.NewNopLogger()
 	g.replica = hvledger.NewReplica(hv.SystemClock{}, logger, g.observer)
 	g.tailer = hvledger.NewTailer(store, topic, g.replica, func() time.Duration { return 0 }, logger)
 	self := hvledger.Claim{Name: name, Addr: name, Process: name + "-process"}
-	g.elector = hvledger.NewElector(g.replica, g.tailer, store, topic, self, func(hvledger.Claim) bool { return false }, logger)
+	g.elector = hvledger.NewElector(g.replica, g.tailer, store, topic, self, func(hvledger.Claim) bool { return ended() }, storeIsSlow, logger)
 	return g
 }
 
