--- a/hvcell/straggler_test.go
+++ b/hvcell/straggler_test.go
@@ -3,8 +3,80 @@
 import (
 	"testing"
 	"time"
+
+	"hibiscusvane.example/hibiscusvane/hvorder"
 )
 
+// Guards against a stalled run whose task does not start elsewhere.
+func TestStalledRunStartsElsewhere(t *testing.T) {
+	w := newRunningCluster(t, 2, testStep(1, 1000))
+	name := "host-0"
+	if len(w.hosts[name].running) == 0 {
+		name = "host-1"
+	}
+	r := w.hosts[name].report(false)
+	for task, run := range w.hosts[name].running {
+		r.Stalled = append(r.Stalled, hvorder.Run{Task: task, Run: run})
+	}
+	w.cell.Report(w.now, name, r)
+	w.exchange()
+	w.exchange()
+	if len(w.hosts[name].running) != 0 || w.runs() != 1 {
+		t.Fatalf("%d runs on the host of the stalled run, %d in all", len(w.hosts[name].running), w.runs())
+	}
+}
+
+// Guards against a stalled run that a new owner ignores because the report with it is the
+// one whose lists name the run first: it is not replaced.
+func TestStalledRunInFirstListsIsStopped(t *testing.T) {
+	w := newRunningCluster(t, 1, testStep(1, 1000))
+	e := w.hosts["host-0"]
+	w.replaceOwner()
+	e.minEpoch = w.epoch
+	r := e.report(true)
+	for task, run := range e.running {
+		r.Stalled = append(r.Stalled, hvorder.Run{Task: task, Run: run})
+	}
+	w.cell.NodeAttached(w.now, e.name, r)
+	if o, _ := w.cell.Orders(e.name); len(o.Stops) != 1 {
+		t.Fatalf("orders are %+v, want a stop of the stalled run", o)
+	}
+}
+
+// Guards against a task that takes much longer than its caller estimated and is
+// abandoned repeatedly.
+func TestLongTaskIsNotAbandonedForever(t *testing.T) {
+	w := newSimCluster(t, 2)
+	w.attachAll()
+	s := testStep(1, 1000)
+	s.Estimate = 100
+	w.submit(urgentJob(s))
+	longest, running := 0, 0
+	last := map[string]int{}
+	for range 600 {
+		w.exchange()
+		now := map[string]int{}
+		for name, e := range w.hosts {
+			for task, run := range e.running {
+				now[name+task] = run
+			}
+		}
+		for k, run := range now {
+			if last[k] == run {
+				running++
+			} else {
+				running = 1
+			}
+		}
+		last = now
+		longest = max(longest, running)
+		w.advance(100 * time.Millisecond)
+	}
+	if longest < 150 {
+		t.Fatalf("the longest run within a minute lasted %d ms", longest*100)
+	}
+}
+
 // Guards against runs that are stopped, and hosts that are blamed for them, because nothing was
 // heard of the host for a while: the owner or the link stood still, and the runs may be done.
 func TestRunsOnSilentHostAreNoStragglers(t *testing.T) {
