--- a/hvledger/elect_test.go
+++ b/hvledger/elect_test.go
@@ -242,18 +242,23 @@
 	all.checkTopic(platform.NewStoreWithTransport(platformtest.Transport{Handler: s}))
 }
 
+// countingStore counts the appends to a store.
+type countingStore struct {
+	hv.KeyedStore
+	appends atomic.Int64
+}
+
+func (s *countingStore) Append(ctx context.Context, topic string, recs []hv.KeyedRecord, f hv.Fence) (int64, error) {
+	s.appends.Add(1)
+	return s.KeyedStore.Append(ctx, topic, recs, f)
+}
+
 // Guards against gates that all claim the cell at once, because the owner's last record was
 // old when they noticed that it had ended: their claims fill the queue of a slow store.
 func TestCandidatesTakeTurnsAfterLateEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fake := platformtest.NewStore()
-		var appends atomic.Int64
-		store := platform.NewStoreWithTransport(platformtest.Transport{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if r.URL.Path == "/log-append" {
-				appends.Add(1)
-			}
-			fake.ServeHTTP(w, r)
-		})})
+		store := &countingStore{KeyedStore: platform.NewStoreWithTransport(platformtest.Transport{Handler: fake})}
 		var ended atomic.Bool
 		yes := func() bool { return true }
 		newGate(store, "old").own(t)
@@ -278,14 +283,14 @@
 			loops.Go(func() { claimed <- g.elector.Wait(ctx) })
 		}
 		time.Sleep(950 * time.Millisecond)
-		before := appends.Load()
+		before := store.appends.Load()
 		ended.Store(true)
 		<-claimed
 		cancel()
 		loops.Wait()
 		// Requests that were given up are still carried out.
 		time.Sleep(5 * time.Second)
-		if n := appends.Load() - before; n != 1 {
+		if n := store.appends.Load() - before; n != 1 {
 			t.Errorf("%d claims were sent until one was stored, want 1", n)
 		}
 	})
