--- a/review/standin/bed.go
+++ b/review/standin/bed.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"encoding/binary"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -150,7 +153,7 @@
 }
 
 // maxProcesses is the greatest number of gates or of sides in a case.
-const maxProcesses = 12
+const maxProcesses = 16
 
 // isFree reports whether nothing listens in a part of the loopback network.
 func isFree(n int) bool {
@@ -238,6 +241,10 @@
 
 // serveStore serves the store, with writes whose answers are lost and that are done late.
 func (b *bed) serveStore(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/log-append" && !fitsLimits(r) {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
 	if r.URL.Path == "/log-append" && time.Now().UnixNano() < b.lostUntil.Load() && rand.Float64() < 0.35 {
 		b.lateAppend(r)
 		<-r.Context().Done()
@@ -246,6 +253,29 @@
 	b.store.ServeHTTP(w, r)
 }
 
+// Limits of the store, as in the settings.
+const (
+	recordBytes = 262144
+	callBytes   = 2097152
+)
+
+// fitsLimits reports whether the records of an append are within the limits of the store.
+func fitsLimits(r *http.Request) bool {
+	body, err := io.ReadAll(r.Body)
+	if err != nil || len(body) > callBytes {
+		return false
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	for len(body) >= 4 {
+		n := int(binary.BigEndian.Uint32(body))
+		if n > recordBytes || len(body) < 4+n {
+			return false
+		}
+		body = body[4+n:]
+	}
+	return true
+}
+
 // ready waits until all gates are ready.
 func (b *bed) ready() {
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
--- a/review/standin/clients.go
+++ b/review/standin/clients.go
@@ -56,7 +56,7 @@
 func (b *bed) submit(j *job, first int) bool {
 	body, _ := json.Marshal(j)
 	o := b.oracle
-	j.failures, j.done = map[string]map[int]bool{}, map[string]bool{}
+	j.failures, j.done, j.noted = map[string]map[int]bool{}, map[string]bool{}, map[string]int{}
 	o.mu.Lock()
 	o.jobs[j.id] = j
 	o.mu.Unlock()
--- a/review/standin/heartbeats.go
+++ b/review/standin/heartbeats.go
@@ -31,9 +31,10 @@
 	b.oracle.broke("LOST", "accepted job %s has nothing running for %v, %s is up, ready and idle: state %q", id, limit, m.name, j.state)
 }
 
-// The dose of node_freeze: one machine in ten stands still for 4 s.
+// The doses of the site files: scale_in takes 0.065 of the minions away, and node_freeze
+// makes one machine in ten stand still for 4 s. One of sixteen is less than both.
 const (
-	freezeSides = 10
+	freezeSides = 16
 	freezeTime  = 4 * time.Second
 )
 
@@ -45,9 +46,23 @@
 	b.ready()
 	m, side := b.minions[0], b.sides[0]
 	b.expectRun("00000000000000b1", m, 15*time.Second)
+	for n := 0; n < leaveRounds && len(b.oracle.breaks) == 0; n++ {
+		b.leaveAndReturn(m, side, o.trouble)
+		b.expectRun(jobID("c", n), m, 14*time.Second)
+	}
+	return b.oracle.breaks
+}
+
+// leaveRounds is how often the minion leaves and comes back, unless a rule is broken before:
+// in which order the process beside it handles the two calls is left to chance.
+const leaveRounds = 3
+
+// leaveAndReturn ends a minion in a planned way and starts it again. Ten seconds pass from
+// the time at which the process beside it goes on.
+func (b *bed) leaveAndReturn(m *minion, side *process, trouble bool) {
 	var began time.Time
 	m.leaveWith(3*time.Second, func() {
-		if o.trouble {
+		if trouble {
 			side.signal(syscall.SIGSTOP)
 		}
 		began = time.Now()
@@ -57,12 +72,10 @@
 		fail("%v", err)
 	}
 	time.Sleep(time.Until(began.Add(freezeTime)))
-	if o.trouble {
+	if trouble {
 		side.signal(syscall.SIGCONT)
 	}
 	time.Sleep(10 * time.Second)
-	b.expectRun("00000000000000b2", m, 40*time.Second)
-	return b.oracle.breaks
 }
 
 // foreign lets another writer send heartbeats of a service that the configuration does not
--- a/review/standin/jobs.go
+++ b/review/standin/jobs.go
@@ -50,7 +50,9 @@
 	cancelSent, cancelAcked      time.Time
 	state                        string
 	failures                     map[string]map[int]bool
-	done                         map[string]bool
+	// noted counts the ends of failed runs that were taken note of, by task.
+	noted map[string]int
+	done  map[string]bool
 }
 
 func (j *job) rounds() int { return max(j.Times, 1) }
@@ -101,3 +103,6 @@
 	}
 	return taskID{p[0], n[0], n[1], n[2]}, nil
 }
+
+// jobID returns an identifier that begins with a digit of its own.
+func jobID(first string, n int) string { return fmt.Sprintf("%s%015x", first, n) }
--- a/review/standin/oracle.go
+++ b/review/standin/oracle.go
@@ -153,11 +153,7 @@
 			o.broke("ROUTE", "%d tasks of the step of %s on %s, at most %d may be", n, r.task, m.name, s.AntiAffinity)
 		}
 	}
-	key := r.task
-	if s.Gang {
-		key = o.scope(r)
-	}
-	if n := len(j.failures[key]); !s.Perpetual && !s.Speculative && n >= maxAttempts {
+	if n := j.noted[r.task]; !s.Perpetual && !s.Speculative && n >= maxAttempts {
 		o.broke("BUDGET", "%s starts after %d failed runs", r.task, n)
 	}
 }
@@ -200,7 +196,13 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	id, err := parseTask(e.task)
-	if err != nil || e.how != "done" || lapsed {
+	if err != nil || lapsed {
+		return
+	}
+	if j := o.jobs[id.job]; j != nil && e.how == "failed" {
+		j.noted[e.task]++
+	}
+	if e.how != "done" {
 		return
 	}
 	if j := o.jobs[id.job]; j != nil && !j.Steps[id.step].Perpetual {
