--- a/review/standin/bed.go
+++ b/review/standin/bed.go
@@ -36,6 +36,7 @@
 timing_bounds: {contact_ms: 3000, ack_ms: 4000, drain_ms: 2000, grace_s: 6, hold_max_ms: 10000, kill_grace_ms: 900, gang_wait_ms: 3000, cancel_ms: 3000, visible_ms: 3000, early_ms: 250, finish_s: 14, status_s: 120, checkpoint_s: 2, restore_ms: 250}
 orders: "request"
 app: %q
+hint: %q
 platform: {address: %q, form: "log", writes_per_s: 800, reads_per_s: 2000, parts: 12, append_ms: 2.0, record_bytes: 262144, call_bytes: 2097152, keep_s: 300}
 `
 
@@ -122,6 +123,8 @@
 	savedBytes int
 	guards     bool
 	closers    []func()
+	// hint is the address of the advice service.
+	hint string
 }
 
 func (b *bed) log(format string, args ...any) { b.oracle.note(format, args...) }
@@ -199,6 +202,7 @@
 	}
 	b.storeAddr = l.Addr().String()
 	go func() { _ = http.Serve(l, http.HandlerFunc(b.serveStore)) }()
+	b.hint = b.serveAdviser()
 	b.store.Put("keyed.op", "config", fmt.Appendf(nil, configText, guards))
 	for i := range gateCount {
 		b.gates = append(b.gates, b.newProcess(programs, "front", i, ""))
@@ -232,7 +236,7 @@
 	ip := fmt.Sprintf("127.%d.%d.%d", b.net, n, i+1)
 	p := &process{bed: b, name: fmt.Sprintf("%s-%d", class, i), program: filepath.Join(programs, program), ip: ip, store: newProxy(b.storeAddr)}
 	p.config, p.logPath = filepath.Join(b.dir, p.name+".yaml"), filepath.Join(b.dir, p.name+".log")
-	text := fmt.Sprintf(settingsText, p.name, class, class, ip, ip, ip, ip, app, p.store.addr())
+	text := fmt.Sprintf(settingsText, p.name, class, class, ip, ip, ip, ip, app, b.hint, p.store.addr())
 	if err := os.WriteFile(p.config, []byte(text), 0o600); err != nil {
 		fail("%v", err)
 	}
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +45,8 @@
 	guards  bool
 	// late is the share of orders that get no answer and are carried out 2 to 12 s later.
 	late func() bool
+	// tickets is true if a start needs a ticket.
+	tickets bool
 	// failsUntil is the time until which all that is started fails, in Unix nanoseconds.
 	failsUntil atomic.Int64
 
@@ -198,6 +201,7 @@
 	WaitMS       int64  `json:"wait_ms"`
 	Saved        string `json:"saved_state"`
 	Percent      int    `json:"percent"`
+	Ticket       string `json:"ticket"`
 }
 
 // ServeHTTP implements http.Handler.
@@ -305,6 +309,9 @@
 	if m.leaseEnd <= m.clock() {
 		return conflict("late")
 	}
+	if m.tickets && !m.validTicket(o, id) {
+		return conflict("ticket")
+	}
 	j := m.bed.oracle.jobOf(id.job)
 	need := room{}
 	if j != nil && id.step < len(j.Steps) {
@@ -339,6 +346,16 @@
 	return http.StatusOK, map[string]any{}
 }
 
+// validTicket reports whether an order has a ticket for its step that has not expired.
+func (m *minion) validTicket(o order, id taskID) bool {
+	prefix := fmt.Sprintf("%s.%d.%d/%s/", id.job, id.round, id.step, m.id())
+	var until int64
+	if _, err := fmt.Sscanf(strings.TrimPrefix(o.Ticket, prefix), "%d", &until); err != nil || !strings.HasPrefix(o.Ticket, prefix) {
+		return false
+	}
+	return time.Now().UnixMilli() <= until
+}
+
 // work is the work that a run has done.
 func (r *taskRun) work(at time.Time) time.Duration {
 	from := r.started
