--- a/review/platform/bed.go
+++ b/review/platform/bed.go
@@ -209,7 +209,7 @@
 	}
 	for i := range sideCount {
 		ip := fmt.Sprintf("127.%d.1.%d", b.net, i+1)
-		m := &minion{bed: b, name: fmt.Sprint("m", i), addr: ip + ":8165", control: ip + ":8166", rack: fmt.Sprintf("r1-%d", 1+i/3), labels: []string{"a"}, room: room{CPU: 8000, MemMB: 64000}, guards: guards}
+		m := &minion{bed: b, service: "desk", name: fmt.Sprint("m", i), addr: ip + ":8165", control: ip + ":8166", rack: fmt.Sprintf("r1-%d", 1+i/3), labels: []string{"a"}, room: room{CPU: 8000, MemMB: 64000}, guards: guards}
 		if i%2 == 1 {
 			m.labels = append(m.labels, "odd")
 		}
--- a/review/platform/entries.go
+++ b/review/platform/entries.go
@@ -210,3 +210,30 @@
 	b.waitAll(jobs, 30*time.Second)
 	return b.oracle.breaks
 }
+
+// moved moves the queue of accepted jobs to another service, whose minions are the last two,
+// and lowers its attempts.
+func moved(o options) []string {
+	b := newBed(o.programs, o.record, o.seed, 3, 4, true)
+	defer b.close()
+	for _, m := range b.minions[2:] {
+		m.mu.Lock()
+		m.service = "bench"
+		m.mu.Unlock()
+	}
+	b.ready()
+	jobs := b.someJobs(20, 50*time.Millisecond)
+	if o.trouble {
+		b.log("the queue moves to another service")
+		b.store.Put("keyed.op", "config", []byte(`{"version":5,"routes":[{"name":"q","host":"h.example","path_prefix":"/q/","service":"bench","max_attempts":2,"stretch":1.5,"slo_ms":250}],"services":[{"name":"desk","admission_control":true},{"name":"bench","admission_control":true}],"limits":{"max_body_bytes":262144}}`))
+		time.Sleep(configTime)
+		for _, m := range b.minions[:2] {
+			m.moved.Store(true)
+		}
+	}
+	b.waitAll(jobs, 50*time.Second)
+	return b.oracle.breaks
+}
+
+// configTime is config_apply_ms.
+const configTime = 2 * time.Second
--- a/review/platform/executor.go
+++ b/review/platform/executor.go
@@ -45,6 +45,10 @@
 	guards  bool
 	// late is the share of orders that get no answer and are carried out 2 to 12 s later.
 	late func() bool
+	// moved is true once no queue is sent to its service.
+	moved atomic.Bool
+	// service is the service that its heartbeats name.
+	service string
 	// tickets is true if a start needs a ticket.
 	tickets bool
 	// failsUntil is the time until which all that is started fails, in Unix nanoseconds.
@@ -169,7 +173,7 @@
 		state = "draining"
 	}
 	b, _ := json.Marshal(map[string]any{
-		"service": "desk", "address": m.addr, "zone": "z", "version": "v1", "capacity": 8, "state": state, "cold_left_ms": 0,
+		"service": m.service, "address": m.addr, "zone": "z", "version": "v1", "capacity": 8, "state": state, "cold_left_ms": 0,
 		"room": m.room, "labels": append([]string{m.labels[0], m.rack}, m.labels[1:]...), "clock_ms": m.clock().Milliseconds(), "sequence": m.sequence, "born": m.born.UnixMilli(),
 	})
 	return b
--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -44,4 +44,4 @@
 }
 
 // cases holds the cases by name.
-var cases = map[string]func(options) []string{"soak": soak, "flaps": flaps, "leave": leave, "foreign": foreign, "gang": gang, "overdue": overdue, "reboot": reboot, "hints": hints, "drop": drop, "stops": stops, "evacuation": evacuation}
+var cases = map[string]func(options) []string{"soak": soak, "flaps": flaps, "leave": leave, "foreign": foreign, "gang": gang, "overdue": overdue, "reboot": reboot, "hints": hints, "drop": drop, "moved": moved, "stops": stops, "evacuation": evacuation}
--- a/review/platform/oracle.go
+++ b/review/platform/oracle.go
@@ -98,6 +98,9 @@
 	if over {
 		o.broke("LIMIT", "%s run %d on %s is beyond its room", r.task, r.number, m.name)
 	}
+	if m.moved.Load() {
+		o.broke("CONFIG", "%s run %d starts on %s of the old service", r.task, r.number, m.name)
+	}
 	j := r.job
 	if j == nil || r.id.step >= len(j.Steps) || r.id.index >= j.Steps[r.id.step].Count || r.id.round >= j.rounds() {
 		o.broke("UNASKED", "%s was not sent by a client", r.task)
