Bound what one job adds to the store, and keep the cell when a record is refused

What callers saw: an accepted schedule with 3,600 overdue rounds stopped every job of the deployment; ten ordinary jobs that came after it were accepted and none was complete 40 s later, and the cell changed its owner about 16 times a second.

Cause: all overdue rounds were set up at once and the progress of a job is one record with an entry for each. It was over the limit of a record, the store answered 413, flush took the failed append for the end of the ownership, and each next owner appended the same record.

Change: rounds are set up as long as they take 20,000 tasks and 32 KiB of progress, and complete rounds are stored as ranges; lists of earlier builds are read. Progress over the limit is compressed, and so is the learned state. Failed runs without a limit of attempts and runs that lost their host keep the newest. Appends are divided by size. An append that is refused for its size no longer ends the ownership: each record is stored by itself, and one that is refused again costs only its job or its caller. The limits come with the settings. A round that an earlier owner started beyond what it had stored is set up when a host lists it: without that rule TestOverdueScheduleRunsEachRoundOnce fails with a start after an acknowledged end.

Ruled out: raising a constant (the numbers of complete rounds alone reach any limit), and one record for each round (thousands of keys, and each change would still be read by all).

--- a/cmd/hvgate/platform.go
+++ b/cmd/hvgate/platform.go
@@ -59,7 +59,7 @@
 	}
 	gate := hventry.New(hventry.Options{
 		Name: s.Node, Zone: s.Zone, Addr: s.PeerAddr, Capacity: s.Capacity, Process: uuid.NewString(),
-		Store: platform.NewStore(s.StoreAddr), CellTopic: platform.CellTopic, Adviser: adviser,
+		Store: platform.NewStore(s.StoreAddr), StoreLimits: s.StoreLimits, CellTopic: platform.CellTopic, Adviser: adviser,
 		Operators:  hventry.OperatorRecords{Topic: platform.OperatorsTopic, CatalogKey: platform.CatalogKey, EvacuationPrefix: platform.EvacuationPrefix, DecodeCatalog: platform.DecodeCatalog},
 		EarlyStart: s.EarlyStart, Retention: s.Retention, Policy: s.Policy,
 		Clock: hv.SystemClock{}, Metrics: metrics, Logger: logger,
--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -1,7 +1,6 @@
 package hvcell
 
 import (
-	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -168,7 +167,7 @@
 		return
 	}
 	c.seq++
-	entry := &job{Job: j, offset: offset, seq: c.seq, progress: p.Clone(), rounds: map[int]*round{}, inherited: offset < c.options.ClaimOffset, queue: j.QueueSettings, specChecksum: hvorder.SpecChecksum(j.Spec), taskCount: j.TaskCount(), size: c.classifyJob(j)}
+	entry := &job{Job: j, offset: offset, seq: c.seq, progress: p.Clone(), rounds: map[int]*round{}, inherited: offset < c.options.ClaimOffset, queue: j.QueueSettings, specChecksum: hvorder.SpecChecksum(j.Spec), taskCount: j.TaskCount(), maxOpenRounds: maxOpenRounds(j), size: c.classifyJob(j)}
 	if c.catalog != nil {
 		if q, ok := c.catalog.Queue(j.Queue); ok {
 			entry.queue = q
@@ -194,19 +193,43 @@
 // lookahead is how long before its earliest start a round is set up.
 const lookahead = 2 * time.Second
 
-// startDueRounds sets up the rounds that may start within lookahead.
+const (
+	// maxOpenTasks bounds the tasks of the rounds of a scheduled job that are set up and not
+	// complete, and so the memory for the job: two rounds of the largest size may overlap.
+	maxOpenTasks = 20_000
+	// maxOpenBytes bounds the part of these rounds in the progress of the job, which is
+	// stored whole with each change.
+	maxOpenBytes = 32 << 10
+)
+
+// maxOpenRounds returns the number of rounds of a job that are set up at a time.
+func maxOpenRounds(j hvjob.Job) int {
+	if j.Repetitions == 0 {
+		return 1
+	}
+	return max(min(maxOpenTasks/j.TaskCount(), maxOpenBytes/hvjob.RoundBytes(j)), 1)
+}
+
+// startDueRounds sets up the rounds that may start within lookahead, as far as the job may
+// have more of them.
 func (c *Cell) startDueRounds(now time.Time, j *job) {
-	for j.roundsStarted < j.Rounds() {
-		n := j.roundsStarted
+	for {
+		n := j.progress.CompletedRounds.NextMissing(j.roundsStarted)
+		if n >= j.Rounds() {
+			j.roundsStarted = n
+			return
+		}
 		due := j.Due(n)
 		if j.Repetitions > 0 && due > now.Add(c.options.EarlyStart+lookahead).UnixMilli() {
 			return
 		}
-		j.roundsStarted++
-		if slices.Contains(j.progress.CompletedRounds, n) {
-			continue
+		if _, stored := j.progress.Rounds[n]; !stored && len(j.progress.Rounds) >= j.maxOpenRounds {
+			return
+		}
+		j.roundsStarted = n + 1
+		if j.rounds[n] == nil {
+			c.addRound(j, n, due)
 		}
-		c.addRound(j, n, due)
 	}
 }
 
@@ -299,8 +322,14 @@
 	}
 }
 
+// mayHaveStarted reports whether an earlier owner may have started a round that this one has
+// not set up: it may have stored that earlier rounds are complete no more.
+func (j *job) mayHaveStarted(round int) bool {
+	return j.inherited && round < j.Rounds() && !j.progress.CompletedRounds.Has(round)
+}
+
 // findTask returns the task with a name, or nil if it is unknown or its round has
-// ended.
+// ended. It sets up the round if an earlier owner may have started it.
 func (c *Cell) findTask(name string) *task {
 	id, err := hvjob.ParseTask(name)
 	if err != nil {
@@ -311,6 +340,10 @@
 		return nil
 	}
 	r := j.rounds[id.Round]
+	if r == nil && j.mayHaveStarted(id.Round) {
+		c.addRound(j, id.Round, j.Due(id.Round))
+		r = j.rounds[id.Round]
+	}
 	if r == nil || id.Step >= len(r.steps) || id.Index >= len(r.steps[id.Step].tasks) {
 		return nil
 	}
--- a/hvcell/ends.go
+++ b/hvcell/ends.go
@@ -83,15 +83,25 @@
 	p.SavedStates[index] = saved
 }
 
-// fail records a failed run once and returns the number of failed runs.
-func (p *stepProgress) fail(index, run int) int {
+// maxUnlimitedFailures bounds the failed runs that are recorded of a task without a limit of
+// attempts.
+const maxUnlimitedFailures = 32
+
+// fail records a failed run once and returns the number of failed runs. With a limit of 0
+// only the newest are kept.
+func (p *stepProgress) fail(index, run, limit int) int {
 	if p.FailedRuns == nil {
 		p.FailedRuns = map[int][]int{}
 	}
-	if !slices.Contains(p.FailedRuns[index], run) {
-		p.FailedRuns[index] = append(p.FailedRuns[index], run)
+	runs := p.FailedRuns[index]
+	if !slices.Contains(runs, run) {
+		runs = append(runs, run)
+	}
+	if limit <= 0 {
+		runs = runs[max(len(runs)-maxUnlimitedFailures, 0):]
 	}
-	return len(p.FailedRuns[index])
+	p.FailedRuns[index] = runs
+	return len(runs)
 }
 
 // handleDone completes a task, or all tasks of its gang. A long-running task starts
@@ -156,10 +166,28 @@
 	j := r.job
 	delete(j.rounds, r.number)
 	delete(j.progress.Rounds, r.number)
-	j.progress.CompletedRounds = append(j.progress.CompletedRounds, r.number)
-	if len(j.progress.CompletedRounds) == j.Rounds() {
+	j.progress.CompletedRounds = j.progress.CompletedRounds.With(r.number)
+	if j.progress.CompletedRounds.Count() == j.Rounds() {
 		c.finishJob(now, j, hvjob.Complete)
+		return
+	}
+	c.startDueRounds(now, j)
+}
+
+// FailJob fails a job whose progress cannot be stored and returns the progress to store. If
+// the job has ended since, that is its last one.
+func (c *Cell) FailJob(now time.Time, id string) hvjob.Progress {
+	if j := c.jobs[id]; j != nil {
+		c.finishJob(now, j, hvjob.Failed)
+		return j.progress
+	}
+	for _, j := range c.changed {
+		if j.ID == id {
+			return j.progress
+		}
 	}
+	// It was cancelled, so that nothing of it runs again.
+	return hvjob.Progress{State: hvjob.Running}
 }
 
 // finishJob ends a job in a final state, which is stored.
@@ -191,8 +219,8 @@
 	if t.step.spec.Gang {
 		index = 0
 	}
-	n := t.progress().fail(index, e.Run)
 	j := t.step.round.job
+	n := t.progress().fail(index, e.Run, j.queue.MaxAttempts)
 	c.markChanged(j)
 	_ = level.Info(c.options.Logger).Log("msg", "run of a task failed", "task", t.name, "run", e.Run, "host", h.name, "failed", n, "attempts", j.queue.MaxAttempts)
 	if j.queue.MaxAttempts > 0 && n >= j.queue.MaxAttempts {
--- a/hvcell/interference.go
+++ b/hvcell/interference.go
@@ -37,6 +37,13 @@
 	CrashRates  map[string]hvcrash.QueueRate `json:"crashrates,omitempty"`
 }
 
+// WithoutEffects returns a copy without the effects, which grow with the square of the number
+// of images.
+func (l LearnedState) WithoutEffects() LearnedState {
+	l.Effects = nil
+	return l
+}
+
 // LearnedState returns a copy of the learned models.
 func (c *Cell) LearnedState() LearnedState {
 	l := LearnedState{Effects: c.interference.Effects(), RunTimes: map[string]RunTimeStats{}, HostCrashes: c.crashHistory.State(), CrashRates: c.crashRates.State()}
--- /dev/null
+++ b/hvcell/schedule_test.go
@@ -0,0 +1,103 @@
+package hvcell
+
+import (
+	"encoding/json"
+	"maps"
+	"testing"
+	"time"
+
+	hv "hibiscusvane.example/hibiscusvane"
+	"hibiscusvane.example/hibiscusvane/hvjob"
+)
+
+// overdueJob returns a schedule of one round a second, all of them overdue.
+func overdueJob(now time.Time, rounds int) hvjob.Job {
+	second := testStep(1, 100)
+	second.After = []int{0}
+	j := urgentJob(testStep(1, 100), second)
+	j.Repetitions, j.Interval, j.FirstDue = rounds, 1000, now.Add(-time.Duration(rounds)*time.Second).UnixMilli()
+	return j
+}
+
+// Guards against progress that grows with the rounds of a schedule until the store refuses
+// its record, against rounds that are lost or run twice, and against an owner that stops the
+// runs of rounds that the one before had set up and not stored.
+func TestOverdueScheduleRunsEachRoundOnce(t *testing.T) {
+	const rounds, limit = 3000, 48 << 10
+	w := newSimCluster(t, 4)
+	for _, e := range w.hosts {
+		// All rounds that are set up run at once.
+		e.capacityCPU = 80_000
+	}
+	w.attachAll()
+	j := w.submit(overdueJob(w.now, rounds))
+	for i := 0; w.stored[j.ID].State != hvjob.Complete; i++ {
+		if i > 2000 {
+			t.Fatalf("schedule is not complete: %d of %d rounds are", w.stored[j.ID].CompletedRounds.Count(), rounds)
+		}
+		w.exchange()
+		w.finishAll(hv.EndDone)
+		w.advance(100 * time.Millisecond)
+		b, err := json.Marshal(w.stored[j.ID])
+		if err != nil || len(b) > limit {
+			t.Fatalf("progress takes %d bytes, want at most %d; %v", len(b), limit, err)
+		}
+		if i%3 != 2 {
+			continue
+		}
+		// The ends are processed and the next rounds start, but nothing of it is stored.
+		for name, e := range w.hosts {
+			e.applyGrant(w.cell.Report(w.now, name, e.report(false)))
+		}
+		w.cell.Tick(w.now)
+		w.cell.Plan(w.now)
+		for name := range w.hosts {
+			w.deliver(name)
+		}
+		// On one host the runs end before the next owner knows of them.
+		w.hosts["host-0"].endAll()
+		w.authority = 0
+		w.replaceOwner()
+		running := map[string]int{}
+		for _, e := range w.hosts {
+			maps.Copy(running, e.running)
+		}
+		w.attachAll()
+		w.exchange()
+		for _, e := range w.hosts {
+			maps.DeleteFunc(running, func(task string, run int) bool { return e.running[task] == run })
+		}
+		if len(running) > 0 {
+			t.Fatalf("%d runs were stopped by the new owner", len(running))
+		}
+	}
+	if n := len(w.ended); n != 2*rounds {
+		t.Errorf("%d tasks were done, want %d", n, 2*rounds)
+	}
+}
+
+// endAll ends every run as done.
+func (e *executor) endAll() {
+	for task, run := range e.running {
+		e.end(task, run, hv.EndDone)
+	}
+}
+
+// Guards against the progress of a task that fails or loses its host without end, which grew
+// with each run.
+func TestProgressOfEndlessFailuresIsBounded(t *testing.T) {
+	r := hvjob.CrashRecord{}
+	p := stepProgress{}
+	for run := range 10_000 {
+		r = r.WithRun(run, run%2 == 0)
+		p.fail(0, run, 0)
+	}
+	p.Crashes = map[int]hvjob.CrashRecord{0: r}
+	b, err := json.Marshal(p)
+	if err != nil || len(b) > 1000 {
+		t.Errorf("progress of one task takes %d bytes; %v", len(b), err)
+	}
+	if !r.Has(9999) || !r.Has(9998) || !r.IsLast(9999) {
+		t.Error("the last runs are not in the record")
+	}
+}
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -24,8 +24,9 @@
 	cancelled bool
 	progress  hvjob.Progress
 	rounds    map[int]*round
-	// roundsStarted is the number of rounds that have been set up.
-	roundsStarted int
+	// roundsStarted is the number from which on rounds are still to be set up, and
+	// maxOpenRounds how many of them may be set up and not complete.
+	roundsStarted, maxOpenRounds int
 	// inherited jobs may have runs on hosts that have not listed their runs to this
 	// owner yet.
 	inherited bool
--- a/hventry/gate.go
+++ b/hventry/gate.go
@@ -48,6 +48,8 @@
 	// Process is unique to each start of this gate.
 	Process string
 	Store   hv.KeyedStore
+	// StoreLimits bounds the records and appends of the store.
+	StoreLimits hvledger.Limits
 	// Adviser is nil if no advice service is configured.
 	Adviser hv.Adviser
 	// CellTopic is the topic of the cell's records.
@@ -190,7 +192,7 @@
 		return
 	}
 	owner := hvowner.New(hvowner.Options{
-		Writer: w, PreviousEnded: func() bool { return g.peers.ownerEnded(w.Previous()) }, ClaimOffset: claimOffset, Learned: g.replica.Learned(), StoreFailed: g.relay.Failed, StoreResponse: g.admission.response, Adviser: g.options.Adviser, EarlyStart: g.options.EarlyStart, Retention: g.options.Retention,
+		Writer: w, PreviousEnded: func() bool { return g.peers.ownerEnded(w.Previous()) }, ClaimOffset: claimOffset, Learned: g.replica.Learned(), StoreFailed: g.relay.Failed, StoreResponse: g.admission.response, StoreLimits: g.options.StoreLimits, Adviser: g.options.Adviser, EarlyStart: g.options.EarlyStart, Retention: g.options.Retention,
 		Policy: g.options.Policy, Clock: g.options.Clock, Metrics: g.options.Metrics, Logger: g.options.Logger,
 	})
 	g.handOver(owner)
--- a/hventry/handover_test.go
+++ b/hventry/handover_test.go
@@ -36,7 +36,7 @@
 	var submitted, cancelled hv.KeyedPage
 	for i := range jobs {
 		id := fmt.Sprintf("%016x", i+1)
-		rec, err := hvledger.JobRecord(hvjob.Job{ID: id, Queue: "q", Submitted: 1, Steps: []hvjob.Step{{Count: 1, Need: hvjob.Resources{CPU: 100}}}})
+		rec, err := hvledger.Limits{}.JobRecord(hvjob.Job{ID: id, Queue: "q", Submitted: 1, Steps: []hvjob.Step{{Count: 1, Need: hvjob.Resources{CPU: 100}}}})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/hventry/jobs.go
+++ b/hventry/jobs.go
@@ -35,7 +35,7 @@
 	}
 	j.Gate, j.Zone = g.options.Addr, g.options.Zone
 	g.submitted.Add(j.ID, j.Spec)
-	rec, err := hvledger.JobRecord(j)
+	rec, err := g.options.StoreLimits.JobRecord(j)
 	if err != nil {
 		return 0, err
 	}
--- a/hvjob/progress.go
+++ b/hvjob/progress.go
@@ -1,6 +1,7 @@
 package hvjob
 
 import (
+	"encoding/json"
 	"maps"
 	"slices"
 )
@@ -30,8 +31,8 @@
 	State State `json:"state"`
 	// Rounds holds the rounds that were set up and are not complete, by number.
 	Rounds map[int]RoundProgress `json:"rounds,omitempty"`
-	// CompletedRounds lists the numbers of the complete rounds.
-	CompletedRounds []int `json:"ended,omitempty"`
+	// CompletedRounds holds the numbers of the complete rounds.
+	CompletedRounds RoundSet `json:"ended,omitempty"`
 	// ChangedAt is the Unix time in milliseconds at which State became final.
 	ChangedAt int64 `json:"at,omitempty"`
 }
@@ -84,16 +85,24 @@
 	return r.Has(run) && !slices.ContainsFunc(r.Runs, later) && !slices.ContainsFunc(r.Unconfirmed, later)
 }
 
+// maxCrashRuns bounds the runs of each kind in a CrashRecord, of which the newest are kept:
+// a task without end may lose its host any number of times.
+const maxCrashRuns = 16
+
 // WithRun returns a copy with one more run.
 func (r CrashRecord) WithRun(run int, confirmed bool) CrashRecord {
 	if confirmed {
-		r.Runs = append(slices.Clone(r.Runs), run)
+		r.Runs = withNewest(r.Runs, run)
 	} else {
-		r.Unconfirmed = append(slices.Clone(r.Unconfirmed), run)
+		r.Unconfirmed = withNewest(r.Unconfirmed, run)
 	}
 	return r
 }
 
+func withNewest(runs []int, run int) []int {
+	return append(slices.Clone(runs[max(len(runs)+1-maxCrashRuns, 0):]), run)
+}
+
 // WithBelief returns a copy with another belief.
 func (r CrashRecord) WithBelief(belief float64) CrashRecord {
 	r.Belief = belief
@@ -111,8 +120,22 @@
 	return p
 }
 
+// WithoutCrashes returns a copy without what is known of the crashes of hosts.
+func (p Progress) WithoutCrashes() Progress {
+	p = p.Clone()
+	for _, r := range p.Rounds {
+		for i := range r.Steps {
+			r.Steps[i].Crashes = nil
+		}
+	}
+	return p
+}
+
 // Check returns an error if the progress does not fit the job.
 func (p Progress) Check(j Job) error {
+	if n := len(p.CompletedRounds); n > 0 && (p.CompletedRounds[0].First < 0 || p.CompletedRounds[n-1].Last >= j.Rounds()) {
+		return invalid("progress", "complete rounds from %d to %d, the job has %d", p.CompletedRounds[0].First, p.CompletedRounds[n-1].Last, j.Rounds())
+	}
 	for n, r := range p.Rounds {
 		if n < 0 || n >= j.Rounds() || len(r.Steps) != len(j.Steps) {
 			return invalid("progress", "round %d has %d steps, the job has %d rounds of %d steps", n, len(r.Steps), j.Rounds(), len(j.Steps))
@@ -159,7 +182,6 @@
 	for k, r := range p.Rounds {
 		out.Rounds[k] = r.clone()
 	}
-	out.CompletedRounds = append([]int(nil), p.CompletedRounds...)
 	return out
 }
 
@@ -180,6 +202,17 @@
 	return r
 }
 
+// RoundBytes returns the size of the stored progress of a round of which no task is done.
+func RoundBytes(j Job) int {
+	// Neither the key nor the separators are part of the value.
+	const besideValue = 16
+	b, err := json.Marshal(NewRoundProgress(j))
+	if err != nil {
+		return besideValue
+	}
+	return besideValue + len(b)
+}
+
 // Bitset is a set of small non-negative integers. JSON encodes it as base64.
 type Bitset []byte
 
--- a/hvledger/authority_test.go
+++ b/hvledger/authority_test.go
@@ -119,7 +119,7 @@
 // Guards against waiting for an authority that has passed: a gate that has just started
 // does not know when the last owner claimed the cell.
 func TestPassedAuthorityIsNotCounted(t *testing.T) {
-	progress, err := hvledger.ProgressRecord(job(1).ID, hvjob.Progress{})
+	progress, err := hvledger.Limits{}.ProgressRecord(job(1).ID, hvjob.Progress{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/hvledger/record.go
+++ b/hvledger/record.go
@@ -58,23 +58,23 @@
 	return c == d
 }
 
-const (
-	// maxJobBytes limits the record of a job. The store refuses an append with a record
-	// over 256 KiB, and an owner whose append is refused gives up the cell.
-	maxJobBytes = 128 << 10
-	// maxProgressBytes is the size from which the record of a job's progress is stored
-	// without saved states, which the hosts have too.
-	maxProgressBytes = 240 << 10
-)
+// maxJobBytes limits the record of a job, besides the limit of the store.
+const maxJobBytes = 128 << 10
 
 // JobRecord returns the record that accepts a job. An error of kind Invalid means that
-// the job is too large.
-func JobRecord(j hvjob.Job) (hv.KeyedRecord, error) {
+// the store could not hold the job or its progress.
+func (l Limits) JobRecord(j hvjob.Job) (hv.KeyedRecord, error) {
 	rec, err := encode(jobPrefix+j.ID, j)
-	if err == nil && len(rec.Value) > maxJobBytes {
-		err = failure("encode", hv.Invalid, "job %s takes %d bytes, the limit is %d", j.ID, len(rec.Value), maxJobBytes)
+	if err != nil {
+		return rec, err
+	}
+	if limit := min(maxJobBytes, l.valueBytes(rec.Key)); len(rec.Value) > limit {
+		return rec, failure("encode", hv.Invalid, "job %s takes %d bytes, the limit is %d", j.ID, len(rec.Value), limit)
 	}
-	return rec, err
+	if n, limit := hvjob.RoundBytes(j), l.valueBytes(progressPrefix+j.ID); n > limit {
+		return rec, failure("encode", hv.Invalid, "steps: the progress of job %s takes %d bytes, the limit is %d", j.ID, n, limit)
+	}
+	return rec, nil
 }
 
 // CancelRecord returns the record that cancels a job.
@@ -82,13 +82,29 @@
 	return hv.KeyedRecord{Key: cancelPrefix + id, Value: []byte("1")}
 }
 
-// ProgressRecord returns the record that stores a job's progress.
-func ProgressRecord(id string, p hvjob.Progress) (hv.KeyedRecord, error) {
-	rec, err := encode(progressPrefix+id, p)
-	if err == nil && len(rec.Value) > maxProgressBytes {
-		return encode(progressPrefix+id, p.WithoutSavedStates())
+// ProgressRecord returns the record that stores a job's progress. One that is too large is
+// stored without saved states, which the hosts have too, then compressed, and then without
+// what is known of crashes. An error of kind Invalid means that it is too large even so.
+func (l Limits) ProgressRecord(id string, p hvjob.Progress) (hv.KeyedRecord, error) {
+	key := progressPrefix + id
+	rec, err := encode(key, p)
+	if err != nil || l.fits(rec) {
+		return rec, err
+	}
+	p = p.WithoutSavedStates()
+	if rec, err = encode(key, p); err != nil || l.fits(rec) {
+		return rec, err
+	}
+	if rec = compress(rec); l.fits(rec) {
+		return rec, nil
 	}
-	return rec, err
+	if rec, err = encode(key, p.WithoutCrashes()); err != nil {
+		return rec, err
+	}
+	if rec = compress(rec); !l.fits(rec) {
+		return rec, failure("encode", hv.Invalid, "progress of job %s takes %d bytes, the limit is %d", id, len(rec.Value), l.valueBytes(key))
+	}
+	return rec, nil
 }
 
 // Register stores the registration of a node.
@@ -116,9 +132,29 @@
 	return []hv.KeyedRecord{{Key: progressPrefix + id}, {Key: cancelPrefix + id}, {Key: jobPrefix + id}}
 }
 
-// LearnedRecord returns the record that stores the state learned by owners, such
-// as run times and interference.
-func LearnedRecord(v any) (hv.KeyedRecord, error) { return encode(learnedKey, v) }
+// LearnedRecord returns the record that stores the state learned by owners, such as run
+// times and interference: the first of the versions that fits, which come in the order of
+// preference. An error of kind Invalid means that none does.
+func (l Limits) LearnedRecord(versions ...any) (hv.KeyedRecord, error) {
+	var rec hv.KeyedRecord
+	for _, v := range versions {
+		var err error
+		if rec, err = encode(learnedKey, v); err != nil || l.fits(rec) {
+			return rec, err
+		}
+		if rec = compress(rec); l.fits(rec) {
+			return rec, nil
+		}
+	}
+	return rec, failure("encode", hv.Invalid, "learned state takes %d bytes, the limit is %d", len(rec.Value), l.valueBytes(learnedKey))
+}
+
+// ProgressJob returns the identifier of the job whose progress a record stores, or false for
+// other records.
+func ProgressJob(rec hv.KeyedRecord) (id string, ok bool) {
+	prefix, id := cutKey(rec.Key)
+	return id, prefix == progressPrefix && len(rec.Value) > 0
+}
 
 func claimRecord(c Claim) (hv.KeyedRecord, error) { return encode(ownerKey, c) }
 
--- a/hvledger/replica.go
+++ b/hvledger/replica.go
@@ -188,9 +188,7 @@
 		return
 	}
 	if rec.Key == learnedKey {
-		r.mu.Lock()
-		r.learned, r.lastOwnerRecord = rec.Value, r.clock.Now()
-		r.mu.Unlock()
+		r.applyLearned(rec)
 		return
 	}
 	switch prefix, id := cutKey(rec.Key); prefix {
@@ -207,6 +205,18 @@
 	}
 }
 
+func (r *Replica) applyLearned(rec hv.KeyedRecord) {
+	value, err := decompress(rec.Value)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastOwnerRecord = r.clock.Now()
+	if err != nil {
+		r.logUndecodable(rec, err)
+		return
+	}
+	r.learned = value
+}
+
 func (r *Replica) applyClaim(rec hv.KeyedRecord) {
 	var c Claim
 	if err := json.Unmarshal(rec.Value, &c); err != nil {
@@ -290,7 +300,7 @@
 // applied other progress would read beyond the job's steps.
 func decodeProgress(b []byte, j hvjob.Job) (hvjob.Progress, error) {
 	var p hvjob.Progress
-	if err := json.Unmarshal(b, &p); err != nil {
+	if err := decode(b, &p); err != nil {
 		return p, err
 	}
 	return p, p.Check(j)
--- a/hvledger/writer.go
+++ b/hvledger/writer.go
@@ -51,7 +51,8 @@
 }
 
 // Append stores records in order. It retries an append without a response until
-// ctx ends. An error of kind Conflict means that another gate owns the cell.
+// ctx ends. An error of kind Conflict means that another gate owns the cell, and one of
+// kind Invalid that the store does not take such records and has stored none of them.
 func (w *Writer) Append(ctx context.Context, recs []hv.KeyedRecord) error {
 	_, err := w.AppendWithOptional(ctx, recs, nil)
 	return err
@@ -91,6 +92,10 @@
 		if err == nil {
 			return omitted, nil
 		}
+		if hv.KindOf(err) == hv.Invalid {
+			// The store has nothing of the append and never will. Others may follow.
+			w.pending, w.pendingSince, w.authorityCleared = nil, time.Time{}, false
+		}
 		if !isOutage(err) || ctx.Err() != nil {
 			return omitted, err
 		}
--- a/hvowner/flush.go
+++ b/hvowner/flush.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvcell"
 	"hibiscusvane.example/hibiscusvane/hvledger"
@@ -41,16 +43,13 @@
 		o.disconnect(name)
 	}
 	o.mu.Unlock()
-	recs, err := batchRecords(batch)
+	recs, err := o.batchRecords(batch)
 	if err != nil {
 		return err
 	}
 	if now.Sub(o.learnedStoredAt) > learnedStoreInterval {
 		o.learnedStoredAt = now
-		recs, err = o.addLearned(recs)
-		if err != nil {
-			return err
-		}
+		recs = o.addLearned(recs)
 	}
 	if err := o.appendRecords(ctx, recs); err != nil || !ok {
 		return err
@@ -62,43 +61,124 @@
 	return nil
 }
 
-// appendRecords appends records together with the queued records of callers. It
-// appends a heartbeat if there are none and one is due.
+// appendRecords appends records together with the queued records of callers, in as many
+// appends as their size takes. It appends a heartbeat if there are none and one is due.
 func (o *Owner) appendRecords(ctx context.Context, recs []hv.KeyedRecord) error {
-	puts := o.takePuts()
-	if len(recs) == 0 && len(puts) == 0 {
-		if o.options.Writer.SinceLastAppend() >= hvledger.HeartbeatInterval {
-			return o.options.Writer.Heartbeat(ctx)
+	for _, part := range o.options.StoreLimits.Split(recs) {
+		if err := o.appendWithPuts(ctx, part, o.takePuts()); err != nil {
+			return err
 		}
+	}
+	if len(recs) > 0 {
 		return nil
 	}
-	omitted, err := o.options.Writer.AppendWithOptional(ctx, recs, putRecords(puts))
-	if err != nil {
+	if puts := o.takePuts(); len(puts) > 0 {
+		return o.appendWithPuts(ctx, nil, puts)
+	}
+	if o.options.Writer.SinceLastAppend() >= hvledger.HeartbeatInterval {
+		return o.options.Writer.Heartbeat(ctx)
+	}
+	return nil
+}
+
+// appendWithPuts appends records together with those of callers. If they are too large or
+// the store does not take them, it appends them in parts.
+func (o *Owner) appendWithPuts(ctx context.Context, recs []hv.KeyedRecord, puts []*put) error {
+	if single := len(recs) == 0 && len(puts) == 1; single || o.options.StoreLimits.FitsAppend(recs, putRecords(puts)) {
+		omitted, err := o.options.Writer.AppendWithOptional(ctx, recs, putRecords(puts))
+		if hv.KindOf(err) != hv.Invalid || single {
+			return completeOrFail(puts, omitted, err)
+		}
+	}
+	err := o.append(ctx, recs)
+	half := len(puts) / 2
+	for _, part := range [][]*put{puts[:half], puts[half:]} {
+		switch {
+		case err != nil:
+			completePuts(part, failure("put", hv.Uncertain, "%v", err))
+		case len(part) > 0:
+			err = o.appendWithPuts(ctx, nil, part)
+		}
+	}
+	return err
+}
+
+// completeOrFail passes the result of an append to callers. That the store does not take the
+// record of a caller is no error of the owner.
+func completeOrFail(puts []*put, omitted, err error) error {
+	switch {
+	case err == nil:
+		completePuts(puts, omitted)
+	case hv.KindOf(err) == hv.Invalid:
+		completePuts(puts, err)
+		return nil
+	default:
 		completePuts(puts, failure("put", hv.Uncertain, "%v", err))
+	}
+	return err
+}
+
+// append stores records of the owner. If the store does not take them, it appends each by
+// itself, so that one that can never be stored costs only its job.
+func (o *Owner) append(ctx context.Context, recs []hv.KeyedRecord) error {
+	if len(recs) == 0 {
+		return nil
+	}
+	err := o.options.Writer.Append(ctx, recs)
+	if hv.KindOf(err) != hv.Invalid {
 		return err
 	}
-	completePuts(puts, omitted)
-	return nil
+	if len(recs) > 1 {
+		for i := range recs {
+			if err := o.append(ctx, recs[i:i+1]); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	id, ok := hvledger.ProgressJob(recs[0])
+	if !ok {
+		return err
+	}
+	rec, failErr := o.failJob(id, err)
+	if failErr != nil {
+		return failErr
+	}
+	return o.options.Writer.Append(ctx, []hv.KeyedRecord{rec})
 }
 
-// addLearned adds the record of the learned state, with which the next owner
-// continues.
-func (o *Owner) addLearned(recs []hv.KeyedRecord) ([]hv.KeyedRecord, error) {
+// failJob fails a job whose progress cannot be stored, and returns the record that says so.
+func (o *Owner) failJob(id string, cause error) (hv.KeyedRecord, error) {
+	_ = level.Error(o.options.Logger).Log("msg", "job fails because its progress cannot be stored", "job", id, "err", cause)
+	o.mu.Lock()
+	p := o.cell.FailJob(o.options.Clock.Now(), id)
+	o.wakeLinks()
+	o.mu.Unlock()
+	return o.options.StoreLimits.ProgressRecord(id, p)
+}
+
+// addLearned adds the record of the learned state, with which the next owner continues. It
+// is left out if it cannot be stored: the next owner learns anew then.
+func (o *Owner) addLearned(recs []hv.KeyedRecord) []hv.KeyedRecord {
 	o.mu.Lock()
 	l := o.cell.LearnedState()
 	o.mu.Unlock()
-	rec, err := hvledger.LearnedRecord(l)
+	rec, err := o.options.StoreLimits.LearnedRecord(l, l.WithoutEffects())
 	if err != nil {
-		return nil, err
+		_ = level.Warn(o.options.Logger).Log("msg", "learned state cannot be stored; the next owner starts without it", "err", err)
+		return recs
 	}
-	return append(recs, rec), nil
+	return append(recs, rec)
 }
 
 // batchRecords returns the records that store a batch.
-func batchRecords(b hvcell.Batch) ([]hv.KeyedRecord, error) {
+func (o *Owner) batchRecords(b hvcell.Batch) ([]hv.KeyedRecord, error) {
 	var recs []hv.KeyedRecord
 	for _, p := range b.Progress {
-		rec, err := hvledger.ProgressRecord(p.Job, p.Progress)
+		rec, err := o.options.StoreLimits.ProgressRecord(p.Job, p.Progress)
+		if hv.KindOf(err) == hv.Invalid && err != nil {
+			rec, err = o.failJob(p.Job, err)
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/hvowner/owner.go
+++ b/hvowner/owner.go
@@ -49,6 +49,8 @@
 	StoreFailed func() bool
 	// StoreResponse returns the expected duration of an append; it may be nil.
 	StoreResponse func() time.Duration
+	// StoreLimits bounds the records and appends.
+	StoreLimits hvledger.Limits
 	// Adviser is nil if no advice service is configured.
 	Adviser hv.Adviser
 	// EarlyStart is how long before its due time a scheduled round may start.
