Pass over an avoided host only while another one may run the task

Cause: a task avoids a host on which a run failed or a start was refused while others remain, and the others were counted without asking whether the task may run there. Ordinary tasks come back after 1.5 s because their step starves, long-running ones have a way of their own; gangs, reservations and preemption had none.

Change: Cell.preferred decides in one place for all of them. It counts only hosts that may run the task by service, label, size and advice. A task that only some hosts may run waits 1.5 s before it returns, as ordinary ones did; the only host of a fleet is used at once, as before (TestAvoidedHostIsUsedIfNoOtherRemains). A gang that starves starts wherever it fits, like other steps. Ruled out: returning at once in all cases; it uses up the attempts of a task within a fault of a few seconds.

--- a/hvcell/backfill_search.go
+++ b/hvcell/backfill_search.go
@@ -67,7 +67,7 @@
 		t.step.reservation.impactLimit = impactLimit(t, hosts, c.impacts(t, hosts))
 	}
 	slots := c.backfill.slots[:0]
-	for _, h := range t.preferred(hosts) {
+	for _, h := range c.preferred(now, t, hosts) {
 		if n := c.reservableTasks(now, t, h); n > 0 {
 			slots = hvbackfill.AppendSlots(slots, h.backfill.index, c.timeline(now, h), d, n)
 		}
--- a/hvcell/crash.go
+++ b/hvcell/crash.go
@@ -109,7 +109,7 @@
 	c.recentCrashes = append(c.recentCrashes, crash)
 	for i, s := range suspects {
 		own := byJob[s.task.step.round.job]
-		c.recordCrash(h, s, results[i], own >= suspectShare*total, isExplained(byJob, s.task.step.round.job))
+		c.recordCrash(now, h, s, results[i], own >= suspectShare*total, isExplained(byJob, s.task.step.round.job))
 	}
 	for j := range byJob {
 		if j != nil && crash.convicts(j, results) {
@@ -233,7 +233,7 @@
 }
 
 // recordCrash records what a crash says of a task.
-func (c *Cell) recordCrash(h *host, s suspect, r hvcrash.Result, suspected, explained bool) {
+func (c *Cell) recordCrash(now time.Time, h *host, s suspect, r hvcrash.Result, suspected, explained bool) {
 	young := s.input.Age <= soonAfterStart
 	if r.Belief < negligibleBelief && !young && !suspected {
 		return
@@ -245,7 +245,7 @@
 	}
 	c.setCrashRecord(s.task, record)
 	if suspected {
-		s.task.avoidHost(h)
+		s.task.avoidHost(now, h)
 	}
 }
 
--- a/hvcell/ends.go
+++ b/hvcell/ends.go
@@ -210,7 +210,7 @@
 func (c *Cell) handleFailed(now time.Time, h *host, t *task, e hv.RunEnd) {
 	c.counts.Failed++
 	c.options.Health.Record(now, h.name, h.info.Rack, t.name, false)
-	t.avoidHost(h)
+	t.avoidHost(now, h)
 	if t.step.spec.LongRunning {
 		c.logEnd(h, e)
 		return
@@ -228,12 +228,12 @@
 	}
 }
 
-// avoidHost prevents further runs of the task on a host while other hosts remain.
-func (t *task) avoidHost(h *host) {
+// avoidHost prevents further runs of the task on a host while others remain that may run it.
+func (t *task) avoidHost(now time.Time, h *host) {
 	if t.avoidedHosts == nil {
 		t.avoidedHosts = map[string]bool{}
 	}
-	t.avoidedHosts[h.name] = true
+	t.avoidedHosts[h.name], t.avoidedAt = true, now
 }
 
 // releaseRun frees the allocation of a run. A task that is not done and has no other
--- a/hvcell/pick.go
+++ b/hvcell/pick.go
@@ -7,9 +7,9 @@
 )
 
 // pickHost returns the host for a task, or nil. A long-running task for which no other
-// host has capacity may go to a host in quarantine or to one on which it failed.
+// host has capacity may go to one that is usually passed over.
 func (c *Cell) pickHost(now time.Time, t *task, hosts []*host) *host {
-	h := c.pickAmong(now, t, t.preferred(hosts))
+	h := c.pickAmong(now, t, c.preferred(now, t, hosts))
 	if h == nil && t.step.spec.LongRunning && len(t.avoidedHosts) > 0 {
 		h = c.pickAmong(now, t, hosts)
 	}
@@ -19,6 +19,40 @@
 	return h
 }
 
+// preferred returns the hosts to choose from for a task, valid until the next call. Those
+// that the task avoids are passed over as long as others remain that may run it. A task that
+// only some of the hosts may run waits for a while before it returns to one of them: if the
+// host fails for some seconds, more of its attempts are left afterwards.
+func (c *Cell) preferred(now time.Time, t *task, hosts []*host) []*host {
+	if len(t.avoidedHosts) == 0 {
+		return hosts
+	}
+	others, avoided := c.preferredBuffer[:0], 0
+	for _, h := range hosts {
+		switch {
+		case !c.mayRun(t.step, h):
+		case t.avoidedHosts[h.name]:
+			avoided++
+		default:
+			others = append(others, h)
+		}
+	}
+	c.preferredBuffer = others
+	switch {
+	case len(others) > 0 || avoided == 0:
+		return others
+	case avoided < len(hosts) && !t.step.spec.LongRunning && now.Sub(t.avoidedAt) < starvationDelay:
+		return nil
+	}
+	return hosts
+}
+
+// mayRun reports whether a host may run tasks of a step at any time, however much of it is
+// in use.
+func (c *Cell) mayRun(s *step, h *host) bool {
+	return c.permanentObstacle(s, h) == "" && s.spec.Allocation().Fits(h.info.Capacity) && (!s.needsAdvice() || s.adviceStatus(h) != hostDenied)
+}
+
 // pickAmong returns the host with the best score among those without obstacles, or
 // nil. Best-effort tasks also keep to their impact limit, unless the tail latencies limit
 // them.
@@ -68,32 +102,17 @@
 }
 
 // pickIgnoringImpact returns the host with the best score among those without a hard
-// obstacle, or nil.
+// obstacle, or nil. Hosts that are usually passed over come last.
 func (c *Cell) pickIgnoringImpact(now time.Time, t *task, hosts []*host) *host {
 	if c.fitsNowhere(amount(t.step.spec.Allocation())) {
 		return nil
 	}
-	return c.bestHost(now, t, hosts, c.impacts(t, hosts), func(h *host, _ float64) bool {
-		return c.hardObstacle(now, t, h) == ""
-	})
-}
-
-// preferred returns the hosts that the task does not avoid, or all hosts if it avoids
-// every one.
-func (t *task) preferred(hosts []*host) []*host {
-	if len(t.avoidedHosts) == 0 {
-		return hosts
-	}
-	var out []*host
-	for _, h := range hosts {
-		if !t.avoidedHosts[h.name] {
-			out = append(out, h)
-		}
-	}
-	if len(out) == 0 {
-		return hosts
+	fit := func(h *host, _ float64) bool { return c.hardObstacle(now, t, h) == "" }
+	preferred := c.preferred(now, t, hosts)
+	if h := c.bestHost(now, t, preferred, c.impacts(t, preferred), fit); h != nil {
+		return h
 	}
-	return out
+	return c.bestHost(now, t, hosts, c.impacts(t, hosts), fit)
 }
 
 // obstacle returns the name of what rules out a host for a task with this impact, or
--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -236,20 +236,38 @@
 }
 
 // placeGang starts either all tasks of a gang or none. A tightly coupled gang is
-// placed within one rack if possible.
+// placed within one rack if possible. Like the tasks of other steps, a gang that has waited
+// for long starts wherever it fits.
 func (c *Cell) placeGang(now time.Time, s *step, hosts []*host) {
-	if s.waiting < len(s.tasks) || !s.tasks[0].canStart(now) || s.isRisky() && !s.round.job.crashesStored() {
+	waits := func(t *task) bool { return !t.canStart(now) }
+	if s.waiting < len(s.tasks) || slices.ContainsFunc(s.tasks, waits) || s.isRisky() && !s.round.job.crashesStored() {
 		return
 	}
 	s.reservation.blocked = false
 	if s.spec.TightlyCoupled {
 		for _, rack := range racks(hosts) {
-			if c.tryGang(now, s, rack) {
+			if c.tryGang(now, s, func(t *task) *host { return c.pickInRack(now, t, hosts, rack) }) {
 				return
 			}
 		}
 	}
-	s.reservation.blocked = !c.tryGang(now, s, hosts)
+	if c.tryGang(now, s, func(t *task) *host { return c.pickHost(now, t, hosts) }) {
+		return
+	}
+	if s.isStarved(now) && c.tryGang(now, s, func(t *task) *host { return c.pickIgnoringImpact(now, t, hosts) }) {
+		return
+	}
+	s.reservation.blocked = true
+	c.logWait(now, s.tasks[0], hosts)
+}
+
+// pickInRack returns the host in a rack for a task, or nil. A host that is passed over while
+// others remain is so in favour of other racks, too.
+func (c *Cell) pickInRack(now time.Time, t *task, hosts, rack []*host) *host {
+	if preferred := c.preferred(now, t, hosts); len(preferred) < len(hosts) {
+		rack = slices.DeleteFunc(slices.Clone(rack), func(h *host) bool { return !slices.Contains(preferred, h) })
+	}
+	return c.pickAmong(now, t, rack)
 }
 
 // racks groups hosts by rack, in the order of the first host of each rack.
@@ -269,11 +287,12 @@
 	return out
 }
 
-// tryGang starts a gang on the given hosts and reports whether all its tasks fit.
-func (c *Cell) tryGang(now time.Time, s *step, hosts []*host) bool {
+// tryGang starts a gang on the hosts that pick returns, and reports whether there is one for
+// each task.
+func (c *Cell) tryGang(now time.Time, s *step, pick func(t *task) *host) bool {
 	var placed []*run
 	for _, t := range s.tasks {
-		h := c.pickHost(now, t, hosts)
+		h := pick(t)
 		if h == nil {
 			for _, r := range placed {
 				c.releaseRun(r)
@@ -287,5 +306,6 @@
 		c.orderStart(now, r)
 	}
 	s.nextRun++
+	s.waitLogged = false
 	return true
 }
--- a/hvcell/report.go
+++ b/hvcell/report.go
@@ -152,7 +152,7 @@
 		delete(r.task.step.advice.tickets, h.name)
 	}
 	if f.Kind == hv.Unavailable || f.Kind == hv.Invalid {
-		r.task.avoidHost(h)
+		r.task.avoidHost(now, h)
 	}
 	_ = level.Info(c.options.Logger).Log("msg", "start of a run was refused", "task", f.Task, "run", f.Run.Run, "host", h.name, "kind", f.Kind, "life", h.incarnation)
 	c.releaseUnstarted(r)
--- a/hvcell/sharing_preempt.go
+++ b/hvcell/sharing_preempt.go
@@ -106,7 +106,7 @@
 	var best *host
 	var victims []*run
 	least := 0.0
-	for _, h := range t.preferred(hosts) {
+	for _, h := range c.preferred(now, t, hosts) {
 		if h.hold != nil || h.stoppingRuns() > 0 || c.obstacleBesideRoom(now, t, h) {
 			continue
 		}
--- a/hvcell/simexecutor_test.go
+++ b/hvcell/simexecutor_test.go
@@ -19,7 +19,9 @@
 	name        string
 	incarnation int
 	capacityCPU int64
-	running     map[string]int
+	// labels holds the labels of the host.
+	labels  []string
+	running map[string]int
 	// blockedRuns holds the highest run number that can no longer start, by task.
 	blockedRuns map[string]int
 	ended       []hv.RunEnd
@@ -110,7 +112,7 @@
 // report returns a report of the node; a full one has the lists that a node sends
 // when the owner attaches.
 func (e *executor) report(full bool) hvorder.Report {
-	r := hvorder.Report{ExecutorGone: !e.alive, Host: &hvorder.Host{ID: idOf(e.name), Incarnation: e.incarnationName(), Service: "desk", Zone: zoneOf(e.name), Rack: rackOf(e.name), Capacity: hvjob.Resources{CPU: e.capacityCPU, Memory: 1 << 20}}}
+	r := hvorder.Report{ExecutorGone: !e.alive, Host: &hvorder.Host{ID: idOf(e.name), Incarnation: e.incarnationName(), Service: "desk", Zone: zoneOf(e.name), Rack: rackOf(e.name), Labels: e.labels, Capacity: hvjob.Resources{CPU: e.capacityCPU, Memory: 1 << 20}}}
 	r.Crashes, r.ShareOffset = slices.Clone(e.crashes), e.shareOffset
 	if !e.alive {
 		return r
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -101,8 +101,10 @@
 	saved string
 	// relocations counts how often the task was moved or copied.
 	relocations int
-	// avoidedHosts holds the hosts on which a run failed, stalled or could not start.
+	// avoidedHosts holds the hosts on which a run failed, stalled or could not start, last
+	// at avoidedAt.
 	avoidedHosts map[string]bool
+	avoidedAt    time.Time
 	// abandonedRuns counts the runs that were stopped as stalled or as stragglers.
 	abandonedRuns int
 	// notBefore is the earliest time of the next run.
--- a/hvcell/straggler.go
+++ b/hvcell/straggler.go
@@ -56,6 +56,6 @@
 	_ = level.Info(c.options.Logger).Log("msg", "run stalled or exceeds its expected time; stopping it to start the task elsewhere", "task", r.task.name, "run", r.number, "host", r.host.name, "age", now.Sub(r.started), "expected", c.estimate.taskTime(r.task.step))
 	r.task.abandonedRuns++
 	c.options.Health.Record(now, r.host.name, r.host.info.Rack, r.task.name, false)
-	r.task.avoidHost(r.host)
+	r.task.avoidHost(now, r.host)
 	c.stopRun(r)
 }
--- a/hvcell/tail.go
+++ b/hvcell/tail.go
@@ -143,7 +143,7 @@
 		return false
 	}
 	t.relocations++
-	t.avoidHost(from)
+	t.avoidHost(now, from)
 	if action == copyRun {
 		c.counts.Copies++
 		_ = level.Info(c.options.Logger).Log("msg", "slow run gets a second run on another host", "task", t.name, "run", s.number, "host", from.name, "to", to.name, "percent", s.progress.last.percent, "here", s.here, "pace", from.cpuShare)
--- a/hvcell/trial.go
+++ b/hvcell/trial.go
@@ -202,7 +202,7 @@
 func (c *Cell) trialHost(now time.Time, tr trial, hosts []*host, waited time.Duration) *host {
 	t := tr.tasks[0]
 	if waited < avoidTime {
-		hosts = t.preferred(hosts)
+		hosts = c.preferred(now, t, hosts)
 	}
 	var best, unsteady *host
 	for _, h := range hosts {
