Pass over a host in quarantine only while another one may run the task

The host was up, ready and idle, and the job was shown as running.

Cause: quarantine lasts a minute at least and outlives a restart. The task was alone on the host when it crashed, so only a trial could start it, and a trial left out each host in quarantine without asking whether any other host may run the task. Gangs, long-running tasks that fill, reservations and preemption left it out as well; of ordinary tasks one at a time started, once the step had waited 1.5 s. The limit of the impact of best-effort tasks was taken over hosts that may not run the task, too.

Change: quarantine is a reservation that Cell.preferred weighs beside avoided hosts, so that one rule serves each way to a start. A trial that has waited for its limit may use any host that may run the task, also one where it disturbs. Moves and copies still need a host without reservations.

Before: TestTasksStartOnTheirOnlyHostInQuarantine fails in 15 of its 24 cases ("0 of 3" and "1 of 3 tasks run after 3s"), TestTasksShareTheirOnlyHostAfterFailures with "1 of 8 tasks run".

--- a/hvcell/backfill_reserve.go
+++ b/hvcell/backfill_reserve.go
@@ -229,7 +229,7 @@
 	d := s.demand()
 	after, ok := time.Duration(0), false
 	if len(v.hosts) > 0 {
-		after, ok = c.revise(now, t, d)
+		after, ok = c.revise(now, t, d, hosts)
 	}
 	if !ok || now.Sub(v.searchedAt) >= reservationSearchInterval {
 		v.searchedAt = now
--- a/hvcell/backfill_search.go
+++ b/hvcell/backfill_search.go
@@ -31,12 +31,13 @@
 
 // revise returns the time after which the reserved hosts have room for the step. It
 // reports false if one of them can no longer be used.
-func (c *Cell) revise(now time.Time, t *task, d hvbackfill.Demand) (time.Duration, bool) {
+func (c *Cell) revise(now time.Time, t *task, d hvbackfill.Demand, hosts []*host) (time.Duration, bool) {
 	after := time.Duration(0)
+	preferred := c.preferred(now, t, hosts)
 	for list := t.step.reservation.hosts; len(list) > 0; {
 		h, n := list[0], countFirst(list)
 		list = list[n:]
-		if h.backfill.usableIn != c.backfill.plan || c.reservableTasks(now, t, h) < n {
+		if h.backfill.usableIn != c.backfill.plan || !slices.Contains(preferred, h) || c.reservableTasks(now, t, h) < n {
 			return 0, false
 		}
 		line := c.timeline(now, h)
@@ -64,7 +65,7 @@
 // scheduling order suffices.
 func (c *Cell) search(now time.Time, t *task, d hvbackfill.Demand, hosts []*host) ([]hvbackfill.Slot, time.Duration, bool) {
 	if t.step.spec.BestEffort {
-		t.step.reservation.impactLimit = impactLimit(t, hosts, c.impacts(t, hosts))
+		t.step.reservation.impactLimit = c.impactLimit(t, hosts, c.impacts(t, hosts))
 	}
 	slots := c.backfill.slots[:0]
 	for _, h := range c.preferred(now, t, hosts) {
@@ -101,7 +102,7 @@
 // requested for hosts with free capacity.
 func (c *Cell) reservableTasks(now time.Time, t *task, h *host) int {
 	s := t.step
-	if c.permanentObstacle(s, h) != "" || h.inTrial(now) && h.trialJob != s.round.job || s.needsAdvice() && s.adviceStatus(h) == hostDenied || !c.options.Health.Usable(now, h.name) {
+	if c.permanentObstacle(s, h) != "" || h.inTrial(now) && h.trialJob != s.round.job || s.needsAdvice() && s.adviceStatus(h) == hostDenied {
 		return 0
 	}
 	if s.spec.BestEffort {
--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -103,8 +103,10 @@
 	// load is the load of best-effort work at loadMeasured.
 	load         BestEffortLoad
 	loadMeasured time.Time
-	// hostBuffer is reused by withUnusedCPU, and preferredBuffer by preferred.
+	// hostBuffer is reused by withUnusedCPU, and preferredBuffer by leastReserved.
 	hostBuffer, preferredBuffer []*host
+	// quarantined is true if one of the hosts that usable returned last is in quarantine.
+	quarantined bool
 	// lackedRoom holds when an ordinary task last found no host with capacity, by service.
 	lackedRoom map[string]time.Time
 	// backfill holds the reservations of the steps that wait for capacity.
--- a/hvcell/interference.go
+++ b/hvcell/interference.go
@@ -142,12 +142,12 @@
 const acceptableImpact = 0.25
 
 // impactLimit returns the greatest impact that a best-effort task may have on its
-// host. If it exceeds acceptableImpact on every host of its service, only those
-// with the least impact are allowed.
-func impactLimit(t *task, hosts []*host, impacts []float64) float64 {
+// host. If it exceeds acceptableImpact on every host that may run it, only those with the
+// least impact are allowed.
+func (c *Cell) impactLimit(t *task, hosts []*host, impacts []float64) float64 {
 	least := math.Inf(1)
 	for i, h := range hosts {
-		if h.info.Service == t.step.round.job.queue.Service {
+		if c.mayRun(t.step, h) {
 			least = min(least, impacts[i])
 		}
 	}
--- a/hvcell/migration.go
+++ b/hvcell/migration.go
@@ -88,7 +88,7 @@
 
 func (c *Cell) hasBetterHost(now time.Time, t *task, from *host, hosts []*host) bool {
 	for _, h := range hosts {
-		if h == from {
+		if h == from || h.quarantined {
 			continue
 		}
 		if impact := c.impact(t, h); impact <= lowImpact && c.obstacle(now, t, h, impact) == "" {
--- a/hvcell/pick.go
+++ b/hvcell/pick.go
@@ -10,7 +10,7 @@
 // host has capacity may go to one that is usually passed over.
 func (c *Cell) pickHost(now time.Time, t *task, hosts []*host) *host {
 	h := c.pickAmong(now, t, c.preferred(now, t, hosts))
-	if h == nil && t.step.spec.LongRunning && len(t.avoidedHosts) > 0 {
+	if h == nil && t.step.spec.LongRunning && (len(t.avoidedHosts) > 0 || c.quarantined) {
 		h = c.pickAmong(now, t, hosts)
 	}
 	if h == nil && t.step.spec.LongRunning && !t.step.spec.BestEffort {
@@ -19,32 +19,50 @@
 	return h
 }
 
-// preferred returns the hosts to choose from for a task, valid until the next call. Those
-// that the task avoids are passed over as long as others remain that may run it. A task that
-// only some of the hosts may run waits for a while before it returns to one of them: if the
-// host fails for some seconds, more of its attempts are left afterwards.
+// preferred returns the hosts to choose from for a task, valid until the next call. Those in
+// quarantine and those that the task avoids are passed over as long as others remain that may
+// run it. A task that only some of the hosts may run waits for a while before it returns to
+// one of them: if the host fails for some seconds, more of its attempts are left afterwards.
 func (c *Cell) preferred(now time.Time, t *task, hosts []*host) []*host {
-	if len(t.avoidedHosts) == 0 {
+	if len(t.avoidedHosts) == 0 && !c.quarantined {
 		return hosts
 	}
-	others, avoided := c.preferredBuffer[:0], 0
-	for _, h := range hosts {
-		switch {
-		case !c.mayRun(t.step, h):
-		case t.avoidedHosts[h.name]:
-			avoided++
-		default:
-			others = append(others, h)
+	out, least, able := c.leastReserved(t.step, hosts, func(h *host) int {
+		n := 0
+		if h.quarantined {
+			n++
 		}
-	}
-	c.preferredBuffer = others
-	switch {
-	case len(others) > 0 || avoided == 0:
-		return others
-	case avoided < len(hosts) && !t.step.spec.LongRunning && now.Sub(t.avoidedAt) < starvationDelay:
+		if t.avoidedHosts[h.name] {
+			n++
+		}
+		return n
+	})
+	if least > 0 && able < len(hosts) && !t.step.spec.LongRunning && now.Sub(t.avoidedAt) < starvationDelay {
 		return nil
 	}
-	return hosts
+	return out
+}
+
+// leastReserved returns those of the hosts that may run a step against which the fewest
+// reservations exist, valid until the next call, with the number of these, and the number of
+// all hosts that may run the step.
+func (c *Cell) leastReserved(s *step, hosts []*host, reservations func(h *host) int) (out []*host, least, able int) {
+	out = c.preferredBuffer[:0]
+	for _, h := range hosts {
+		if !c.mayRun(s, h) {
+			continue
+		}
+		able++
+		n := reservations(h)
+		if n < least || len(out) == 0 {
+			out, least = out[:0], n
+		}
+		if n == least {
+			out = append(out, h)
+		}
+	}
+	c.preferredBuffer = out
+	return out, least, able
 }
 
 // mayRun reports whether a host may run tasks of a step at any time, however much of it is
@@ -66,7 +84,7 @@
 	impacts := c.impacts(t, hosts)
 	limit := math.Inf(1)
 	if t.step.spec.BestEffort && !c.options.Policy.Colocation {
-		limit = impactLimit(t, hosts, impacts)
+		limit = c.impactLimit(t, hosts, impacts)
 	}
 	return c.bestHost(now, t, hosts, impacts, func(h *host, impact float64) bool {
 		return impact <= limit && c.obstacle(now, t, h, impact) == ""
@@ -115,8 +133,8 @@
 	return c.bestHost(now, t, hosts, c.impacts(t, hosts), fit)
 }
 
-// obstacle returns the name of what rules out a host for a task with this impact, or
-// an empty string.
+// obstacle returns the name of what rules out a host that preferred returns for a task with
+// this impact, or an empty string.
 func (c *Cell) obstacle(now time.Time, t *task, h *host, impact float64) string {
 	s := t.step.spec
 	switch name := c.hardObstacle(now, t, h); {
@@ -126,8 +144,6 @@
 		return "busy"
 	case s.BestEffort && h.tooThrottled(impact):
 		return "slowed"
-	case !c.options.Health.Usable(now, h.name):
-		return "quarantine"
 	case s.BestEffort:
 		return c.colocationObstacle(t, h, impact)
 	}
--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -132,12 +132,15 @@
 // unknown part of it.
 func (c *Cell) usable(now time.Time) []*host {
 	var out []*host
+	c.quarantined = false
 	for _, h := range c.hosts {
 		if h.connected && h.reconciled && h.announced && h.incarnation != "" && h.incarnation == h.info.Incarnation && !h.info.Draining && !c.isEvacuated(h) && !now.Before(h.unreachableUntil) && !h.silent {
 			if len(h.unneeded) > 0 && !c.checksCapacity(h) {
 				continue
 			}
 			h.cold = now.Before(h.coldUntil)
+			h.quarantined = !c.options.Health.Usable(now, h.name)
+			c.quarantined = c.quarantined || h.quarantined
 			out = append(out, h)
 		}
 	}
@@ -222,13 +225,20 @@
 	}
 	s.waitLogged, s.waitingSince = true, now
 	obstacles := map[string]int{}
+	preferred := c.preferred(now, t, hosts)
 	free, most := int64(0), int64(0)
 	for _, h := range hosts {
 		cpu := max(h.free().CPU, 0)
 		free, most = free+cpu, max(most, cpu)
 		obstacle := c.obstacle(now, t, h, c.impact(t, h))
-		if obstacle == "" {
+		switch {
+		case obstacle != "":
+		case slices.Contains(preferred, h):
 			obstacle = "disturbs"
+		case h.quarantined:
+			obstacle = "quarantine"
+		default:
+			obstacle = "avoided"
 		}
 		obstacles[obstacle]++
 	}
--- a/hvcell/sharing_preempt.go
+++ b/hvcell/sharing_preempt.go
@@ -132,10 +132,10 @@
 }
 
 // obstacleBesideRoom reports whether anything other than the resources in use rules out a
-// host for a task.
+// host that preferred returns for a task.
 func (c *Cell) obstacleBesideRoom(now time.Time, t *task, h *host) bool {
 	s := t.step
-	if h.inTrial(now) || h.startsAreLimited(now) || c.constraintObstacle(now, s, h) != "" || c.reservationObstacle(now, t, h) != "" || !c.options.Health.Usable(now, h.name) {
+	if h.inTrial(now) || h.startsAreLimited(now) || c.constraintObstacle(now, s, h) != "" || c.reservationObstacle(now, t, h) != "" {
 		return true
 	}
 	if !s.spec.BestEffort {
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -200,6 +200,8 @@
 	// was without work; cold caches the comparison for a plan.
 	coldUntil time.Time
 	cold      bool
+	// quarantined is true if the host was in quarantine when usable was last called.
+	quarantined bool
 	// removal is the removal of the node's registration.
 	removal   removal
 	runs      map[hvorder.Run]*run
--- a/hvcell/tail.go
+++ b/hvcell/tail.go
@@ -138,7 +138,7 @@
 		return false
 	}
 	t, from := s.task, s.host
-	to := c.pickHost(now, t, slices.DeleteFunc(slices.Clone(hosts), func(h *host) bool { return h == from || t.avoidedHosts[h.name] }))
+	to := c.pickHost(now, t, slices.DeleteFunc(slices.Clone(hosts), func(h *host) bool { return h == from || h.quarantined || t.avoidedHosts[h.name] }))
 	if to == nil {
 		return false
 	}
--- a/hvcell/trial.go
+++ b/hvcell/trial.go
@@ -132,7 +132,7 @@
 	}
 	beside, started := len(h.runs), 0
 	for _, t := range tr.tasks {
-		if t.canStart(now) && c.pickAmong(now, t, []*host{h}) != nil {
+		if t.canStart(now) && c.canTry(now, t, h, waited) {
 			c.startRun(now, h, t, t.nextRun)
 			t.nextRun++
 			started++
@@ -149,12 +149,8 @@
 // lossIsAcceptable reports whether a trial may start on a host: the runs there, and the
 // share of the waiting tasks that the host could run, are at risk.
 func (c *Cell) lossIsAcceptable(tr trial, h *host, hosts []*host, waited time.Duration) bool {
-	limit := maxTrialWait
-	if tr.step.spec.LongRunning {
-		limit = maxLongRunningWait
-	}
 	atRisk := float64(len(h.runs)) + float64(c.counts.Waiting)/float64(len(hosts))
-	return waited >= limit || tr.belief*atRisk <= acceptableLoss+lossPerSecond*waited.Seconds()
+	return waited >= tr.step.maxTrialWait() || tr.belief*atRisk <= acceptableLoss+lossPerSecond*waited.Seconds()
 }
 
 const (
@@ -201,12 +197,9 @@
 // last, and tasks that probably crash their host wait for others.
 func (c *Cell) trialHost(now time.Time, tr trial, hosts []*host, waited time.Duration) *host {
 	t := tr.tasks[0]
-	if waited < avoidTime {
-		hosts = c.preferred(now, t, hosts)
-	}
 	var best, unsteady *host
-	for _, h := range hosts {
-		if c.obstacle(now, t, h, c.impact(t, h)) != "" {
+	for _, h := range c.trialHosts(now, t, hosts, waited) {
+		if !c.canTry(now, t, h, waited) {
 			continue
 		}
 		least := &best
@@ -223,6 +216,39 @@
 	return best
 }
 
+// trialHosts returns the hosts to choose from for a suspected task: after avoidTime also those
+// that crashed under it, and once it has waited long enough those in quarantine, too.
+func (c *Cell) trialHosts(now time.Time, t *task, hosts []*host, waited time.Duration) []*host {
+	switch {
+	case waited < avoidTime:
+		return c.preferred(now, t, hosts)
+	case waited >= t.step.maxTrialWait():
+		return hosts
+	}
+	out, _, _ := c.leastReserved(t.step, hosts, func(h *host) int {
+		if h.quarantined {
+			return 1
+		}
+		return 0
+	})
+	return out
+}
+
+// canTry reports whether a suspected task can start on a host. Once it has waited long enough
+// it does so even if it interferes or is throttled there.
+func (c *Cell) canTry(now time.Time, t *task, h *host, waited time.Duration) bool {
+	host := []*host{h}
+	return c.pickAmong(now, t, host) != nil || waited >= t.step.maxTrialWait() && c.pickIgnoringImpact(now, t, host) != nil
+}
+
+// maxTrialWait returns how long suspected tasks of the step wait at most for a better host.
+func (s *step) maxTrialWait() time.Duration {
+	if s.spec.LongRunning {
+		return maxLongRunningWait
+	}
+	return maxTrialWait
+}
+
 // trials counts the hosts in trials, of one job or, if it is nil, of all.
 func (c *Cell) trials(now time.Time, hosts []*host, j *job) int {
 	n := 0
