Draw labels, gangs, failing hosts and schedules in the random histories of hvcell

They now draw labels that all, some or one of the hosts have, gangs whose members end together, hosts that fail or refuse all starts for a while, and overdue schedules with more rounds than are set up at a time. The executors check the label of each start. Once all is calm, no job may have had no run for 3 s on idle hosts from 14 s on, besides the checks before; after a schedule of 600 rounds the owner plans as often as trials end.

--- a/hvcell/random_test.go
+++ b/hvcell/random_test.go
@@ -20,6 +20,8 @@
 	delayed map[string][]hvorder.Orders
 	// storeDown is true while the store is unavailable.
 	storeDown bool
+	// longSchedule is true once a schedule of many rounds was submitted.
+	longSchedule bool
 }
 
 func (m *faultMachine) host(t *rapid.T) *executor {
@@ -49,11 +51,14 @@
 // evacuated zones, in which no start may be ordered. The model of the executor checks each
 // start. Owners that were replaced go on while they have authority. In half of the
 // histories runs are also moved, and those of speculative steps copied: only these may have
-// two runs at once.
+// two runs at once. Hosts fail or refuse all starts for a while, some tasks may only run on
+// some of them, some are gangs, and schedules are overdue: whatever can run does once all is
+// calm.
 func TestRandomFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		m := &faultMachine{simCluster: newSimCluster(rt, rapid.IntRange(1, 4).Draw(rt, "hosts")), delayed: map[string][]hvorder.Orders{}}
-		m.savedStates = true
+		m.savedStates, m.endGangs = true, true
+		m.label()
 		m.policy = tailPolicy
 		m.policy.Tail, m.policy.Sharing, m.policy.Colocation, m.policy.Backfill = rapid.Bool().Draw(rt, "tail"), rapid.Bool().Draw(rt, "sharing"), rapid.Bool().Draw(rt, "colocation"), rapid.Bool().Draw(rt, "backfill")
 		m.replaceOwner()
@@ -69,8 +74,14 @@
 				second.Checkpoint = true
 				second.BestEffort, second.Image = rapid.Bool().Draw(t, "best-effort"), "program"
 				second.Speculative = rapid.Bool().Draw(t, "speculative")
+				if rapid.Bool().Draw(t, "gang") {
+					second.Gang, second.Speculative = true, false
+					second.TightlyCoupled = rapid.Bool().Draw(t, "tightly coupled")
+				}
+				second.RequiredLabel = m.drawLabel(t)
 				first := testStep(rapid.IntRange(1, 5).Draw(t, "first"), 1000)
 				first.Image, first.LatencyTarget = "service", rapid.SampledFrom([]int64{0, 50}).Draw(t, "target")
+				first.RequiredLabel = m.drawLabel(t)
 				j := urgentJob(first, second)
 				j.Queue = rapid.SampledFrom([]string{"urgent", "batch"}).Draw(t, "queue")
 				m.submit(j)
@@ -113,6 +124,7 @@
 			"watch": func(t *rapid.T) {
 				step := testStep(rapid.IntRange(1, 2).Draw(t, "tasks"), 50)
 				step.LongRunning, step.MaxPerHost = true, rapid.IntRange(0, 1).Draw(t, "per host")
+				step.RequiredLabel = m.drawLabel(t)
 				m.submit(urgentJob(step))
 			},
 			"pause": func(t *rapid.T) {
@@ -124,6 +136,24 @@
 					e.start()
 				}
 			},
+			"grey": func(t *rapid.T) {
+				e := m.host(t)
+				e.failing = !e.failing
+			},
+			"refuse": func(t *rapid.T) {
+				e := m.host(t)
+				e.refusing = !e.refusing
+			},
+			"schedule": func(t *rapid.T) {
+				rounds := 3
+				if !m.longSchedule && rapid.Bool().Draw(t, "long") {
+					// More rounds than are set up at a time; two such schedules take too long.
+					rounds, m.longSchedule = 600, true
+				}
+				j := overdueJob(m.now, rounds)
+				j.Steps[0].RequiredLabel = m.drawLabel(t)
+				m.submit(j)
+			},
 			"done": func(t *rapid.T) {
 				e, task := m.run(t)
 				e.end(task, e.running[task], hv.EndDone)
@@ -214,6 +244,18 @@
 	})
 }
 
+// label gives the hosts their labels: one that all have, one for some of them and one each.
+func (m *faultMachine) label() {
+	for name, e := range m.hosts {
+		e.labels = []string{"all", zoneOf(name), name}
+	}
+}
+
+// drawLabel draws the label that a step requires, mostly none.
+func (m *faultMachine) drawLabel(t *rapid.T) string {
+	return rapid.SampledFrom([]string{"", "", "", "all", "north", "host-0"}).Draw(t, "label")
+}
+
 // pause pauses the node beside an executor. When it goes on, it attaches to the owner, and
 // the lists from before arrive after those of the attachment.
 func (m *faultMachine) pause(e *executor, d time.Duration) {
--- a/hvcell/randomrecovery_test.go
+++ b/hvcell/randomrecovery_test.go
@@ -26,6 +26,7 @@
 	m.evacuate()
 	m.setCapacity(8000)
 	for _, e := range m.hosts {
+		e.failing, e.refusing = false, false
 		if !e.alive {
 			e.start()
 		}
@@ -38,18 +39,20 @@
 		}
 	}
 	missing := m.watches()
+	idle := map[string]int{}
 	for i := range 60 {
 		m.exchange()
 		m.removeRunning(missing)
 		m.finishJobs()
 		m.exchange()
 		m.removeRunning(missing)
+		m.checkIdle(t, time.Duration(i)*time.Second, idle)
 		if time.Duration(i)*time.Second == limit && len(missing) > 0 {
 			t.Fatalf("long-running tasks %v have no run for %v after all faults have ended", slices.Sorted(maps.Keys(missing)), limit)
 		}
-		m.advance(time.Second)
+		m.passSecond()
 	}
-	m.cancelWatches()
+	m.cancelEndless()
 	m.exchange()
 	m.exchange()
 	for _, j := range m.jobs {
@@ -70,6 +73,84 @@
 	}
 }
 
+// passSecond lets a second pass. After a schedule of many rounds the owner plans whenever a
+// trial may have ended: hundreds of rounds may be suspected, and a host is in trials until all
+// of them have started.
+func (m *faultMachine) passSecond() {
+	parts := 1
+	if m.longSchedule {
+		parts = int(time.Second / trialTime)
+	}
+	for i := range parts {
+		m.advance(time.Second / time.Duration(parts))
+		if i < parts-1 {
+			m.exchange()
+			m.finishJobs()
+			m.exchange()
+		}
+	}
+}
+
+// finishTime is the time after the end of all faults from which no job may stay idle.
+const finishTime = 14 * time.Second
+
+// checkIdle fails the test if a job has had no run for maxIdle although the hosts that may
+// run it are idle. It is called once a second; idle counts the calls.
+func (m *faultMachine) checkIdle(t *rapid.T, calm time.Duration, idle map[string]int) {
+	busy := map[string]bool{}
+	for _, e := range m.hosts {
+		for task := range e.running {
+			busy[hvjob.JobOf(task)] = true
+		}
+	}
+	for _, j := range m.jobs {
+		if busy[j.ID] || m.cancelled[j.ID] || m.stored[j.ID].State.Final() || !m.canRun(j) || !m.isIdleFor(j) {
+			delete(idle, j.ID)
+			continue
+		}
+		idle[j.ID]++
+		if d := time.Duration(idle[j.ID]) * time.Second; calm > finishTime && d > maxIdle {
+			t.Fatalf("job %s has had no run for %v on idle hosts, %v after all faults have ended", j.ID, d, calm)
+		}
+	}
+}
+
+// mayRun returns the executors that may run a step.
+func (m *faultMachine) mayRun(s hvjob.Step) []*executor {
+	var out []*executor
+	for _, e := range m.hosts {
+		if s.RequiredLabel == "" || slices.Contains(e.labels, s.RequiredLabel) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// canRun reports whether there is a host for each step of a job, with room for a whole gang.
+func (m *faultMachine) canRun(j hvjob.Job) bool {
+	for _, s := range j.Steps {
+		hosts := m.mayRun(s)
+		room := int64(0)
+		for _, e := range hosts {
+			room += e.capacityCPU / s.Need.CPU
+		}
+		if len(hosts) == 0 || s.Gang && room < int64(s.Count) {
+			return false
+		}
+	}
+	return true
+}
+
+// isIdleFor reports whether nothing runs on the hosts that may run a step of a job.
+func (m *faultMachine) isIdleFor(j hvjob.Job) bool {
+	for _, s := range j.Steps {
+		if slices.ContainsFunc(m.mayRun(s), func(e *executor) bool { return len(e.running) > 0 }) {
+			return false
+		}
+	}
+	return true
+}
+
 // loseForGood may let a host be gone for good, and the owner too. It returns how long a
 // long-running task may stay without a run.
 func (m *faultMachine) loseForGood(t *rapid.T) time.Duration {
@@ -92,7 +173,7 @@
 func (m *faultMachine) watches() map[string]bool {
 	out := map[string]bool{}
 	for _, j := range m.jobs {
-		if s := j.Steps[0]; s.LongRunning && !m.cancelled[j.ID] && !m.stored[j.ID].State.Final() && (s.MaxPerHost == 0 || s.Count <= s.MaxPerHost*len(m.hosts)) {
+		if s := j.Steps[0]; s.LongRunning && !m.cancelled[j.ID] && !m.stored[j.ID].State.Final() && (s.MaxPerHost == 0 || s.Count <= s.MaxPerHost*len(m.mayRun(s))) && m.canRun(j) {
 			for k := range s.Count {
 				out[hvjob.Task{Job: j.ID, Index: k}.String()] = true
 			}
@@ -121,9 +202,10 @@
 	}
 }
 
-func (m *faultMachine) cancelWatches() {
+// cancelEndless cancels the jobs that do not end by themselves.
+func (m *faultMachine) cancelEndless() {
 	for _, j := range m.jobs {
-		if j.Steps[0].LongRunning {
+		if j.Steps[0].LongRunning || !m.canRun(j) {
 			m.cancel(j.ID)
 		}
 	}
--- a/hvcell/simcluster_test.go
+++ b/hvcell/simcluster_test.go
@@ -37,6 +37,8 @@
 	noCatalog bool
 	// noCapacityChecks is true if executors start tasks beyond their capacity.
 	noCapacityChecks bool
+	// endGangs makes executors end the members of a gang together.
+	endGangs bool
 	// savedStates makes every report list the runs with their saved states.
 	savedStates bool
 	// savedPercents holds the progress of saved states.
@@ -273,11 +275,42 @@
 	return err == nil && i >= 0 && w.policy.Tail && w.jobs[i].Steps[id.Step].Speculative
 }
 
+// step returns the step of a task, or nil.
+func (w *simCluster) step(task string) *hvjob.Step {
+	id, err := hvjob.ParseTask(task)
+	i := slices.IndexFunc(w.jobs, func(j hvjob.Job) bool { return j.ID == id.Job })
+	if err != nil || i < 0 || id.Step >= len(w.jobs[i].Steps) {
+		return nil
+	}
+	return &w.jobs[i].Steps[id.Step]
+}
+
 // isLongRunning reports whether a task starts again however it ends.
 func (w *simCluster) isLongRunning(task string) bool {
+	s := w.step(task)
+	return s != nil && s.LongRunning
+}
+
+// otherMembers returns the executors that run the other members of a gang by their tasks.
+func (w *simCluster) otherMembers(task string, run int) map[string]*executor {
+	s := w.step(task)
+	if !w.endGangs || s == nil || !s.Gang {
+		return nil
+	}
 	id, err := hvjob.ParseTask(task)
-	i := slices.IndexFunc(w.jobs, func(j hvjob.Job) bool { return j.ID == id.Job })
-	return err == nil && i >= 0 && w.jobs[i].Steps[id.Step].LongRunning
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	out := map[string]*executor{}
+	for k := range s.Count {
+		member := hvjob.Task{Job: id.Job, Round: id.Round, Step: id.Step, Index: k}.String()
+		for _, e := range w.hosts {
+			if member != task && e.running[member] == run {
+				out[member] = e
+			}
+		}
+	}
+	return out
 }
 
 // checkOrder fails the test if a step that a task depends on is not complete.
@@ -292,7 +325,7 @@
 		}
 		for _, a := range j.Steps[id.Step].After {
 			for k := range j.Steps[a].Count {
-				before := hvjob.Task{Job: j.ID, Step: a, Index: k}.String()
+				before := hvjob.Task{Job: j.ID, Round: id.Round, Step: a, Index: k}.String()
 				if !w.ended[before] {
 					w.t.Fatalf("task %s starts before %s is done", name, before)
 				}
--- a/hvcell/simexecutor_test.go
+++ b/hvcell/simexecutor_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -20,8 +21,10 @@
 	incarnation int
 	capacityCPU int64
 	// labels holds the labels of the host.
-	labels  []string
-	running map[string]int
+	labels []string
+	// failing makes all runs fail that it starts, and refusing makes it refuse all starts.
+	failing, refusing bool
+	running           map[string]int
 	// blockedRuns holds the highest run number that can no longer start, by task.
 	blockedRuns map[string]int
 	ended       []hv.RunEnd
@@ -79,6 +82,22 @@
 	if e.running[task] != run {
 		return
 	}
+	members := e.cluster.otherMembers(task, run)
+	if s := e.cluster.step(task); e.cluster.endGangs && s.Gang && reason == hv.EndDone && len(members) < s.Count-1 {
+		reason = hv.EndGangTimeout
+	}
+	e.finish(task, run, reason)
+	// A gang is done together, and any other end breaks it.
+	if reason != hv.EndDone {
+		reason = hv.EndGangBroken
+	}
+	for _, member := range slices.Sorted(maps.Keys(members)) {
+		members[member].finish(member, run, reason)
+	}
+}
+
+// finish ends a run without regard to its gang.
+func (e *executor) finish(task string, run int, reason hv.EndReason) {
 	delete(e.running, task)
 	e.blockedRuns[task] = max(e.blockedRuns[task], run)
 	e.lastEnd++
@@ -93,8 +112,15 @@
 		e.lastCrash++
 		e.crashes = append(e.crashes, hvorder.Crash{Number: e.lastCrash, Incarnation: e.incarnationName(), Runs: e.crashedRuns()})
 	}
+	runs := e.running
 	e.alive = false
 	e.running, e.ended = map[string]int{}, nil
+	for _, task := range slices.Sorted(maps.Keys(runs)) {
+		members := e.cluster.otherMembers(task, runs[task])
+		for _, member := range slices.Sorted(maps.Keys(members)) {
+			members[member].finish(member, runs[task], hv.EndGangBroken)
+		}
+	}
 }
 
 // crashedRuns returns all runs, the youngest first.
@@ -212,6 +238,10 @@
 		}
 	}
 	for _, s := range o.Starts {
+		if e.refusing {
+			report.Refused = append(report.Refused, hvorder.Refusal{Run: s.Run, Kind: hv.Unavailable})
+			continue
+		}
 		if !e.begin(s) {
 			report.Refused = append(report.Refused, hvorder.Refusal{Run: s.Run, Kind: hv.Expired})
 			continue
@@ -240,7 +270,13 @@
 		w.t.Fatalf("task %s starts as run %d on %s after its end was acknowledged", s.Task, number, e.name)
 	}
 	w.checkOrder(s.Task)
+	if label := w.step(s.Task).RequiredLabel; label != "" && !slices.Contains(e.labels, label) {
+		w.t.Fatalf("task %s starts on %s, which does not have the label %q", s.Task, e.name, label)
+	}
 	e.running[s.Task], e.startTimes[s.Task] = number, w.now
 	e.percents[s.Task] = float64(w.savedPercents[s.SavedState])
+	if e.failing {
+		e.end(s.Task, number, hv.EndFailed)
+	}
 	return true
 }
