Tell a record that is too large from other refusals of the store

An owner stored each record by itself, and failed the job of one that was refused again, after any 400, 403 or 413. A store that refuses everything for another reason for a while would have failed every job for good. A learned state that the store refuses as too large is left out and no longer ends the ownership either.

--- a/errors.go
+++ b/errors.go
@@ -12,6 +12,8 @@
 const (
 	// Invalid means that the input is malformed; the message names the field.
 	Invalid ErrorKind = "invalid"
+	// TooLarge means that a store can never hold the input.
+	TooLarge ErrorKind = "too-large"
 	// Unavailable means that a component can't serve the operation now; a later
 	// attempt may succeed.
 	Unavailable ErrorKind = "unavailable"
--- a/hvledger/record.go
+++ b/hvledger/record.go
@@ -149,6 +149,9 @@
 	return rec, failure("encode", hv.Invalid, "learned state takes %d bytes, the limit is %d", len(rec.Value), l.valueBytes(learnedKey))
 }
 
+// IsLearned reports whether a record stores the learned state.
+func IsLearned(rec hv.KeyedRecord) bool { return rec.Key == learnedKey }
+
 // ProgressJob returns the identifier of the job whose progress a record stores, or false for
 // other records.
 func ProgressJob(rec hv.KeyedRecord) (id string, ok bool) {
--- a/hvledger/writer.go
+++ b/hvledger/writer.go
@@ -52,7 +52,7 @@
 
 // Append stores records in order. It retries an append without a response until
 // ctx ends. An error of kind Conflict means that another gate owns the cell, and one of
-// kind Invalid that the store does not take such records and has stored none of them.
+// kind TooLarge that the store has taken none of the records because of their size.
 func (w *Writer) Append(ctx context.Context, recs []hv.KeyedRecord) error {
 	_, err := w.AppendWithOptional(ctx, recs, nil)
 	return err
@@ -92,7 +92,7 @@
 		if err == nil {
 			return omitted, nil
 		}
-		if hv.KindOf(err) == hv.Invalid {
+		if hv.KindOf(err) == hv.TooLarge {
 			// The store has nothing of the append and never will. Others may follow.
 			w.pending, w.pendingSince, w.authorityCleared = nil, time.Time{}, false
 		}
--- a/hvowner/flush.go
+++ b/hvowner/flush.go
@@ -86,7 +86,7 @@
 func (o *Owner) appendWithPuts(ctx context.Context, recs []hv.KeyedRecord, puts []*put) error {
 	if single := len(recs) == 0 && len(puts) == 1; single || o.options.StoreLimits.FitsAppend(recs, putRecords(puts)) {
 		omitted, err := o.options.Writer.AppendWithOptional(ctx, recs, putRecords(puts))
-		if hv.KindOf(err) != hv.Invalid || single {
+		if hv.KindOf(err) != hv.TooLarge || single {
 			return completeOrFail(puts, omitted, err)
 		}
 	}
@@ -109,7 +109,7 @@
 	switch {
 	case err == nil:
 		completePuts(puts, omitted)
-	case hv.KindOf(err) == hv.Invalid:
+	case hv.KindOf(err) == hv.TooLarge:
 		completePuts(puts, err)
 		return nil
 	default:
@@ -125,7 +125,7 @@
 		return nil
 	}
 	err := o.options.Writer.Append(ctx, recs)
-	if hv.KindOf(err) != hv.Invalid {
+	if hv.KindOf(err) != hv.TooLarge {
 		return err
 	}
 	if len(recs) > 1 {
@@ -136,6 +136,10 @@
 		}
 		return nil
 	}
+	if hvledger.IsLearned(recs[0]) {
+		o.logLearnedOmitted(err)
+		return nil
+	}
 	id, ok := hvledger.ProgressJob(recs[0])
 	if !ok {
 		return err
@@ -165,18 +169,22 @@
 	o.mu.Unlock()
 	rec, err := o.options.StoreLimits.LearnedRecord(l, l.WithoutEffects())
 	if err != nil {
-		_ = level.Warn(o.options.Logger).Log("msg", "learned state cannot be stored; the next owner starts without it", "err", err)
+		o.logLearnedOmitted(err)
 		return recs
 	}
 	return append(recs, rec)
 }
 
+func (o *Owner) logLearnedOmitted(err error) {
+	_ = level.Warn(o.options.Logger).Log("msg", "learned state cannot be stored; the next owner starts without it", "err", err)
+}
+
 // batchRecords returns the records that store a batch.
 func (o *Owner) batchRecords(b hvcell.Batch) ([]hv.KeyedRecord, error) {
 	var recs []hv.KeyedRecord
 	for _, p := range b.Progress {
 		rec, err := o.options.StoreLimits.ProgressRecord(p.Job, p.Progress)
-		if hv.KindOf(err) == hv.Invalid && err != nil {
+		if hv.KindOf(err) == hv.Invalid {
 			rec, err = o.failJob(p.Job, err)
 		}
 		if err != nil {
