Bound the belief of the rounds that start in one trial

The rounds of a schedule that start in one trial add up what is believed of them, and a trial waits the longer the more probable a crash is.

TestSuspectedRoundsLeaveOthersTheirTurn holds.

--- a/hvcell/trial.go
+++ b/hvcell/trial.go
@@ -36,7 +36,7 @@
 )
 
 // trial is a set of suspected tasks that are to start apart from others: those of a step, in
-// all rounds of a schedule.
+// one round or in several of a schedule.
 type trial struct {
 	step   *step
 	tasks  []*task
@@ -127,24 +127,25 @@
 }
 
 // joinRounds joins the trials of a step in the rounds of a schedule, which may be hundreds: a
-// job has one trial at a time, and few hosts are in trials.
+// job has one trial at a time, and few hosts are in trials. Together they stay below
+// trialBelief, as the more probable a crash is, the longer a trial waits.
 func joinRounds(trials []trial) []trial {
 	type key struct {
 		job  *job
 		step int
 	}
-	index := map[key]int{}
+	last := map[key]int{}
 	out := trials[:0]
 	for _, tr := range trials {
 		k := key{tr.step.round.job, tr.step.index}
-		i, ok := index[k]
-		if !ok {
-			index[k] = len(out)
+		i, ok := last[k]
+		if !ok || out[i].belief+tr.belief >= trialBelief {
+			last[k] = len(out)
 			out = append(out, tr)
 			continue
 		}
 		out[i].tasks = append(out[i].tasks, tr.tasks...)
-		out[i].belief = min(out[i].belief+tr.belief, 1)
+		out[i].belief += tr.belief
 		if tr.since.Before(out[i].since) {
 			out[i].since = tr.since
 		}
