Serve the present rounds of a schedule that has fallen behind

Follows from the bound on the rounds that are set up: they were set up strictly in order, so that after an outage the rounds of a schedule that became due waited for all overdue ones, and all were late. What callers would see: a schedule of one round a second that was down for 50 minutes is late for as long as it takes to catch up. Found by reading, not on a deployment.

Change: rounds that can still be complete by their cutoff are set up first, and overdue ones get half of the bound meanwhile.

Before: TestScheduleBehindServesPresentRounds, "0 of 20 rounds are complete 2 s after the last was due". After: 20 of 20, and the overdue rounds go on.

--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -213,26 +213,50 @@
 }
 
 // startDueRounds sets up the rounds that may start within lookahead, as far as the job may
-// have more of them.
+// have more of them. If it has fallen behind, those that can still be of use get a half at
+// least.
 func (c *Cell) startDueRounds(now time.Time, j *job) {
-	for {
-		n := j.progress.CompletedRounds.NextMissing(j.roundsStarted)
-		if n >= j.Rounds() {
-			j.roundsStarted = n
-			return
-		}
-		due := j.Due(n)
-		if j.Repetitions > 0 && due > now.Add(c.options.EarlyStart+lookahead).UnixMilli() {
-			return
-		}
-		if _, stored := j.progress.Rounds[n]; !stored && len(j.progress.Rounds) >= j.maxOpenRounds {
-			return
+	latest := j.latestDue(now.Add(c.options.EarlyStart + lookahead))
+	if j.useTime == 0 {
+		// The first round tells the time that the others need.
+		j.roundsStarted = c.startRounds(j, j.roundsStarted, latest, 1)
+	}
+	useful := max(j.latestDue(now.Add(-j.useTime))+1, 0)
+	limit := j.maxOpenRounds
+	if useful <= latest {
+		limit = max(limit/2, 1)
+	}
+	j.roundsStarted = c.startRounds(j, j.roundsStarted, min(useful-1, latest), limit)
+	j.usefulStarted = c.startRounds(j, max(j.usefulStarted, useful), latest, j.maxOpenRounds)
+}
+
+// startRounds sets up the rounds from first to last while the job has fewer than limit, and
+// returns the number of the first one that it has not set up.
+func (c *Cell) startRounds(j *job, first, last, limit int) int {
+	n := j.progress.CompletedRounds.NextMissing(first)
+	for ; n <= last; n = j.progress.CompletedRounds.NextMissing(n + 1) {
+		if _, stored := j.progress.Rounds[n]; !stored && len(j.progress.Rounds) >= limit {
+			break
 		}
-		j.roundsStarted = n + 1
 		if j.rounds[n] == nil {
-			c.addRound(j, n, due)
+			c.addRound(j, n, j.Due(n))
 		}
 	}
+	return n
+}
+
+// latestDue returns the number of the last round that is due at a time, or -1.
+func (j *job) latestDue(at time.Time) int {
+	elapsed := at.UnixMilli() - j.FirstDue
+	switch {
+	case j.Repetitions == 0:
+		return 0
+	case elapsed < 0:
+		return -1
+	case j.Interval == 0:
+		return j.Rounds() - 1
+	}
+	return int(min(elapsed/j.Interval, int64(j.Rounds()-1)))
 }
 
 func (c *Cell) addRound(j *job, n int, due int64) {
@@ -254,6 +278,7 @@
 	path := c.criticalPath(r)
 	objective := int64(j.queue.Stretch*float64(path.Milliseconds())) + j.queue.Slack
 	r.goal, r.cutoff = due+objective, due+cutoffFactor*objective
+	j.useTime = time.Duration(cutoffFactor*objective) * time.Millisecond
 	j.rounds[n] = r
 	r.updateReadySteps()
 }
--- a/hvcell/schedule_test.go
+++ b/hvcell/schedule_test.go
@@ -76,6 +76,38 @@
 	}
 }
 
+// Guards against a schedule whose rounds are late for good once it has fallen behind: those
+// that become due wait until all overdue ones are complete.
+func TestScheduleBehindServesPresentRounds(t *testing.T) {
+	const overdue, present = 3000, 20
+	w := newSimCluster(t, 1)
+	w.hosts["host-0"].capacityCPU = 800
+	w.attachAll()
+	j := overdueJob(w.now, overdue)
+	j.Repetitions += present
+	for i := range j.Steps {
+		j.Steps[i].Estimate = 300
+	}
+	j = w.submit(j)
+	for end := w.now.Add((present + 2) * time.Second); w.now.Before(end); w.advance(100 * time.Millisecond) {
+		w.exchange()
+		w.finishAll(hv.EndDone)
+	}
+	w.exchange()
+	done := 0
+	for n := overdue; n < overdue+present; n++ {
+		if w.stored[j.ID].CompletedRounds.Has(n) {
+			done++
+		}
+	}
+	if done != present {
+		t.Errorf("%d of %d rounds are complete 2 s after the last was due", done, present)
+	}
+	if n := w.stored[j.ID].CompletedRounds.Count(); n < 2*overdue/8 {
+		t.Errorf("%d rounds are complete, so the overdue ones wait for the present ones", n)
+	}
+}
+
 // endAll ends every run as done.
 func (e *executor) endAll() {
 	for task, run := range e.running {
--- a/hvcell/state.go
+++ b/hvcell/state.go
@@ -25,8 +25,11 @@
 	progress  hvjob.Progress
 	rounds    map[int]*round
 	// roundsStarted is the number from which on rounds are still to be set up, and
-	// maxOpenRounds how many of them may be set up and not complete.
-	roundsStarted, maxOpenRounds int
+	// usefulStarted the same for those that can still be of use. maxOpenRounds is how many
+	// may be set up and not complete.
+	roundsStarted, usefulStarted, maxOpenRounds int
+	// useTime is the time after its due time within which completing a round is of use.
+	useTime time.Duration
 	// inherited jobs may have runs on hosts that have not listed their runs to this
 	// owner yet.
 	inherited bool
