Set up all stored rounds of a schedule when it is taken over

Since the present rounds of a schedule are set up before the overdue ones, the rounds in a progress record need not be next to each other. A new owner set them up in order and counted those that it had not set up yet against the bound, so that they could wait for as long as the schedule has present rounds. Found by reading.

Change: the rounds in the record are set up first, as an owner may have started all of them.

Before: TestStoredRoundsAreSetUpAgain, "round 6655 of 555 stored ones is not set up". After: it passes, and so does the package.

--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -1,6 +1,9 @@
 package hvcell
 
 import (
+	"maps"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -176,6 +179,9 @@
 		}
 	}
 	c.jobs[j.ID] = entry
+	for _, n := range slices.Sorted(maps.Keys(entry.progress.Rounds)) {
+		c.addRound(entry, n, j.Due(n))
+	}
 	c.startDueRounds(now, entry)
 	_ = level.Info(c.options.Logger).Log("msg", "job was added to the schedule", "job", j.ID, "queue", j.Queue, "offset", offset, "inherited", entry.inherited, "steps", len(j.Steps), "goal", entry.goal(), "waiting", c.counts.Waiting)
 }
@@ -235,19 +241,22 @@
 func (c *Cell) startRounds(j *job, first, last, limit int) int {
 	n := j.progress.CompletedRounds.NextMissing(first)
 	for ; n <= last; n = j.progress.CompletedRounds.NextMissing(n + 1) {
-		if _, stored := j.progress.Rounds[n]; !stored && len(j.progress.Rounds) >= limit {
-			break
+		if j.rounds[n] != nil {
+			continue
 		}
-		if j.rounds[n] == nil {
-			c.addRound(j, n, j.Due(n))
+		if len(j.rounds) >= limit {
+			break
 		}
+		c.addRound(j, n, j.Due(n))
 	}
 	return n
 }
 
 // latestDue returns the number of the last round that is due at a time, or -1.
 func (j *job) latestDue(at time.Time) int {
-	elapsed := at.UnixMilli() - j.FirstDue
+	// No sensible schedule is limited by this, but the difference must not overflow.
+	const earliest = math.MinInt64 / 2
+	elapsed := at.UnixMilli() - max(j.FirstDue, earliest)
 	switch {
 	case j.Repetitions == 0:
 		return 0
--- a/hvcell/schedule_test.go
+++ b/hvcell/schedule_test.go
@@ -108,6 +108,37 @@
 	}
 }
 
+// Guards against rounds that an earlier owner had set up and that are never set up again,
+// because they are neither present nor the next of the overdue ones.
+func TestStoredRoundsAreSetUpAgain(t *testing.T) {
+	w := newSimCluster(t, 1)
+	w.attachAll()
+	j := overdueJob(w.now, 2000)
+	j.Repetitions, j.Interval, j.FirstDue = 1_000_000, 1, w.now.Add(-10*time.Second).UnixMilli()
+	for i := range j.Steps {
+		j.Steps[i].Estimate = 300
+	}
+	j = w.submit(j)
+	w.exchange()
+	w.finishAll(hv.EndDone)
+	w.exchange()
+	stored := w.stored[j.ID].Rounds
+	if len(stored) < 500 {
+		t.Fatalf("%d rounds are set up, want hundreds", len(stored))
+	}
+	w.authority = 0
+	w.hosts["host-0"].crash()
+	w.advance(20 * time.Second)
+	w.replaceOwner()
+	w.hosts["host-0"].start()
+	w.attachAll()
+	for n := range stored {
+		if w.cell.jobs[j.ID].rounds[n] == nil {
+			t.Fatalf("round %d of %d stored ones is not set up", n, len(stored))
+		}
+	}
+}
+
 // endAll ends every run as done.
 func (e *executor) endAll() {
 	for task, run := range e.running {
