Undo an exit notice that was that of an earlier start of the executor

The host had left as planned while its side stood still for 4 s, and had started again under its identifier; it was up, ready and idle.

Cause: the exit notice names the identifier of the executor and not its incarnation. A side that handled it after the first heartbeat of the next incarnation took that one for exiting, and ignored all its heartbeats from then on, as a heartbeat from before an exit may come late.

Change: an incarnation that responds to a call that was sent 2 s after the notice or later has not exited, and its announcement from before the notice is in force again. Ruled out: to undo the exit by a heartbeat (TestHeartbeatAfterExitIsIgnored), and to ignore notices of executors that have not reported that they drain (TestAnnouncedEndIsNoCrash).

Before: TestExitNoticeOfEarlierStartIsUndone fails for both executors that go on.

--- a/hvnode/announce.go
+++ b/hvnode/announce.go
@@ -1,6 +1,8 @@
 package hvnode
 
 import (
+	"time"
+
 	"github.com/go-kit/log/level"
 
 	"hibiscusvane.example/hibiscusvane/hvorder"
@@ -40,15 +42,20 @@
 	hvtick.Wake(n.wakeRenew)
 }
 
-// Leave handles the executor's notice that it exits.
+// exitTimeout is how long an executor may still respond after its notice that it exits.
+const exitTimeout = 2 * time.Second
+
+// Leave handles the executor's notice that it exits. The notice names no incarnation, so it
+// may come from the one before if this process stood still meanwhile: see cancelExit.
 func (n *Node) Leave(id string) {
 	n.mu.Lock()
 	if n.executorID != id {
 		n.mu.Unlock()
 		return
 	}
-	if n.host != nil {
+	if n.host != nil && !n.host.Exiting {
 		h := *n.host
+		n.beforeExit, n.exitNoticedAt = h, n.deps.Clock.Now()
 		h.Draining, h.Exiting = true, true
 		n.host = &h
 		n.crash.leaving = h.Incarnation
@@ -58,3 +65,18 @@
 	_ = level.Info(n.deps.Logger).Log("msg", "executor announced that it exits", "id", id)
 	hvtick.Wake(n.wakeReport)
 }
+
+// cancelExit undoes Leave if the executor has responded to a call that was sent long after the
+// notice: it was that of an earlier incarnation. The lock is held.
+func (n *Node) cancelExit(incarnation string, requestedAt time.Time) {
+	if n.host == nil || !n.host.Exiting || n.host.Incarnation != incarnation || requestedAt.Sub(n.exitNoticedAt) < exitTimeout {
+		return
+	}
+	h := n.beforeExit
+	n.host, n.hostReported = &h, false
+	if !h.Draining {
+		n.crash.leaving = ""
+	}
+	_ = level.Warn(n.deps.Logger).Log("msg", "executor goes on after a notice that it exits, which was that of an earlier start", "id", n.executorID, "life", incarnation)
+	hvtick.Wake(n.wakeReport)
+}
--- a/hvnode/node.go
+++ b/hvnode/node.go
@@ -52,6 +52,10 @@
 	// of its incarnation.
 	host       *hvorder.Host
 	executorID string
+	// beforeExit is the announcement before the notice that the executor exits, which came
+	// at exitNoticedAt.
+	beforeExit    hvorder.Host
+	exitNoticedAt time.Time
 	// ownerConn is the connection to the owner and epoch the owner's epoch.
 	ownerConn *hvwire.Conn
 	epoch     int64
--- a/hvnode/state.go
+++ b/hvnode/state.go
@@ -72,6 +72,7 @@
 	now := n.deps.Clock.Now()
 	n.executorState, n.stateVersion, n.stateKnown, n.incarnationConfirmed, n.executorGone = h, version, true, true, false
 	n.refusals = 0
+	n.cancelExit(h.Incarnation, version.requestedAt)
 	n.crash.listed(now, h, n.isCurrent(version) && !h.MoreEnded)
 	n.confirmListed(h)
 	n.recordProgress(h.ClockMS, h.Running)
