Count two crashes of one host at most against a job

What callers saw: a job whose only host went down and up by turns was shown as failed for good, although no run of it had failed and the host was sound afterwards.

Cause: after six crashes within a second of a start that no other job explains, a job was given up whatever the probability that it is at fault, without regard to where the crashes were. A task that may run on one host only is alone with all crashes of that host. The probability, which takes the other crashes of the host into account, stayed low.

Change: of one host two crashes count. Their hosts are stored with the count. Ruled out: to drop the count, as a task that crashes one host after the other late after each start is told by nothing else (TestTaskThatCrashesHostsLateIsGivenUp).

Before: TestHostThatCrashesAgainAndAgainIsNotTheJobsFault, long-running job is "failed" with 0 runs.

--- a/hvcell/crash.go
+++ b/hvcell/crash.go
@@ -23,7 +23,8 @@
 	minCrashes = 2
 	// maxUnexplained is the number of crashes soon after a start of one task, in each of
 	// which it was suspected and none explained by another task, after which its job is
-	// given up whatever the belief: callers and hosts bear no more. maxLikely is that
+	// given up whatever the belief: callers and hosts bear no more. Of one host only the
+	// first few count. maxLikely is that
 	// number if the task is more likely at fault than not: while hosts also crash for other
 	// reasons, four may come together under one that is not.
 	maxUnexplained, maxLikely = 6, 4
@@ -241,7 +242,7 @@
 	record := s.before.WithRun(s.run.Run.Run, !s.run.Unconfirmed).WithBelief(r.Belief)
 	record.Suspected = suspected
 	if young && suspected && !explained {
-		record.Unexplained++
+		record = record.WithUnexplained(h.name)
 	}
 	c.setCrashRecord(s.task, record)
 	if suspected {
@@ -349,7 +350,10 @@
 			continue
 		}
 		cleared := record.WithBelief(min(record.Belief, results[i].Belief))
-		cleared.Unexplained, cleared.Suspected = min(record.Unexplained, s.before.Unexplained), false
+		if s.before.Unexplained < record.Unexplained {
+			cleared.Unexplained, cleared.UnexplainedHosts = s.before.Unexplained, s.before.UnexplainedHosts
+		}
+		cleared.Suspected = false
 		c.setCrashRecord(s.task, cleared)
 	}
 }
--- a/hvcell/crash_test.go
+++ b/hvcell/crash_test.go
@@ -97,6 +97,37 @@
 	c.expect(t, j, hvjob.Complete)
 }
 
+// Guards against a job that is shown as failed although no run of it failed, because the only
+// host that may run it goes down and up by turns.
+func TestHostThatCrashesAgainAndAgainIsNotTheJobsFault(t *testing.T) {
+	for _, lasting := range []bool{true, false} {
+		c := newCrashCluster(t, 10)
+		c.runTime = 5 * time.Second
+		e := c.hosts["host-0"]
+		e.labels = []string{only}
+		c.attachAll()
+		s := testStep(1, 500)
+		s.RequiredLabel, s.LongRunning = only, lasting
+		j := c.submit(urgentJob(s))
+		c.lasting = map[string]bool{j.ID: lasting}
+		for range 3 {
+			c.play(t, 6*time.Second)
+			for end := c.now.Add(7 * time.Second); c.now.Before(end); {
+				c.crashHost(e)
+				c.downUntil[e.name] = c.now.Add(700 * time.Millisecond)
+				c.play(t, 1400*time.Millisecond)
+			}
+		}
+		c.play(t, 15*time.Second)
+		switch got := c.stored[j.ID].State; {
+		case !lasting && got != hvjob.Complete:
+			t.Errorf("job is %q, want it complete", got)
+		case lasting && (got != hvjob.Running || len(e.running) != 1):
+			t.Errorf("long-running job is %q with %d runs, want one", got, len(e.running))
+		}
+	}
+}
+
 // Guards against a task that takes down one host after the other without limit, because it
 // does so so long after its start that other reasons explain each crash as well.
 func TestTaskThatCrashesHostsLateIsGivenUp(t *testing.T) {
--- a/hvjob/progress.go
+++ b/hvjob/progress.go
@@ -65,8 +65,10 @@
 	Runs        []int `json:"runs,omitempty"`
 	Unconfirmed []int `json:"unconfirmed,omitempty"`
 	// Unexplained counts the crashes soon after a start in which the task was suspected
-	// and for which no other task is to blame.
-	Unexplained int `json:"unexplained,omitempty"`
+	// and for which no other task is to blame, and UnexplainedHosts lists their hosts as far
+	// as they are known: records of earlier builds hold none.
+	Unexplained      int      `json:"unexplained,omitempty"`
+	UnexplainedHosts []string `json:"on,omitempty"`
 	// Suspected is true if, should a task have caused the last crash, it was probably one
 	// of its job.
 	Suspected bool `json:"suspected,omitempty"`
@@ -103,6 +105,25 @@
 	return append(slices.Clone(runs[max(len(runs)+1-maxCrashRuns, 0):]), run)
 }
 
+// maxUnexplainedPerHost is how many crashes of one host count as unexplained: one that
+// crashes again and again does so for reasons of its own.
+const maxUnexplainedPerHost = 2
+
+// WithUnexplained returns a copy with one more unexplained crash of a host, if it counts.
+func (r CrashRecord) WithUnexplained(host string) CrashRecord {
+	known := 0
+	for _, h := range r.UnexplainedHosts {
+		if h == host {
+			known++
+		}
+	}
+	if known < maxUnexplainedPerHost {
+		r.Unexplained++
+		r.UnexplainedHosts = append(slices.Clone(r.UnexplainedHosts), host)
+	}
+	return r
+}
+
 // WithBelief returns a copy with another belief.
 func (r CrashRecord) WithBelief(belief float64) CrashRecord {
 	r.Belief = belief
