--- a/hvjob/progress.go
+++ b/hvjob/progress.go
@@ -132,21 +132,20 @@
 
 // WithoutSavedStates returns a copy without the saved states of tasks.
 func (p Progress) WithoutSavedStates() Progress {
-	p = p.Clone()
-	for _, r := range p.Rounds {
-		for i := range r.Steps {
-			r.Steps[i].SavedStates = nil
-		}
-	}
-	return p
+	return p.withSteps(func(s *StepProgress) { s.SavedStates = nil })
 }
 
 // WithoutCrashes returns a copy without what is known of the crashes of hosts.
 func (p Progress) WithoutCrashes() Progress {
+	return p.withSteps(func(s *StepProgress) { s.Crashes = nil })
+}
+
+// withSteps returns a copy with a change to each step.
+func (p Progress) withSteps(change func(s *StepProgress)) Progress {
 	p = p.Clone()
 	for _, r := range p.Rounds {
 		for i := range r.Steps {
-			r.Steps[i].Crashes = nil
+			change(&r.Steps[i])
 		}
 	}
 	return p
