--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -105,7 +105,7 @@
 	// load is the load of best-effort work at loadMeasured.
 	load         BestEffortLoad
 	loadMeasured time.Time
-	// hostBuffer is reused by withUnusedCPU, and preferredBuffer by leastReserved.
+	// hostBuffer is reused by withUnusedCPU, and preferredBuffer by fewestDrawbacks.
 	hostBuffer, preferredBuffer []*host
 	// quarantined is true if one of the hosts that usable returned last is in quarantine.
 	quarantined bool
--- a/hvcell/pick.go
+++ b/hvcell/pick.go
@@ -27,7 +27,7 @@
 	if len(t.avoidedHosts) == 0 && !c.quarantined {
 		return hosts
 	}
-	out, least, able := c.leastReserved(t.step, hosts, func(h *host) int {
+	out, least, able := c.fewestDrawbacks(t.step, hosts, func(h *host) int {
 		n := 0
 		if h.quarantined {
 			n++
@@ -43,17 +43,17 @@
 	return out
 }
 
-// leastReserved returns those of the hosts that may run a step against which the fewest
-// reservations exist, valid until the next call, with the number of these, and the number of
-// all hosts that may run the step.
-func (c *Cell) leastReserved(s *step, hosts []*host, reservations func(h *host) int) (out []*host, least, able int) {
+// fewestDrawbacks returns those of the hosts that may run a step that have the fewest
+// drawbacks, valid until the next call, with the number of these, and the number of all hosts
+// that may run the step.
+func (c *Cell) fewestDrawbacks(s *step, hosts []*host, drawbacks func(h *host) int) (out []*host, least, able int) {
 	out = c.preferredBuffer[:0]
 	for _, h := range hosts {
 		if !c.mayRun(s, h) {
 			continue
 		}
 		able++
-		n := reservations(h)
+		n := drawbacks(h)
 		if n < least || len(out) == 0 {
 			out, least = out[:0], n
 		}
--- a/hvcell/trial.go
+++ b/hvcell/trial.go
@@ -266,7 +266,7 @@
 	case waited >= t.step.maxTrialWait():
 		return hosts
 	}
-	out, _, _ := c.leastReserved(t.step, hosts, func(h *host) int {
+	out, _, _ := c.fewestDrawbacks(t.step, hosts, func(h *host) int {
 		if h.quarantined {
 			return 1
 		}
