--- a/hvcell/advice.go
+++ b/hvcell/advice.go
@@ -101,7 +101,7 @@
 		if len(q.ExecutorIDs) == maxHostsPerRequest || allowed >= s.waiting {
 			break
 		}
-		if _, ok := s.ticket(now, h); ok || s.adviceStatus(h) == hostDenied || c.permanentObstacle(s, h) != "" || !s.spec.Allocation().Fits(s.available(h)) {
+		if _, ok := s.ticket(now, h); ok || !c.mayRun(s, h) || !s.spec.Allocation().Fits(s.available(h)) {
 			continue
 		}
 		if s.adviceStatus(h) == hostAllowed {
--- a/hvcell/backfill_search.go
+++ b/hvcell/backfill_search.go
@@ -102,7 +102,7 @@
 // requested for hosts with free capacity.
 func (c *Cell) reservableTasks(now time.Time, t *task, h *host) int {
 	s := t.step
-	if c.permanentObstacle(s, h) != "" || h.inTrial(now) && h.trialJob != s.round.job || s.needsAdvice() && s.adviceStatus(h) == hostDenied {
+	if !c.mayRun(s, h) || h.inTrial(now) && h.trialJob != s.round.job {
 		return 0
 	}
 	if s.spec.BestEffort {
--- a/hvcell/cell.go
+++ b/hvcell/cell.go
@@ -179,7 +179,7 @@
 	}
 	c.jobs[j.ID] = entry
 	for _, n := range slices.Sorted(maps.Keys(entry.progress.Rounds)) {
-		c.addRound(entry, n, j.Due(n))
+		c.addRound(entry, n)
 	}
 	c.startDueRounds(now, entry)
 	_ = level.Info(c.options.Logger).Log("msg", "job was added to the schedule", "job", j.ID, "queue", j.Queue, "offset", offset, "inherited", entry.inherited, "steps", len(j.Steps), "goal", entry.goal(), "waiting", c.counts.Waiting)
@@ -260,8 +260,7 @@
 	}
 	r := j.rounds[id.Round]
 	if r == nil && j.mayHaveStarted(id.Round) {
-		c.addRound(j, id.Round, j.Due(id.Round))
-		r = j.rounds[id.Round]
+		r = c.addRound(j, id.Round)
 	}
 	if r == nil || id.Step >= len(r.steps) || id.Index >= len(r.steps[id.Step].tasks) {
 		return nil
--- a/hvcell/crash.go
+++ b/hvcell/crash.go
@@ -24,9 +24,9 @@
 	// maxUnexplained is the number of crashes soon after a start of one task, in each of
 	// which it was suspected and none explained by another task, after which its job is
 	// given up whatever the belief: callers and hosts bear no more. Of one host only the
-	// first few count. maxLikely is that
-	// number if the task is more likely at fault than not: while hosts also crash for other
-	// reasons, four may come together under one that is not.
+	// first few count. maxLikely is that number if the task is more likely at fault than
+	// not: while hosts also crash for other reasons, four may come together under one that
+	// is not.
 	maxUnexplained, maxLikely = 6, 4
 	likelyBelief              = 0.5
 	// soonAfterStart is the age of a run up to which a crash counts for maxUnexplained.
--- a/hvcell/pick.go
+++ b/hvcell/pick.go
@@ -27,7 +27,7 @@
 	if len(t.avoidedHosts) == 0 && !c.quarantined {
 		return hosts
 	}
-	out, least, able := c.fewestDrawbacks(t.step, hosts, func(h *host) int {
+	drawbacks := func(h *host) int {
 		n := 0
 		if h.quarantined {
 			n++
@@ -36,23 +36,22 @@
 			n++
 		}
 		return n
-	})
-	if least > 0 && able < len(hosts) && !t.step.spec.LongRunning && now.Sub(t.avoidedAt) < starvationDelay {
+	}
+	out := c.fewestDrawbacks(t.step, hosts, drawbacks)
+	if len(out) > 0 && drawbacks(out[0]) > 0 && now.Sub(t.avoidedAt) < starvationDelay && !t.step.spec.LongRunning && !c.allMayRun(t.step, hosts) {
 		return nil
 	}
 	return out
 }
 
 // fewestDrawbacks returns those of the hosts that may run a step that have the fewest
-// drawbacks, valid until the next call, with the number of these, and the number of all hosts
-// that may run the step.
-func (c *Cell) fewestDrawbacks(s *step, hosts []*host, drawbacks func(h *host) int) (out []*host, least, able int) {
-	out = c.preferredBuffer[:0]
+// drawbacks, valid until the next call.
+func (c *Cell) fewestDrawbacks(s *step, hosts []*host, drawbacks func(h *host) int) []*host {
+	out, least := c.preferredBuffer[:0], 0
 	for _, h := range hosts {
 		if !c.mayRun(s, h) {
 			continue
 		}
-		able++
 		n := drawbacks(h)
 		if n < least || len(out) == 0 {
 			out, least = out[:0], n
@@ -62,7 +61,12 @@
 		}
 	}
 	c.preferredBuffer = out
-	return out, least, able
+	return out
+}
+
+// allMayRun reports whether all hosts may run a step.
+func (c *Cell) allMayRun(s *step, hosts []*host) bool {
+	return !slices.ContainsFunc(hosts, func(h *host) bool { return !c.mayRun(s, h) })
 }
 
 // mayRun reports whether a host may run tasks of a step at any time, however much of it is
--- a/hvcell/plan.go
+++ b/hvcell/plan.go
@@ -111,14 +111,9 @@
 // compare orders candidates: long-running steps first, then by usefulness, priority
 // of the queue (the lowest number first), goal, and order of the jobs and steps.
 func compare(a, b candidate) int {
-	if a.longRunning != b.longRunning {
-		if a.longRunning {
-			return -1
-		}
-		return 1
-	}
 	ra, rb := a.step.round, b.step.round
 	return cmp.Or(
+		longRunningFirst(a.longRunning, b.longRunning),
 		cmp.Compare(a.usefulness, b.usefulness),
 		comparePriority(a, b),
 		cmp.Compare(ra.goal, rb.goal),
@@ -127,6 +122,17 @@
 	)
 }
 
+// longRunningFirst orders long-running work before other work.
+func longRunningFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
 // usable returns the hosts that can start tasks, sorted by name. Those of evacuated
 // zones cannot, nor those that do not check their capacity while unneeded runs hold an
 // unknown part of it.
--- a/hvcell/rounds.go
+++ b/hvcell/rounds.go
@@ -56,7 +56,7 @@
 		if len(j.rounds) >= limit {
 			break
 		}
-		c.addRound(j, n, j.Due(n))
+		c.addRound(j, n)
 	}
 	return n
 }
@@ -78,7 +78,8 @@
 }
 
 // addRound sets up a round, with its stored progress if there is any.
-func (c *Cell) addRound(j *job, n int, due int64) {
+func (c *Cell) addRound(j *job, n int) *round {
+	due := j.Due(n)
 	r := &round{number: n, job: j, due: due}
 	stored, ok := j.progress.Rounds[n]
 	if !ok {
@@ -100,6 +101,7 @@
 	j.useTime = time.Duration(cutoffFactor*objective) * time.Millisecond
 	j.rounds[n] = r
 	r.updateReadySteps()
+	return r
 }
 
 // cutoffFactor times its objective is the time after which completing a round is
--- a/hvcell/trial.go
+++ b/hvcell/trial.go
@@ -112,13 +112,7 @@
 	}
 	trials = joinRounds(trials)
 	slices.SortStableFunc(trials, func(a, b trial) int {
-		if a.step.spec.LongRunning != b.step.spec.LongRunning {
-			if a.step.spec.LongRunning {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(a.belief, b.belief)
+		return cmp.Or(longRunningFirst(a.step.spec.LongRunning, b.step.spec.LongRunning), cmp.Compare(a.belief, b.belief))
 	})
 	for _, tr := range trials {
 		c.startTrial(now, tr, hosts)
@@ -266,20 +260,21 @@
 	case waited >= t.step.maxTrialWait():
 		return hosts
 	}
-	out, _, _ := c.fewestDrawbacks(t.step, hosts, func(h *host) int {
+	return c.fewestDrawbacks(t.step, hosts, func(h *host) int {
 		if h.quarantined {
 			return 1
 		}
 		return 0
 	})
-	return out
 }
 
 // canTry reports whether a suspected task can start on a host. Once it has waited long enough
 // it does so even if it interferes or is throttled there.
 func (c *Cell) canTry(now time.Time, t *task, h *host, waited time.Duration) bool {
-	host := []*host{h}
-	return c.pickAmong(now, t, host) != nil || waited >= t.step.maxTrialWait() && c.pickIgnoringImpact(now, t, host) != nil
+	if waited >= t.step.maxTrialWait() {
+		return c.hardObstacle(now, t, h) == ""
+	}
+	return c.obstacle(now, t, h, c.impact(t, h)) == ""
 }
 
 // maxTrialWait returns how long suspected tasks of the step wait at most for a better host.
--- a/hvledger/limits.go
+++ b/hvledger/limits.go
@@ -42,7 +42,7 @@
 
 // valueBytes returns the limit of the value of a record with a key.
 func (l Limits) valueBytes(key string) int {
-	return min(l.recordBytes()-keyLengthBytes-len(key), l.callBytes()-claimBytes-keyLengthBytes-len(key), maxValueBytes)
+	return min(min(l.recordBytes(), l.callBytes()-claimBytes)-keyLengthBytes-len(key), maxValueBytes)
 }
 
 func (l Limits) fits(rec hv.KeyedRecord) bool { return len(rec.Value) <= l.valueBytes(rec.Key) }
--- a/hvowner/flush.go
+++ b/hvowner/flush.go
@@ -64,21 +64,28 @@
 // appendRecords appends records together with the queued records of callers, in as many
 // appends as their size takes. It appends a heartbeat if there are none and one is due.
 func (o *Owner) appendRecords(ctx context.Context, recs []hv.KeyedRecord) error {
-	for _, part := range o.options.StoreLimits.Split(recs) {
-		if err := o.appendWithPuts(ctx, part, o.takePuts()); err != nil {
+	parts := o.options.StoreLimits.Split(recs)
+	if len(parts) == 0 {
+		parts = append(parts, nil)
+	}
+	for _, part := range parts {
+		puts := o.takePuts()
+		if len(part) == 0 && len(puts) == 0 {
+			return o.appendHeartbeat(ctx)
+		}
+		if err := o.appendWithPuts(ctx, part, puts); err != nil {
 			return err
 		}
 	}
-	if len(recs) > 0 {
+	return nil
+}
+
+// appendHeartbeat appends a heartbeat if one is due.
+func (o *Owner) appendHeartbeat(ctx context.Context) error {
+	if o.options.Writer.SinceLastAppend() < hvledger.HeartbeatInterval {
 		return nil
 	}
-	if puts := o.takePuts(); len(puts) > 0 {
-		return o.appendWithPuts(ctx, nil, puts)
-	}
-	if o.options.Writer.SinceLastAppend() >= hvledger.HeartbeatInterval {
-		return o.options.Writer.Heartbeat(ctx)
-	}
-	return nil
+	return o.options.Writer.Heartbeat(ctx)
 }
 
 // appendWithPuts appends records together with those of callers. If they are too large or
