Use one piece of code for the same steps of tests

The runs of an executor were ended in three loops, members of a gang in two, and a step was looked up twice; owners in a store were made in three tests. No assertion changes. isLongRunning and mayCopy look the step up by simCluster.step; a task of an unknown step counts as neither, where an index out of range ended the test before, and such a task still ends it when it starts.

--- a/hvcell/schedule_test.go
+++ b/hvcell/schedule_test.go
@@ -55,7 +55,7 @@
 			w.deliver(name)
 		}
 		// On one host the runs end before the next owner knows of them.
-		w.hosts["host-0"].endAll()
+		w.hosts["host-0"].endAll(hv.EndDone)
 		w.authority = 0
 		w.replaceOwner()
 		running := map[string]int{}
@@ -139,13 +139,6 @@
 	}
 }
 
-// endAll ends every run as done.
-func (e *executor) endAll() {
-	for task, run := range e.running {
-		e.end(task, run, hv.EndDone)
-	}
-}
-
 // Guards against the progress of a task that fails or loses its host without end, which grew
 // with each run.
 func TestProgressOfEndlessFailuresIsBounded(t *testing.T) {
--- a/hvcell/simcluster_test.go
+++ b/hvcell/simcluster_test.go
@@ -270,9 +270,8 @@
 // mayCopy reports whether a task may have two runs at a time. A start of the second may
 // be on its way when the first is done, so checkStarts checks when it is ordered.
 func (w *simCluster) mayCopy(task string) bool {
-	id, err := hvjob.ParseTask(task)
-	i := slices.IndexFunc(w.jobs, func(j hvjob.Job) bool { return j.ID == id.Job })
-	return err == nil && i >= 0 && w.policy.Tail && w.jobs[i].Steps[id.Step].Speculative
+	s := w.step(task)
+	return s != nil && w.policy.Tail && s.Speculative
 }
 
 // step returns the step of a task, or nil.
@@ -345,9 +344,7 @@
 // finishAll ends every run for the same reason.
 func (w *simCluster) finishAll(reason hv.EndReason) {
 	for _, e := range w.hosts {
-		for task, run := range e.running {
-			e.end(task, run, reason)
-		}
+		e.endAll(reason)
 	}
 }
 
--- a/hvcell/simexecutor_test.go
+++ b/hvcell/simexecutor_test.go
@@ -73,8 +73,13 @@
 	if !e.alive || e.cluster.now.Before(e.leaseEnd) {
 		return
 	}
+	e.endAll(hv.EndLapsed)
+}
+
+// endAll ends every run for the same reason.
+func (e *executor) endAll(reason hv.EndReason) {
 	for task, run := range e.running {
-		e.end(task, run, hv.EndLapsed)
+		e.end(task, run, reason)
 	}
 }
 
@@ -91,8 +96,13 @@
 	if reason != hv.EndDone {
 		reason = hv.EndGangBroken
 	}
-	for _, member := range slices.Sorted(maps.Keys(members)) {
-		members[member].finish(member, run, reason)
+	finishMembers(members, run, reason)
+}
+
+// finishMembers ends the runs of members of a gang.
+func finishMembers(members map[string]*executor, run int, reason hv.EndReason) {
+	for _, task := range slices.Sorted(maps.Keys(members)) {
+		members[task].finish(task, run, reason)
 	}
 }
 
@@ -116,10 +126,7 @@
 	e.alive = false
 	e.running, e.ended = map[string]int{}, nil
 	for _, task := range slices.Sorted(maps.Keys(runs)) {
-		members := e.cluster.otherMembers(task, runs[task])
-		for _, member := range slices.Sorted(maps.Keys(members)) {
-			members[member].finish(member, runs[task], hv.EndGangBroken)
-		}
+		finishMembers(e.cluster.otherMembers(task, runs[task]), runs[task], hv.EndGangBroken)
 	}
 }
 
--- a/hvowner/limits_test.go
+++ b/hvowner/limits_test.go
@@ -9,12 +9,9 @@
 	"testing"
 	"time"
 
-	"github.com/go-kit/log"
-
 	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvjob"
 	"hibiscusvane.example/hibiscusvane/hvledger"
-	"hibiscusvane.example/hibiscusvane/hvmetric"
 	"hibiscusvane.example/hibiscusvane/hvorder"
 	"hibiscusvane.example/hibiscusvane/hvowner"
 	"hibiscusvane.example/hibiscusvane/hvwire"
@@ -27,7 +24,7 @@
 // a channel that is closed once it has given up the cell.
 func newRunningOwner(t *testing.T, store *platformtest.Store) (*hvowner.Owner, <-chan struct{}) {
 	t.Helper()
-	o := hvowner.New(hvowner.Options{Writer: claimIn(t, store), Retention: time.Minute, Clock: hv.SystemClock{}, Metrics: hvmetric.New(4), Logger: log.NewNopLogger()})
+	o := newOwnerIn(t, store)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() {
--- a/hvowner/put_test.go
+++ b/hvowner/put_test.go
@@ -19,7 +19,13 @@
 
 func newOwner(t *testing.T) *hvowner.Owner {
 	t.Helper()
-	return hvowner.New(hvowner.Options{Writer: claim(t), Retention: time.Minute, Clock: hv.SystemClock{}, Metrics: hvmetric.New(4), Logger: log.NewNopLogger()})
+	return newOwnerIn(t, platformtest.NewStore())
+}
+
+// newOwnerIn returns an owner of the cell in the given store.
+func newOwnerIn(t *testing.T, store *platformtest.Store) *hvowner.Owner {
+	t.Helper()
+	return hvowner.New(hvowner.Options{Writer: claimIn(t, store), Retention: time.Minute, Clock: hv.SystemClock{}, Metrics: hvmetric.New(4), Logger: log.NewNopLogger()})
 }
 
 // Guards against records that are stored although Put reported that they are not,
--- a/hvowner/removal_test.go
+++ b/hvowner/removal_test.go
@@ -6,13 +6,8 @@
 	"testing"
 	"time"
 
-	"github.com/go-kit/log"
-
-	hv "hibiscusvane.example/hibiscusvane"
 	"hibiscusvane.example/hibiscusvane/hvledger"
-	"hibiscusvane.example/hibiscusvane/hvmetric"
 	"hibiscusvane.example/hibiscusvane/hvorder"
-	"hibiscusvane.example/hibiscusvane/hvowner"
 	"hibiscusvane.example/hibiscusvane/hvwire"
 	"hibiscusvane.example/hibiscusvane/hvwire/hvwiretest"
 	"hibiscusvane.example/hibiscusvane/platform/platformtest"
@@ -37,7 +32,7 @@
 		})
 		return hvorder.Report{ExecutorGone: true, Host: &hvorder.Host{Incarnation: "1", Draining: true, Exiting: true}}, nil
 	})
-	o := hvowner.New(hvowner.Options{Writer: claimIn(t, store), Retention: time.Minute, Clock: hv.SystemClock{}, Metrics: hvmetric.New(4), Logger: log.NewNopLogger()})
+	o := newOwnerIn(t, store)
 	// The removal takes this long to be stored.
 	store.SetFaults(platformtest.Faults{AppendDuration: time.Second})
 	node := hvledger.Node{Name: "side", Addr: hvwiretest.Serve(t, mux)}
