--- a/review/second/platform/bed/main.go
+++ b/review/second/platform/bed/main.go
@@ -20,6 +20,7 @@
 	"cancel":  lostCancel,
 	"foreign": foreignHeartbeats,
 	"rolling": rollingCrash,
+	"watcher": faultyWatcher,
 }
 
 func main() {
