--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,4 +5,4 @@
 for program in target/hvgate target/hvside target/review-2/bed; do
 	[ -x "$program" ] || { echo "$program is not built" >&2; exit 2; }
 done
-exec target/review-2/bed -case cancel -bin target -record "review/6/record.txt"
+exec target/review-2/bed -case late -bin target -record "review/6/record.txt"
--- a/review/second/platform/bed/bed.go
+++ b/review/second/platform/bed/bed.go
@@ -13,7 +13,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -88,14 +87,28 @@
 	minions   []*minion
 	// failing holds while the image of the watchers is faulty.
 	failing atomic.Bool
+	// keepIDs is true if minions start again under their identifiers, and proxied if there is a
+	// proxy between each side and its minion.
+	keepIDs, proxied bool
+	proxies          []*delayProxy
 }
 
-func newBed(bin string, rec *recorder, gates, sides int, room amount) (*bed, error) {
+// option changes a bed before it starts.
+type option func(b *bed)
+
+func withProxies(b *bed) { b.proxied = true }
+
+func withKeptIDs(b *bed) { b.keepIDs = true }
+
+func newBed(bin string, rec *recorder, gates, sides int, room amount, options ...option) (*bed, error) {
 	dir, err := os.MkdirTemp("", "hv-review-")
 	if err != nil {
 		return nil, err
 	}
 	b := &bed{rec: rec, needs: newNeeds(), store: platformtest.NewStore(), dir: dir, bin: bin}
+	for _, o := range options {
+		o(b)
+	}
 	l, err := b.claimSubnet()
 	if err != nil {
 		return b, err
@@ -145,9 +158,15 @@
 
 func (b *bed) addSide(i int, store string, room amount) error {
 	ip := b.ip(100 + i)
-	m := &minion{id: fmt.Sprintf("i-%02d", i), service: "desk", zone: "z1", rack: fmt.Sprintf("r1-%d", i/3), addr: ip + ":8165", control: ip + ":8166", room: room, needs: b.needs, rec: b.rec, failing: &b.failing}
+	m := &minion{id: fmt.Sprintf("i-%02d", i), service: "desk", zone: "z1", rack: fmt.Sprintf("r1-%d", i/3), addr: ip + ":8165", control: ip + ":8166", room: room, needs: b.needs, rec: b.rec, failing: &b.failing, keepsID: b.keepIDs}
 	listen := fmt.Sprintf(`{control: "%s:8166"}`, ip)
-	app := fmt.Sprintf("app: %q\nservice: %q\n", m.addr, m.service)
+	called := m.addr
+	if b.proxied {
+		called = ip + ":8164"
+		m.proxy = &delayProxy{addr: called, target: m.addr, rec: b.rec}
+		b.proxies = append(b.proxies, m.proxy)
+	}
+	app := fmt.Sprintf("app: %q\nservice: %q\n", called, m.service)
 	p, err := b.addProcess(fmt.Sprintf("side-%02d", i), "hvside", "side", ip, listen, app, store)
 	if err != nil {
 		return err
@@ -178,6 +197,11 @@
 			_ = m.server.Close()
 		}
 	}
+	for _, p := range b.proxies {
+		if p.server != nil {
+			p.close()
+		}
+	}
 	if b.server != nil {
 		_ = b.server.Close()
 	}
@@ -361,20 +385,3 @@
 	b.rec.log("client asks for %s: no answer", id)
 	return ""
 }
-
-// every calls f at an interval until the returned function is called.
-func every(interval time.Duration, f func()) (stop func()) {
-	done := make(chan struct{})
-	var wg sync.WaitGroup
-	wg.Go(func() {
-		for {
-			select {
-			case <-done:
-				return
-			case <-time.After(interval):
-				f()
-			}
-		}
-	})
-	return func() { close(done); wg.Wait() }
-}
--- a/review/second/platform/bed/main.go
+++ b/review/second/platform/bed/main.go
@@ -18,7 +18,7 @@
 // cases holds the cases by name. Each returns what broke the rule, or an empty string.
 var cases = map[string]func(bin string, rec *recorder, trouble, keep bool) (broken string, err error){
 	"cancel":  lostCancel,
-	"foreign": foreignHeartbeats,
+	"late":    lateStart,
 	"rolling": rollingCrash,
 	"watcher": faultyWatcher,
 }
--- a/review/second/platform/bed/minion.go
+++ b/review/second/platform/bed/minion.go
@@ -59,6 +59,10 @@
 	// failing holds while the image of the watchers is faulty: their runs fail shortly after
 	// their start.
 	failing *atomic.Bool
+	// keepsID is true if the minion starts again under its identifier.
+	keepsID bool
+	// proxy is between the side and the minion; it may be nil.
+	proxy *delayProxy
 
 	mu       sync.Mutex
 	life     int
@@ -76,7 +80,12 @@
 }
 
 // name returns the identifier of the present life.
-func (m *minion) name() string { return fmt.Sprintf("%s-%d", m.id, m.life) }
+func (m *minion) name() string {
+	if m.keepsID {
+		return m.id
+	}
+	return fmt.Sprintf("%s-%d", m.id, m.life)
+}
 
 // start begins a life: the minion holds and knows nothing of before.
 func (m *minion) start() error {
@@ -92,6 +101,11 @@
 	m.cancel, m.server = cancel, &http.Server{Handler: m}
 	server, name := m.server, m.name()
 	m.mu.Unlock()
+	if m.proxy != nil {
+		if err := m.proxy.open(); err != nil {
+			return err
+		}
+	}
 	m.rec.log("minion %s starts", name)
 	go func() { _ = server.Serve(l) }()
 	go m.sendHeartbeats(ctx)
@@ -105,6 +119,9 @@
 	defer m.mu.Unlock()
 	m.rec.log("minion %s crashes with %d runs", m.name(), len(m.running))
 	m.cancel()
+	if m.proxy != nil {
+		m.proxy.close()
+	}
 	_ = m.server.Close()
 	for _, r := range m.running {
 		m.rec.ended(m.id, r.task, r.number, "crash")
--- a/review/second/platform/bed/watcher.go
+++ b/review/second/platform/bed/watcher.go
@@ -21,6 +21,8 @@
 	// from 6 s after the last run, and 4 s without a disruption. watchedFor is how long.
 	judgedAfter = 8 * time.Second
 	watchedFor  = 12 * time.Second
+	// idleLimit is how long a job may have nothing running while there is capacity for it.
+	idleLimit = 3 * time.Second
 )
 
 // faultyWatcher lets a task that lasts fail shortly after each start for a while, and kills
