--- a/review/third/platform/world/main.go
+++ b/review/third/platform/world/main.go
@@ -16,9 +16,11 @@
 
 // scenarios are the cases by name. They return the rules that were broken.
 var scenarios = map[string]func(trouble bool) ([]string, error){
-	"late-submit":     lateSubmit,
-	"foreign-beat":    foreignBeat,
-	"rolling-restart": rollingRestart,
+	"late-submit":        lateSubmit,
+	"foreign-beat":       foreignBeat,
+	"unloaded-gate":      unloadedGate,
+	"rolling-restart":    rollingRestart,
+	"rolling-slow-store": rollingSlowStore,
 }
 
 func main() {
--- a/review/third/platform/world/rolling.go
+++ b/review/third/platform/world/rolling.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -18,7 +19,9 @@
 	storedInterval = 25 * time.Millisecond
 	// lateJobs is the number of jobs that are handed in from the restart of the first gate
 	// on, at that rate.
-	lateJobs     = 50
+	lateJobs = 50
+	// specBytes is the size of the work descriptions; a page of 500 jobs takes less than 1 MB.
+	specBytes    = 800
 	lateInterval = 50 * time.Millisecond
 	// slowAnswer and slowTime are those of platform_slow in the site files: answers of 4 ms
 	// take 60 times as long, for 4.5 s.
@@ -28,7 +31,7 @@
 
 // rollingRestart restarts two gates in turn. The store is slow while the first one starts.
 // Clients hand jobs in all the time.
-func rollingRestart(trouble bool) ([]string, error) {
+func rollingSlowStore(trouble bool) ([]string, error) {
 	w, err := newWorld(options{gates: 2, sides: 6, guards: true, room: 16000, catalog: catalog})
 	if w != nil {
 		defer w.stop()
@@ -98,7 +101,7 @@
 		w.mu.Lock()
 		id := w.rng.Uint64()
 		w.mu.Unlock()
-		j := &jobRecord{id: fmt.Sprintf("%016x", id), spec: "ms=100 cpu=500", steps: []map[string]any{{"count": 1, "cpu": 500, "mem_mb": 64, "estimate_ms": 100}}}
+		j := &jobRecord{id: fmt.Sprintf("%016x", id), spec: "ms=400 cpu=500 " + strings.Repeat("x", specBytes), steps: []map[string]any{{"count": 1, "cpu": 500, "mem_mb": 64, "estimate_ms": 400}}}
 		w.oracle.add(j)
 		jobs = append(jobs, j)
 		wg.Go(func() {
@@ -113,3 +116,58 @@
 	wg.Wait()
 	return jobs
 }
+
+// linkRate is the rate of the link of the smaller gates in Mbit/s.
+const linkRate = 10
+
+// rollingRestart restarts two gates in turn, one of which has the link of a small machine.
+// Clients hand jobs in all the time.
+func rollingRestart(trouble bool) ([]string, error) {
+	w, err := newWorld(options{gates: 2, sides: 6, guards: true, room: 16000, catalog: catalog, links: []int64{0, linkRate}})
+	if w != nil {
+		defer w.stop()
+	}
+	if err != nil {
+		return nil, err
+	}
+	for g := range w.gates {
+		if err := w.ready(g); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(3 * time.Second)
+	const large, small = 0, 1
+	w.event("gate %d owns the cell", w.owner()+1)
+	w.submitMany(storedJobs, large, storedInterval)
+	if trouble {
+		w.restartGate(small)
+	}
+	late := w.submitMany(lateJobs, large, lateInterval)
+	time.Sleep(6 * time.Second)
+	if err := w.ready(small); err != nil {
+		return nil, err
+	}
+	for _, j := range late {
+		_, a := w.client(large, http.MethodGet, j.id, nil, clientDeadline)
+		_, b := w.client(small, http.MethodGet, j.id, nil, clientDeadline)
+		if a != b {
+			w.event("STATE of job %s: %q at gate %d, %q at gate %d", j.id, a, large+1, b, small+1)
+		}
+	}
+	if trouble {
+		w.restartGate(large)
+	}
+	time.Sleep(6 * time.Second)
+	return w.oracle.broken, nil
+}
+
+// restartGate stops a gate as the platform does and starts it again.
+func (w *world) restartGate(gate int) {
+	w.event("gate %d gets SIGTERM", gate+1)
+	w.gates[gate].signal(syscall.SIGTERM)
+	w.gates[gate].wait()
+	if err := w.gates[gate].start(); err != nil {
+		w.event("gate %d does not start: %v", gate+1, err)
+	}
+	w.event("gate %d starts again", gate+1)
+}
--- a/review/third/platform/world/world.go
+++ b/review/third/platform/world/world.go
@@ -34,7 +34,7 @@
 role: %q
 machine_class: %q
 ip: %q
-zone: "z1"
+zone: %q
 region: "r"
 listen_addrs: {front: "%s:8161", ready: "%s:8167", control: "%s:8166"}
 port_range: [7720, 7735]
@@ -94,6 +94,7 @@
 	sides     []*process
 	minions   []*minion
 	servers   []*http.Server
+	links     []net.Listener
 	storeAddr string
 
 	mu        sync.Mutex
@@ -131,7 +132,11 @@
 	guards       bool
 	room         int64
 	labels       func(i int) []string
-	catalog      string
+	// links holds the rates in Mbit/s of the links between gates and the store; 0 is unlimited.
+	links []int64
+	// gateZones are the zones of the gates; z1 where there is none.
+	gateZones []string
+	catalog   string
 }
 
 func newWorld(o options) (*world, error) {
@@ -155,7 +160,17 @@
 	}
 	w.store.Put("keyed.op", "config", []byte(o.catalog))
 	for i := range o.gates {
-		if err := w.addProcess(&w.gates, fmt.Sprintf("front-z1-%d", i+1), "gate", "front", w.ip(i+1), "", storeAddr); err != nil {
+		addr := storeAddr
+		if i < len(o.links) && o.links[i] > 0 {
+			if addr, err = w.serveSlowLink(w.ip(251)+":0", storeAddr, o.links[i]); err != nil {
+				return w, err
+			}
+		}
+		zone := "z1"
+		if i < len(o.gateZones) {
+			zone = o.gateZones[i]
+		}
+		if err := w.addProcess(&w.gates, fmt.Sprintf("front-%s-%d", zone, i+1), zone, "gate", "front", w.ip(i+1), "", addr); err != nil {
 			return w, err
 		}
 	}
@@ -170,7 +185,7 @@
 			return w, err
 		}
 		w.minions = append(w.minions, m)
-		if err := w.addProcess(&w.sides, fmt.Sprintf("side-z1-%d", i+1), "side", "side", ip, m.addr, storeAddr); err != nil {
+		if err := w.addProcess(&w.sides, fmt.Sprintf("side-z1-%d", i+1), "z1", "side", "side", ip, m.addr, storeAddr); err != nil {
 			return w, err
 		}
 	}
@@ -190,9 +205,9 @@
 	return l.Addr().String(), nil
 }
 
-func (w *world) addProcess(list *[]*process, name, role, class, ip, app, storeAddr string) error {
+func (w *world) addProcess(list *[]*process, name, zone, role, class, ip, app, storeAddr string) error {
 	p := &process{name: name, program: filepath.Join("target", "hv"+role), settings: filepath.Join(w.dir, name+".yaml"), log: filepath.Join(w.dir, name+".log")}
-	text := fmt.Sprintf(settingsFormat, name, role, class, ip, ip, ip, ip, app, storeAddr)
+	text := fmt.Sprintf(settingsFormat, name, role, class, ip, zone, ip, ip, ip, app, storeAddr)
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -210,6 +225,9 @@
 	for _, s := range w.servers {
 		_ = s.Close()
 	}
+	for _, l := range w.links {
+		_ = l.Close()
+	}
 	if to := os.Getenv("KEEP_LOGS"); to != "" {
 		_ = os.Rename(w.dir, to)
 		return
