--- a/review/third/platform/world/executor.go
+++ b/review/third/platform/world/executor.go
@@ -67,19 +67,18 @@
 	addr    string
 	control string
 
-	mu        sync.Mutex
-	server    *http.Server
-	up        bool
-	born      time.Time
-	fence     int64
-	leaseEnd  int64
-	lastEnd   int64
-	sequence  int64
-	state     string
-	runs      map[string]*minionRun
-	blocked   map[string]int
-	ended     []minionEnd
-	lateShare float64
+	mu       sync.Mutex
+	server   *http.Server
+	up       bool
+	born     time.Time
+	fence    int64
+	leaseEnd int64
+	lastEnd  int64
+	sequence int64
+	state    string
+	runs     map[string]*minionRun
+	blocked  map[string]int
+	ended    []minionEnd
 }
 
 type minionRun struct {
@@ -88,7 +87,6 @@
 	spec    taskSpec
 	started time.Time
 	done    time.Duration
-	working time.Time
 	// stopAt is when a stop takes effect, or zero.
 	stopAt time.Time
 	saved  string
@@ -130,24 +128,6 @@
 	return nil
 }
 
-// crash ends the life of the minion without a word.
-func (m *minion) crash() {
-	m.mu.Lock()
-	if !m.up {
-		m.mu.Unlock()
-		return
-	}
-	m.up = false
-	s := m.server
-	for _, r := range m.runs {
-		m.world.oracle.ended(m, r.task, r.number, "crash")
-	}
-	m.runs = map[string]*minionRun{}
-	m.mu.Unlock()
-	_ = s.Close()
-	m.world.event("minion %s crashes", m.id)
-}
-
 func (m *minion) clock() int64 { return time.Since(m.born).Milliseconds() }
 
 func (m *minion) beatBody() []byte {
@@ -263,18 +243,6 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if m.world.late(m, r.URL.Path) {
-		time.AfterFunc(m.world.lateDelay(), func() {
-			m.mu.Lock()
-			defer m.mu.Unlock()
-			if m.up {
-				c.WaitMS = 0
-				m.carryOut(r.URL.Path, c)
-			}
-		})
-		<-r.Context().Done()
-		return
-	}
 	m.mu.Lock()
 	life := m.born
 	status, body := m.carryOut(r.URL.Path, c)
--- a/review/third/platform/world/oracle.go
+++ b/review/third/platform/world/oracle.go
@@ -18,7 +18,7 @@
 	interval  int64
 	accepted  time.Time
 	cancelled time.Time
-	// deleteAt is when a DELETE was answered with 2xx or 410.
+	// deleteStatus is the status of the response to the DELETE, at cancelled.
 	deleteStatus int
 }
 
@@ -41,8 +41,6 @@
 	done     map[string]bool
 	seenDone map[string]bool
 	starts   map[string]int
-	saves    map[string]bool
-	aloneN   int
 	broken   []string
 }
 
@@ -89,7 +87,6 @@
 	step, _ := strconv.Atoi(parts[2])
 	round, _ := strconv.Atoi(parts[1])
 	spec2 := j.steps[step]
-	gang := spec2["gang"] == true
 	for _, l := range o.live[task] {
 		o.breaks("TWICE: %s run %d starts on %s while run %d is on %s since %v", task, run, m.id, l.run, l.minion.id, time.Since(l.since))
 	}
@@ -148,7 +145,6 @@
 			o.breaks("LIMIT: %s brings %s to %d of %d", task, m.id, used, m.room)
 		}
 	}
-	_ = gang
 	o.live[task] = append(o.live[task], liveRun{m, task, run, time.Now()})
 }
 
@@ -175,9 +171,6 @@
 		}
 	case "failed":
 		o.failed[task]++
-	case "alone":
-		o.aloneN++
-		o.world.event("ALONE %s", task)
 	}
 }
 
--- a/review/third/platform/world/world.go
+++ b/review/third/platform/world/world.go
@@ -97,9 +97,8 @@
 	links     []net.Listener
 	storeAddr string
 
-	mu        sync.Mutex
-	lateShare float64
-	rng       *rand.Rand
+	mu  sync.Mutex
+	rng *rand.Rand
 }
 
 func (w *world) event(format string, args ...any) {
@@ -108,24 +107,6 @@
 	_, _ = fmt.Fprintf(w.record, "%8.3f "+format+"\n", append([]any{time.Since(w.began).Seconds()}, args...)...)
 }
 
-func (w *world) late(_ *minion, path string) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return path != "/hold" && w.rng.Float64() < w.lateShare
-}
-
-func (w *world) lateDelay() time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return time.Duration(2000+w.rng.Intn(10000)) * time.Millisecond
-}
-
-func (w *world) setLate(share float64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.lateShare = share
-}
-
 // options describe the deployment.
 type options struct {
 	gates, sides int
@@ -305,7 +286,7 @@
 // owner returns the index of the gate that last claimed the cell, or -1, by the record in the
 // store's topic.
 func (w *world) owner() int {
-	status, b := call(http.MethodGet, "http://"+w.servers0()+"/log-newest?topic=keyed.cell&part=0", "", nil, time.Second)
+	status, b := call(http.MethodGet, "http://"+w.storeAddr+"/log-newest?topic=keyed.cell&part=0", "", nil, time.Second)
 	if status != http.StatusOK {
 		return -1
 	}
@@ -331,8 +312,6 @@
 	return -1
 }
 
-func (w *world) servers0() string { return w.storeAddr }
-
 func freeSubnet() (string, error) {
 	r := rand.New(rand.NewSource(time.Now().UnixNano()))
 	for range 50 {
