Review, case 12: a late start reaches the next life of an executor

A start without a response is carried out after the executor has started again and before its side, which stands still, can call it. A task whose end was acknowledged runs again.

The stand-ins end their processes on SIGTERM.

--- a/review/third/platform/world/executor.go
+++ b/review/third/platform/world/executor.go
@@ -243,6 +243,19 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if m.world.holdsBack(m, r.URL.Path) {
+		// The call gets no response. It is carried out late, in whatever life there is then.
+		go func() {
+			<-m.world.release
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.world.event("a call of %s for %s run %d, token %d, is carried out late", r.URL.Path, c.Task, c.Run, c.Fence)
+			status, _ := m.carryOut(r.URL.Path, c)
+			m.world.event("it ended with status %d", status)
+		}()
+		<-r.Context().Done()
+		return
+	}
 	m.mu.Lock()
 	life := m.born
 	status, body := m.carryOut(r.URL.Path, c)
@@ -428,3 +441,30 @@
 		s.broken = how
 	}
 }
+
+// crash ends the life of the minion without a word. Its address refuses connections until it
+// starts again.
+func (m *minion) crash() {
+	m.mu.Lock()
+	m.up = false
+	s := m.server
+	for _, r := range m.runs {
+		m.world.oracle.ended(m, r.task, r.number, "crash")
+	}
+	m.runs = map[string]*minionRun{}
+	m.mu.Unlock()
+	_ = s.Close()
+	m.world.event("minion %s crashes", m.id)
+}
+
+// runsTask reports whether a task runs on the minion whose name has a prefix.
+func (m *minion) runsTask(prefix string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for task := range m.runs {
+		if strings.HasPrefix(task, prefix) {
+			return true
+		}
+	}
+	return false
+}
--- a/review/third/platform/world/main.go
+++ b/review/third/platform/world/main.go
@@ -17,7 +17,8 @@
 // scenarios are the cases by name. They return the rules that were broken.
 var scenarios = map[string]func(trouble bool) ([]string, error){
 	"late-submit":        lateSubmit,
-	"foreign-beat":       foreignBeat,
+	"suspected-job":      suspectedJob,
+	"late-start":         lateStart,
 	"unloaded-gate":      unloadedGate,
 	"rolling-restart":    rollingRestart,
 	"rolling-slow-store": rollingSlowStore,
--- a/review/third/platform/world/oracle.go
+++ b/review/third/platform/world/oracle.go
@@ -197,14 +197,9 @@
 	return n
 }
 
-func (o *oracle) startsOf(id string) int {
+// isNoted reports whether the end done of a task was acknowledged.
+func (o *oracle) isNoted(task string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	n := 0
-	for task, k := range o.starts {
-		if strings.HasPrefix(task, id+".") {
-			n += k
-		}
-	}
-	return n
+	return o.seenDone[task]
 }
--- a/review/third/platform/world/world.go
+++ b/review/third/platform/world/world.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -97,8 +98,15 @@
 	links     []net.Listener
 	storeAddr string
 
+	// release lets the call that is held back go on.
+	release chan struct{}
+
 	mu  sync.Mutex
 	rng *rand.Rand
+	// holdNext is true until the next start call is held back, of the minion heldBy, at heldAt.
+	holdNext bool
+	heldBy   *minion
+	heldAt   time.Time
 }
 
 func (w *world) event(format string, args ...any) {
@@ -107,6 +115,24 @@
 	_, _ = fmt.Fprintf(w.record, "%8.3f "+format+"\n", append([]any{time.Since(w.began).Seconds()}, args...)...)
 }
 
+// holdsBack reports whether a call to a minion is held back.
+func (w *world) holdsBack(m *minion, path string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.holdNext || path != "/run-start" {
+		return false
+	}
+	w.holdNext, w.heldBy, w.heldAt = false, m, time.Now()
+	return true
+}
+
+// held returns the minion of the call that is held back, and since when.
+func (w *world) held() (*minion, time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.heldBy, w.heldAt
+}
+
 // options describe the deployment.
 type options struct {
 	gates, sides int
@@ -129,8 +155,9 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{dir: dir, record: record, began: time.Now(), store: platformtest.NewStore(), gangs: &gangs{sets: map[string]*gangSet{}}, rng: rand.New(rand.NewSource(seed()))}
+	w := &world{dir: dir, record: record, began: time.Now(), store: platformtest.NewStore(), release: make(chan struct{}), gangs: &gangs{sets: map[string]*gangSet{}}, rng: rand.New(rand.NewSource(seed()))}
 	w.oracle = newOracle(w)
+	go w.stopOnSignal()
 	if w.subnet, err = freeSubnet(); err != nil {
 		return w, err
 	}
@@ -216,6 +243,15 @@
 	_ = os.RemoveAll(w.dir)
 }
 
+// stopOnSignal ends all processes if this one is told to stop.
+func (w *world) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	w.stop()
+	os.Exit(couldNot)
+}
+
 // ready waits until a gate is ready.
 func (w *world) ready(gate int) error {
 	for range 200 {
